Follow shortest over present answer time every 250 ms, from small limits

Cause: limits began at 16 a balancer and moved once a second, so jams filled hosts far past what they answer in time.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,8 +36,11 @@
 const SLOWER: f64 = 2.0; // answer time over the shortest, against the fleet, that is no cause for concern
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
 const SPILL: usize = 2; // hosts past the first that an op may try for room
-const LEAST_LIMIT: f64 = 4.0;
-const MOST_LIMIT: f64 = 64.0;
+const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
+const SAMPLES: f64 = 4.0; // answers that make a measure
+const LEAST_LIMIT: f64 = 2.0;
+const FIRST_LIMIT: f64 = 6.0;
+const MOST_LIMIT: f64 = 256.0;
 const COLD_MARGIN: f64 = 0.6; // of the allowance of a cold host that is spent at most
 const COLD_LEAST: f64 = 3.0; // pushes a window to a cold host that any balancer may send
 const RETRY_RATE: f64 = 0.2; // further pushes earned by an acked op
@@ -187,7 +190,7 @@
     strikes: f64,
     answered_at: Micros,
     answers: Histogram,
-    halved_at: Micros,
+    judged_at: Micros,
     shortest: f64,
     slowness: f64,
     share: f64,
@@ -210,11 +213,11 @@
             strikes: 0.0,
             answered_at: 0,
             answers: Histogram::default(),
-            halved_at: 0,
+            judged_at: 0,
             shortest: f64::MAX,
             slowness: 1.0,
             share: 1.0,
-            limit: MOST_LIMIT / 4.0,
+            limit: FIRST_LIMIT,
             peak: 0,
         }
     }
@@ -317,24 +320,26 @@
                 post.desk.push_back(ToDesk::Lost(op));
             }
         }
-        if now - self.halved_at < 1_000_000 {
+        if now - self.judged_at < JUDGE {
             return;
         }
-        self.halved_at = now;
-        if let Some(present) = self.answers.mean().filter(|_| self.answers.total() >= 4.0) {
-            self.shortest = (self.shortest * 1.01).min(present);
+        self.judged_at = now;
+        if self.suspect_since.is_none() {
+            self.strikes *= 0.8;
+        }
+        if let Some(present) = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES) {
+            self.shortest = (self.shortest * 1.005).min(present);
             self.slowness = present / self.shortest;
-            let ratio = (SLOWER * self.shortest / present).min(1.0);
-            let used = (self.peak as f64 * 2.0 + 2.0).max(LEAST_LIMIT);
-            let grown = (self.limit * ratio + self.limit.sqrt()).min(used.max(self.limit * ratio));
-            self.limit = grown.clamp(LEAST_LIMIT, MOST_LIMIT);
+            let ratio = (SLOWER / self.slowness).min(1.0);
+            let wanted = self.peak as f64 >= self.limit / 2.0;
+            let growth = if wanted { self.limit.sqrt() } else { 0.0 };
+            self.limit = (self.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
             self.share = (SLOWER * fleet.max(1.0) / self.slowness).clamp(LEAST_SHARE, 1.0);
+            if self.answers.total() >= 2.0 * SAMPLES {
+                self.answers.halve();
+            }
         }
         self.peak = self.out.len();
-        self.answers.halve();
-        if self.suspect_since.is_none() {
-            self.strikes /= 2.0;
-        }
     }
 }
 
