--- a/src/rules.rs
+++ b/src/rules.rs
@@ -481,6 +481,8 @@
     max_pushes: u32,
     second_copies: bool,
     call_off: bool,
+    /// A host fetches what it lacks: a push given up on runs on, so that the value is there next time.
+    runs_on: bool,
     come_back: Option<Micros>,
     excess_claim: f64,
     categories: Vec<Category>,
@@ -532,6 +534,7 @@
             max_pushes: terms.max_pushes,
             second_copies: terms.second_copies,
             call_off: terms.call_off,
+            runs_on: !terms.aside,
             come_back: terms.come_back.map(|longest| longest.min(COME_BACK)),
             excess_claim: 0.5 + 0.5 * terms.excess_benefit.clamp(0.0, 1.0),
             categories: categories.collect(),
@@ -593,7 +596,7 @@
             }
             Heard::Wake(Wake::Watch) => post.orders.push(Order::Watch),
             Heard::Wake(Wake::Sweep) => self.sweep(post),
-            Heard::Wake(Wake::Op(op)) => self.again(op, post),
+            Heard::Wake(Wake::Op(op)) => self.close(op, false, post),
             Heard::Op { op, category, customer, key, write, again: _, ttl_at } => {
                 let within = customer.is_none_or(|customer| self.within_share(customer, post.now));
                 let terms = &self.categories[category.0 as usize];
@@ -612,6 +615,10 @@
                     missed: false,
                     streaming: false,
                 };
+                if self.runs_on {
+                    let after = held.give_up - post.now;
+                    post.orders.push(Order::Wake { after, wake: Wake::Op(op) });
+                }
                 self.ops.insert(op, held);
                 self.route(op, post);
             }
@@ -900,7 +907,8 @@
         }
         standing.in_flight += 1;
         post.host(host, ToHost::Sent { op: id, push });
-        post.orders.push(Order::Push { op: id, host, timeout: op.give_up.min(op.ttl_at) - now });
+        let until = if self.runs_on { op.ttl_at } else { op.give_up };
+        post.orders.push(Order::Push { op: id, host, timeout: until - now });
         true
     }
 
@@ -922,7 +930,7 @@
 
     fn forget(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.remove(&id) else { return };
-        if self.call_off && !op.streaming {
+        if self.call_off && !op.streaming && !self.runs_on {
             post.orders.extend(op.out.iter().map(|out| Order::CallOff { op: id, push: out.0 }));
         }
     }
