A host keeps the part of its keys that its answer time allows against the fleet's median

Cause: list weights are core counts, so big slow hosts get more than they bear and their ops end past the target.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,8 @@
 const TRIAL_EVERY: Micros = 500_000;
 const RESTART: Micros = 2_000_000; // a host silent for longer may have been started anew, hence cold
 const MOST_BAD: f64 = 0.5; // with more of the hosts suspect, the trouble lies elsewhere: none is left out
-const SLOWER: f64 = 2.0; // answer time over the shortest, against the fleet, that is no cause for concern
+const SLOWER: f64 = 2.0; // answer time over the shortest up to which the limit stays
+const EVEN: f64 = 1.25; // answer time over the fleet's median up to which a host keeps all its keys
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
 const SPILL: usize = 2; // hosts past the first that an op may try for room
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
@@ -62,7 +63,6 @@
     },
     /// Time to judge; with the fleet's typical slowness and answer time.
     Sweep {
-        slowness: f64,
         typical: f64,
     },
 }
@@ -160,7 +160,6 @@
     warm: f64,
     /// The part of its own keys that it keeps.
     share: f64,
-    slowness: f64,
     typical: Option<f64>,
     limit: f64,
     in_flight: usize,
@@ -192,7 +191,6 @@
     answers: Histogram,
     judged_at: Micros,
     shortest: f64,
-    slowness: f64,
     share: f64,
     limit: f64,
     peak: usize,
@@ -215,7 +213,6 @@
             answers: Histogram::default(),
             judged_at: 0,
             shortest: f64::MAX,
-            slowness: 1.0,
             share: 1.0,
             limit: FIRST_LIMIT,
             peak: 0,
@@ -246,7 +243,7 @@
                 }
             }
             ToHost::Ended { op, push, end, took } => self.ended(op, push, end, took, post.now),
-            ToHost::Sweep { slowness, typical } => self.sweep(slowness, typical, post),
+            ToHost::Sweep { typical } => self.sweep(typical, post),
         }
         let warm = self.cold_since.map_or(1.0, |since| self.warming.part(post.now - since));
         let standing = Standing {
@@ -255,7 +252,6 @@
             trial_due: self.suspect_since.is_some() && post.now >= self.trial_at,
             warm,
             share: self.share * warm,
-            slowness: self.slowness,
             typical: self.answers.mean(),
             limit: self.limit,
             in_flight: self.out.len(),
@@ -307,7 +303,7 @@
         }
     }
 
-    fn sweep(&mut self, fleet: f64, typical: f64, post: &mut Post) {
+    fn sweep(&mut self, typical: f64, post: &mut Post) {
         let now = post.now;
         let own = self.answers.mean().unwrap_or(typical).max(typical);
         let unanswered = self.out.values().map(|&sent| (now - sent.max(self.answered_at)) as f64 / own);
@@ -329,12 +325,12 @@
         }
         if let Some(present) = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES) {
             self.shortest = (self.shortest * 1.005).min(present);
-            self.slowness = present / self.shortest;
-            let ratio = (SLOWER / self.slowness).min(1.0);
+            let ratio = (SLOWER * self.shortest / present).min(1.0);
             let wanted = self.peak as f64 >= self.limit / 2.0;
             let growth = if wanted { self.limit.sqrt() } else { 0.0 };
             self.limit = (self.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
-            self.share = (SLOWER * fleet.max(1.0) / self.slowness).clamp(LEAST_SHARE, 1.0);
+            let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
+            self.share += (target - self.share) * 0.25;
             if self.answers.total() >= 2.0 * SAMPLES {
                 self.answers.halve();
             }
@@ -669,17 +665,13 @@
     fn sweep(&mut self, post: &mut Post) {
         self.loads.sweep(post.now);
         let caches = || self.board.iter().filter(|standing| standing.cache());
-        let mut slowness: Vec<f64> = caches().map(|standing| standing.slowness).collect();
-        slowness.sort_by(f64::total_cmp);
         let mut typical: Vec<f64> = caches().filter_map(|standing| standing.typical).collect();
         typical.sort_by(f64::total_cmp);
-        let middle = |sorted: &[f64]| sorted.get(sorted.len() / 2).copied();
-        self.typical = middle(&typical).unwrap_or(self.typical);
+        self.typical = typical.get(typical.len() / 2).copied().unwrap_or(self.typical);
         let suspects = caches().filter(|standing| standing.suspect).count();
-        self.most_bad = suspects as f64 > MOST_BAD * slowness.len() as f64;
-        let slowness = middle(&slowness).unwrap_or(1.0);
+        self.most_bad = suspects as f64 > MOST_BAD * caches().count() as f64;
         for host in (0..self.board.len() as u32).map(HostId) {
-            post.host(host, ToHost::Sweep { slowness, typical: self.typical });
+            post.host(host, ToHost::Sweep { typical: self.typical });
         }
         post.orders.push(Order::Wake { after: SWEEP, wake: Wake::Sweep });
     }
