--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,7 @@
 // Departures.
 const SWEEP: Micros = 50_000;
 const SILENT: f64 = 8.0; // evidence, in typical answer times, that a host is not answering
+const LATE: f64 = 4.0; // typical answer times after which a push with no sign of life from its host is lost
 const STRIKE: f64 = 3.0; // evidence in one lost connection or unanswered push
 const WITNESSES: usize = 3; // the pushes out that count as evidence: one slow op must not stand for many
 const TRIAL_EVERY: Micros = 500_000;
@@ -180,7 +181,8 @@
     id: HostId,
     warming: Warming,
     listed: Option<Listed>,
-    out: BTreeMap<(OpId, PushNo), Micros>,
+    /// The pushes out: when each was sent, and whether it was given up as lost.
+    out: BTreeMap<(OpId, PushNo), (Micros, bool)>,
     cold_since: Option<Micros>,
     suspect_since: Option<Micros>,
     trial_at: Micros,
@@ -235,7 +237,7 @@
                 }
             }
             ToHost::Sent { op, push } => {
-                self.out.insert((op, push), post.now);
+                self.out.insert((op, push), (post.now, false));
                 self.peak = self.peak.max(self.out.len());
                 if self.suspect_since.is_some() {
                     self.trials += 1;
@@ -267,7 +269,7 @@
     }
 
     fn ended(&mut self, op: OpId, push: PushNo, end: End, took: Micros, now: Micros) {
-        let Some(sent) = self.out.remove(&(op, push)) else {
+        let Some((sent, _)) = self.out.remove(&(op, push)) else {
             return;
         };
         match end {
@@ -306,13 +308,18 @@
     fn sweep(&mut self, typical: f64, post: &mut Post) {
         let now = post.now;
         let own = self.answers.mean().unwrap_or(typical).max(typical);
-        let unanswered = self.out.values().map(|&sent| (now - sent.max(self.answered_at)) as f64 / own);
+        let answered = self.answered_at;
+        let unanswered = self.out.values().map(|out| (now - out.0.max(answered)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
         let origin = self.listed.as_ref().is_some_and(|listed| listed.origin);
         if evidence > SILENT && self.suspect_since.is_none() && !origin {
             self.suspect_since = Some(now);
             self.trial_at = now + TRIAL_EVERY;
-            for &(op, _) in self.out.keys() {
+        }
+        for (&(op, _), (sent, lost)) in &mut self.out {
+            let late = *sent > answered && (now - *sent) as f64 > LATE * own;
+            if !*lost && !origin && (late || self.suspect_since.is_some()) {
+                *lost = true;
                 post.desk.push_back(ToDesk::Lost(op));
             }
         }
