--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,6 +36,7 @@
 const MOST_BAD: f64 = 0.5; // with more of the hosts suspect, the trouble lies elsewhere: none is left out
 const SLOWER: f64 = 2.0; // answer time over the shortest up to which the limit stays
 const EVEN: f64 = 1.25; // answer time over the fleet's median up to which a host keeps all its keys
+const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
 const SPILL: usize = 2; // hosts past the first that an op may try for room
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
@@ -337,7 +338,7 @@
             let growth = if wanted { self.limit.sqrt() } else { 0.0 };
             self.limit = (self.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
             let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
-            self.share += (target - self.share) * 0.25;
+            self.share += (target - self.share) * GAIN;
             if self.answers.total() >= 2.0 * SAMPLES {
                 self.answers.halve();
             }
