--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,7 +41,8 @@
 const SPILL: usize = 2; // hosts past the first that an op may try for room
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
-const LEAST_LIMIT: f64 = 2.0;
+const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
+const LEAST_LIMIT: f64 = 1.0;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
 const COLD_MARGIN: f64 = 0.6; // of the allowance of a cold host that is spent at most
@@ -116,7 +117,7 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             while self.hosts.len() < known {
-                self.hosts.push(Host::new(HostId(self.hosts.len() as u32), self.desk.warming.clone()));
+                self.hosts.push(Host::new(HostId(self.hosts.len() as u32), self.desk.warming.clone(), self.desk.bearable));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -194,13 +195,15 @@
     answers: Histogram,
     judged_at: Micros,
     shortest: f64,
+    /// The longest answer time that can pass for the shortest.
+    bearable: f64,
     share: f64,
     limit: f64,
     peak: usize,
 }
 
 impl Host {
-    fn new(id: HostId, warming: Warming) -> Host {
+    fn new(id: HostId, warming: Warming, bearable: f64) -> Host {
         Host {
             id,
             warming,
@@ -216,6 +219,7 @@
             answers: Histogram::default(),
             judged_at: 0,
             shortest: f64::MAX,
+            bearable,
             share: 1.0,
             limit: FIRST_LIMIT,
             peak: 0,
@@ -297,9 +301,14 @@
                 self.strikes += STRIKE;
                 self.lost_connection = true;
             }
-            // Silence, unless other answers came meanwhile: then the op was only slow.
-            End::TimedOut if self.answered_at < sent => self.strikes += STRIKE,
-            End::TimedOut | End::CalledOff | End::Void => {}
+            // Too much is in flight; and silence, unless other answers came meanwhile.
+            End::TimedOut => {
+                self.limit = (self.limit * BACK_OFF).max(LEAST_LIMIT);
+                if self.answered_at < sent {
+                    self.strikes += STRIKE;
+                }
+            }
+            End::CalledOff | End::Void => {}
         }
         if matches!(end, End::Acked | End::TimedOut) {
             self.answers.add(took);
@@ -332,10 +341,11 @@
             self.strikes *= 0.8;
         }
         if let Some(present) = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES) {
-            self.shortest = (self.shortest * 1.005).min(present);
+            // A host that was in a jam when first met must not pass its jam for its shortest answer time.
+            self.shortest = (self.shortest * 1.005).min(present).min(self.bearable);
             let ratio = (SLOWER * self.shortest / present).min(1.0);
             let wanted = self.peak as f64 >= self.limit / 2.0;
-            let growth = if wanted { self.limit.sqrt() } else { 0.0 };
+            let growth = if wanted { 1.0 } else { 0.0 };
             self.limit = (self.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
             let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
             self.share += (target - self.share) * GAIN;
@@ -492,6 +502,7 @@
     categories: Vec<Category>,
     customers: Vec<Customer>,
     typical: f64,
+    bearable: f64,
     board: Vec<Standing>,
     cold_sends: BTreeMap<HostId, VecDeque<Micros>>,
     ring: Ring,
@@ -544,6 +555,7 @@
             categories: categories.collect(),
             customers: customers.collect(),
             typical: shortest as f64 / 4.0,
+            bearable: shortest as f64 / 4.0,
             board: Vec::new(),
             cold_sends: BTreeMap::new(),
             ring: Ring::default(),
