--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,8 @@
 const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
 const SPILL: usize = 2; // hosts past the first that an op may try for room
+const BEARABLE: f64 = 2.0; // and in quarters of the shortest target latency
+const ORIGIN_BEARABLE: f64 = 3.0; // a slow origin still serves, and no other host can
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
@@ -266,6 +268,10 @@
         post.desk.push_back(ToDesk::Standing(self.id, standing));
     }
 
+    fn is_origin(&self) -> bool {
+        self.listed.as_ref().is_some_and(|listed| listed.origin)
+    }
+
     fn well(&mut self) {
         self.suspect_since = None;
         self.strikes = 0.0;
@@ -321,7 +327,7 @@
         let answered = self.answered_at;
         let unanswered = self.out.values().map(|out| (now - out.0.max(answered)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
-        let origin = self.listed.as_ref().is_some_and(|listed| listed.origin);
+        let origin = self.is_origin();
         if evidence > SILENT && self.suspect_since.is_none() && !origin {
             self.suspect_since = Some(now);
             self.trial_at = now + TRIAL_EVERY;
@@ -343,7 +349,8 @@
         if let Some(present) = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES) {
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
             self.shortest = (self.shortest * 1.005).min(present).min(self.bearable);
-            let ratio = (SLOWER * self.shortest / present).min(1.0);
+            let bearable = if self.is_origin() { ORIGIN_BEARABLE } else { BEARABLE } * self.bearable;
+            let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
             let wanted = self.peak as f64 >= self.limit / 2.0;
             let growth = if wanted { 1.0 } else { 0.0 };
             self.limit = (self.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
