--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,7 +27,7 @@
 
 // Departures.
 const SWEEP: Micros = 50_000;
-const SILENT: f64 = 8.0; // evidence, in typical answer times, that a host is not answering
+const SILENT: f64 = 5.0; // evidence, in typical answer times, that a host is not answering
 const LATE: f64 = 4.0; // typical answer times after which a push with no sign of life from its host is lost
 const STRIKE: f64 = 3.0; // evidence in one lost connection or unanswered push
 const WITNESSES: usize = 3; // the pushes out that count as evidence: one slow op must not stand for many
