--- a/src/rules.rs
+++ b/src/rules.rs
@@ -808,9 +808,10 @@
                 return Some(host);
             }
             full += 1;
-            if full > SPILL {
+            if full > SPILL || self.retries < 1.0 {
                 return None;
             }
+            self.retries -= 1.0;
         }
         if full > 0 {
             return None;
