--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,6 @@
 const WITNESSES: usize = 3; // the pushes out that count as evidence: one slow op must not stand for many
 const TRIAL_EVERY: Micros = 500_000;
 const RESTART: Micros = 2_000_000; // a host silent for longer may have been started anew, hence cold
-const MOST_BAD: f64 = 0.5; // with more of the hosts suspect, the trouble lies elsewhere: none is left out
 const SLOWER: f64 = 2.0; // answer time over the shortest up to which the limit stays
 const EVEN: f64 = 1.6; // answer time over the fleet's median up to which a host keeps all its keys
 const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
@@ -323,7 +322,8 @@
 
     fn sweep(&mut self, typical: f64, post: &mut Post) {
         let now = post.now;
-        let own = self.answers.mean().unwrap_or(typical).max(typical);
+        // Time-outs count as answer times: they must not make silence look like slowness.
+        let own = self.answers.mean().unwrap_or(typical).max(typical).min(BEARABLE * self.bearable);
         let answered = self.answered_at;
         let unanswered = self.out.values().map(|out| (now - out.0.max(answered)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
@@ -518,7 +518,6 @@
     retries: f64,
     watches: u32,
     started: bool,
-    most_bad: bool,
 }
 
 impl Desk {
@@ -571,7 +570,6 @@
             retries: RETRY_STORE,
             watches: 0,
             started: false,
-            most_bad: false,
         }
     }
 
@@ -695,8 +693,6 @@
         let mut typical: Vec<f64> = caches().filter_map(|standing| standing.typical).collect();
         typical.sort_by(f64::total_cmp);
         self.typical = typical.get(typical.len() / 2).copied().unwrap_or(self.typical);
-        let suspects = caches().filter(|standing| standing.suspect).count();
-        self.most_bad = suspects as f64 > MOST_BAD * caches().count() as f64;
         for host in (0..self.board.len() as u32).map(HostId) {
             post.host(host, ToHost::Sweep { typical: self.typical });
         }
@@ -741,7 +737,7 @@
     fn route(&mut self, id: OpId, post: &mut Post) {
         let op = &self.ops[&id];
         let chosen =
-            if self.aside && (op.write || op.missed) { self.origin(op) } else { self.choose(id, post) };
+            if self.aside && (op.write || op.missed) { self.origin(op) } else { self.choose(id, post.now) };
         let pushed = chosen.is_some_and(|host| self.push(id, host, post));
         if !pushed && self.ops[&id].out.is_empty() {
             self.close(id, true, post);
@@ -765,61 +761,48 @@
 
     /// The ordinary path: the key's home, or for a hot key the least busy of its holders; past a host that is
     /// not to be used or has no room, the next one clockwise.
-    fn choose(&mut self, id: OpId, post: &mut Post) -> Option<HostId> {
+    fn choose(&mut self, id: OpId, now: Micros) -> Option<HostId> {
         let op = &self.ops[&id];
         let key = op.key.unwrap_or_else(|| Place(self.rng.random()));
-        let mut order: Vec<HostId> = Vec::new();
+        let mut holders = Vec::new();
         if self.loads.hot.contains_key(&key) && !op.write {
-            order = self.holders(key, post.now);
-            let mut drawn: Vec<_> = order
-                .iter()
-                .map(|&host| (self.board[host.0 as usize].in_flight, self.rng.random::<u32>(), host))
-                .collect();
-            drawn.sort_unstable();
-            order = drawn.into_iter().map(|(.., host)| host).collect();
-        }
-        let op = &self.ops[&id];
-        let hosts = self.board.iter().filter(|standing| standing.cache()).count();
-        let mut walk = self.ring.walk(key);
-        let mut at = 0;
-        let mut full = 0;
-        let mut left = Vec::new();
-        loop {
-            if at == order.len() {
-                if order.len() >= hosts {
-                    break;
-                }
-                match walk.by_ref().find(|(_, host)| !order.contains(host)) {
-                    Some((_, host)) => order.push(host),
-                    None => break,
-                }
+            holders = self.holders(key, now);
+            holders.sort_by_cached_key(|&host| (self.board[host.0 as usize].in_flight, self.rng.random::<u32>()));
+        }
+        let mut seen = Vec::new();
+        let order = holders.into_iter().chain(self.ring.walk(key).map(|point| point.1)).filter(|host| {
+            let new = !seen.contains(host);
+            if new {
+                seen.push(*host);
             }
-            let host = order[at];
-            at += 1;
+            new
+        });
+        let mut full = 0;
+        let mut second: Option<(f64, HostId)> = None;
+        for host in order {
             let standing = &self.board[host.0 as usize];
-            if !standing.cache() || op.tried.contains(&host) || (standing.suspect && !self.most_bad) {
+            let room = (standing.in_flight as f64) < standing.limit * op.claim;
+            if !standing.cache() || op.tried.contains(&host) {
                 continue;
             }
-            if !self.keeps(host, key) {
-                left.push(host);
-                continue;
-            }
-            if (standing.in_flight as f64) < standing.limit * op.claim {
+            if standing.suspect || !self.keeps(host, key) {
+                // With no better host left: the one that has most to give, a suspect last and one push at a time.
+                let worth = if standing.suspect { 0.0 } else { standing.share };
+                let able = if standing.suspect { standing.in_flight == 0 } else { room };
+                if able && second.is_none_or(|(best, _)| worth > best) {
+                    second = Some((worth, host));
+                }
+            } else if room {
                 return Some(host);
+            } else {
+                full += 1;
+                if full > SPILL || self.retries < 1.0 {
+                    return None;
+                }
+                self.retries -= 1.0;
             }
-            full += 1;
-            if full > SPILL || self.retries < 1.0 {
-                return None;
-            }
-            self.retries -= 1.0;
-        }
-        if full > 0 {
-            return None;
         }
-        left.into_iter().max_by(|a, b| {
-            let share = |host: &HostId| self.board[host.0 as usize].share;
-            share(a).total_cmp(&share(b)).then(b.cmp(a))
-        })
+        second.filter(|_| full == 0).map(|(_, host)| host)
     }
 
     /// Three holders, one per equal range of the ring from the key's place; the home is the first.
