--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,7 @@
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
+const UNUSED: f64 = 0.05; // of a limit that is not used, lost a step: it must not stand high when a jam begins
 const LEAST_LIMIT: f64 = 1.0;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
@@ -352,7 +353,7 @@
             let bearable = if self.is_origin() { ORIGIN_BEARABLE } else { BEARABLE } * self.bearable;
             let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
             let wanted = self.peak as f64 >= self.limit / 2.0;
-            let growth = if wanted { 1.0 } else { 0.0 };
+            let growth = if wanted { 1.0 } else { -self.limit * UNUSED };
             self.limit = (self.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
             let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
             self.share += (target - self.share) * GAIN;
