--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -168,10 +168,7 @@
     match ctx {
         "sweep" => Ok(Wake::Sweep),
         "watch" => Ok(Wake::Watch),
-        op => match op.strip_prefix("op").and_then(|number| number.parse().ok()) {
-            Some(number) => Ok(Wake::Op(OpId(number))),
-            None => Err(format!("unknown timer {ctx}")),
-        },
+        _ => Err(format!("unknown timer {ctx}")),
     }
 }
 
@@ -200,9 +197,8 @@
         }
         Order::Wake { after, wake } => {
             let ctx = match wake {
-                Wake::Sweep => "sweep".to_owned(),
-                Wake::Watch => "watch".to_owned(),
-                Wake::Op(op) => format!("op{}", op.0),
+                Wake::Sweep => "sweep",
+                Wake::Watch => "watch",
             };
             format!(r#"{{"type":"WAKE_AT","sleepForMs":{},"ctx":"{ctx}"}}"#, millis(after))
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,6 +80,7 @@
 }
 
 /// The inboxes, the orders made, and the time of the event in hand.
+#[derive(Default)]
 struct Post {
     now: Micros,
     desk: VecDeque<ToDesk>,
@@ -103,14 +104,7 @@
 
 impl Balancer {
     pub fn new(terms: &Terms) -> Balancer {
-        let post = Post {
-            now: 0,
-            desk: VecDeque::new(),
-            hosts: Vec::new(),
-            turns: VecDeque::new(),
-            orders: Vec::new(),
-        };
-        Balancer { post, desk: Desk::new(terms), hosts: Vec::new() }
+        Balancer { post: Post::default(), desk: Desk::new(terms), hosts: Vec::new() }
     }
 
     /// Takes one event and adds what is to be done to `orders`.
@@ -119,7 +113,11 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             while self.hosts.len() < known {
-                self.hosts.push(Host::new(HostId(self.hosts.len() as u32), self.desk.warming.clone(), self.desk.bearable));
+                self.hosts.push(Host::new(
+                    HostId(self.hosts.len() as u32),
+                    self.desk.warming.clone(),
+                    self.desk.bearable,
+                ));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -184,7 +182,7 @@
 struct Host {
     id: HostId,
     warming: Warming,
-    listed: Option<Listed>,
+    standing: Standing,
     /// The pushes out: when each was sent, and whether it was given up as lost.
     out: BTreeMap<(OpId, PushNo), (Micros, bool)>,
     cold_since: Option<Micros>,
@@ -199,8 +197,8 @@
     shortest: f64,
     /// The longest answer time that can pass for the shortest.
     bearable: f64,
+    /// Of its keys for its answer times alone.
     share: f64,
-    limit: f64,
     peak: usize,
 }
 
@@ -209,7 +207,7 @@
         Host {
             id,
             warming,
-            listed: None,
+            standing: Standing { limit: FIRST_LIMIT, ..Standing::default() },
             out: BTreeMap::new(),
             cold_since: None,
             suspect_since: None,
@@ -223,7 +221,6 @@
             shortest: f64::MAX,
             bearable,
             share: 1.0,
-            limit: FIRST_LIMIT,
             peak: 0,
         }
     }
@@ -231,15 +228,15 @@
     fn take(&mut self, note: ToHost, post: &mut Post) {
         match note {
             ToHost::Listed(listed) => {
-                let before = self.listed.as_ref().and_then(|old| old.started);
+                let before = self.standing.listed.as_ref().and_then(|old| old.started);
                 if listed.started.is_some() && listed.started != before {
                     self.cold_since = self.cold_since.max(listed.started);
                     self.well();
                 }
-                self.listed = Some(listed);
+                self.standing.listed = Some(listed);
             }
             ToHost::Unlisted => {
-                if let Some(listed) = &mut self.listed {
+                if let Some(listed) = &mut self.standing.listed {
                     listed.lifecycle = Lifecycle::Gone;
                 }
             }
@@ -255,21 +252,18 @@
             ToHost::Sweep { typical } => self.sweep(typical, post),
         }
         let warm = self.cold_since.map_or(1.0, |since| self.warming.part(post.now - since));
-        let standing = Standing {
-            listed: self.listed.clone(),
-            suspect: self.suspect_since.is_some(),
-            trial_due: self.suspect_since.is_some() && post.now >= self.trial_at,
-            warm,
-            share: self.share * warm,
-            typical: self.answers.mean(),
-            limit: self.limit,
-            in_flight: self.out.len(),
-        };
-        post.desk.push_back(ToDesk::Standing(self.id, standing));
+        let standing = &mut self.standing;
+        standing.suspect = self.suspect_since.is_some();
+        standing.trial_due = standing.suspect && post.now >= self.trial_at;
+        standing.warm = warm;
+        standing.share = self.share * warm;
+        standing.typical = self.answers.mean();
+        standing.in_flight = self.out.len();
+        post.desk.push_back(ToDesk::Standing(self.id, standing.clone()));
     }
 
     fn is_origin(&self) -> bool {
-        self.listed.as_ref().is_some_and(|listed| listed.origin)
+        self.standing.listed.as_ref().is_some_and(|listed| listed.origin)
     }
 
     fn well(&mut self) {
@@ -301,7 +295,7 @@
             }
             End::TurnedAway => {
                 self.answered_at = now;
-                self.limit = (self.limit / 2.0).max(LEAST_LIMIT);
+                self.standing.limit = (self.standing.limit / 2.0).max(LEAST_LIMIT);
             }
             End::Unreachable | End::Broken => {
                 self.strikes += STRIKE;
@@ -309,7 +303,7 @@
             }
             // Too much is in flight; and silence, unless other answers came meanwhile.
             End::TimedOut => {
-                self.limit = (self.limit * BACK_OFF).max(LEAST_LIMIT);
+                self.standing.limit = (self.standing.limit * BACK_OFF).max(LEAST_LIMIT);
                 if self.answered_at < sent {
                     self.strikes += STRIKE;
                 }
@@ -352,9 +346,9 @@
             self.shortest = (self.shortest * 1.005).min(present).min(self.bearable);
             let bearable = if self.is_origin() { ORIGIN_BEARABLE } else { BEARABLE } * self.bearable;
             let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
-            let wanted = self.peak as f64 >= self.limit / 2.0;
-            let growth = if wanted { 1.0 } else { -self.limit * UNUSED };
-            self.limit = (self.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
+            let wanted = self.peak as f64 >= self.standing.limit / 2.0;
+            let growth = if wanted { 1.0 } else { -self.standing.limit * UNUSED };
+            self.standing.limit = (self.standing.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
             let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
             self.share += (target - self.share) * GAIN;
             if self.answers.total() >= 2.0 * SAMPLES {
@@ -462,7 +456,6 @@
 struct Category {
     /// An answer is of use for so long.
     useful: Micros,
-    benefit: f64,
     /// The part of a host's room that it may fill.
     claim: f64,
     /// Further pushes that an op may have.
@@ -482,7 +475,6 @@
     key: Option<Place>,
     write: bool,
     give_up: Micros,
-    ttl_at: Micros,
     claim: f64,
     pushes: u32,
     spare: u32,
@@ -503,8 +495,6 @@
     max_pushes: u32,
     second_copies: bool,
     call_off: bool,
-    /// A host fetches what it lacks: a push given up on runs on, so that the value is there next time.
-    runs_on: bool,
     come_back: Option<Micros>,
     excess_claim: f64,
     categories: Vec<Category>,
@@ -531,7 +521,6 @@
             } else {
                 (category.target_latency - margin).max(terms.tick)
             },
-            benefit: category.benefit,
             claim: 0.6 + 0.4 * category.benefit / top.max(1e-9),
             spare: 1 + (2.0 * category.benefit / top.max(1e-9)) as u32,
             repeats: category.repeats,
@@ -556,7 +545,6 @@
             max_pushes: terms.max_pushes,
             second_copies: terms.second_copies,
             call_off: terms.call_off,
-            runs_on: !terms.aside,
             come_back: terms.come_back.map(|longest| longest.min(COME_BACK)),
             excess_claim: 0.5 + 0.5 * terms.excess_benefit.clamp(0.0, 1.0),
             categories: categories.collect(),
@@ -618,7 +606,6 @@
             }
             Heard::Wake(Wake::Watch) => post.orders.push(Order::Watch),
             Heard::Wake(Wake::Sweep) => self.sweep(post),
-            Heard::Wake(Wake::Op(op)) => self.close(op, false, post),
             Heard::Op { op, category, customer, key, write, again: _, ttl_at } => {
                 let within = customer.is_none_or(|customer| self.within_share(customer, post.now));
                 let terms = &self.categories[category.0 as usize];
@@ -627,7 +614,6 @@
                     key,
                     write,
                     give_up: ttl_at.min(post.now + terms.useful),
-                    ttl_at,
                     claim: terms.claim * if within { 1.0 } else { self.excess_claim },
                     pushes: 0,
                     spare: terms.spare,
@@ -637,10 +623,6 @@
                     missed: false,
                     streaming: false,
                 };
-                if self.runs_on {
-                    let after = held.give_up - post.now;
-                    post.orders.push(Order::Wake { after, wake: Wake::Op(op) });
-                }
                 self.ops.insert(op, held);
                 self.route(op, post);
             }
@@ -768,7 +750,9 @@
         let mut holders = Vec::new();
         if self.loads.hot.contains_key(&key) && !op.write {
             holders = self.holders(key, now);
-            holders.sort_by_cached_key(|&host| (self.board[host.0 as usize].in_flight, self.rng.random::<u32>()));
+            holders.sort_by_cached_key(|&host| {
+                (self.board[host.0 as usize].in_flight, self.rng.random::<u32>())
+            });
         }
         let mut seen = Vec::new();
         let order = holders.into_iter().chain(self.ring.walk(key).map(|point| point.1)).filter(|host| {
@@ -858,7 +842,7 @@
         };
         let standing = &self.board[host.0 as usize];
         // Rule 1: nothing for an op that is over, out of time or out of pushes.
-        if op.streaming || now >= op.give_up.min(op.ttl_at) || op.pushes >= self.max_pushes {
+        if op.streaming || now >= op.give_up || op.pushes >= self.max_pushes {
             return false;
         }
         // Rule 2: nothing that could take effect twice.
@@ -911,8 +895,7 @@
         }
         standing.in_flight += 1;
         post.host(host, ToHost::Sent { op: id, push });
-        let until = if self.runs_on { op.ttl_at } else { op.give_up };
-        post.orders.push(Order::Push { op: id, host, timeout: until - now });
+        post.orders.push(Order::Push { op: id, host, timeout: op.give_up - now });
         true
     }
 
@@ -934,7 +917,7 @@
 
     fn forget(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.remove(&id) else { return };
-        if self.call_off && !op.streaming && !self.runs_on {
+        if self.call_off && !op.streaming {
             post.orders.extend(op.out.iter().map(|out| Order::CallOff { op: id, push: out.0 }));
         }
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -215,7 +215,6 @@
 pub enum Wake {
     Sweep,
     Watch,
-    Op(OpId),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
