The window for repeats counts from the first send; a trial's miss asks no origin

Also the least cold budget is shared out over the balancers: three pushes each of 22 balancers could push a cold host over.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,7 +48,7 @@
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
 const COLD_MARGIN: f64 = 0.6; // of the allowance of a cold host that is spent at most
-const COLD_LEAST: f64 = 3.0; // pushes a window to a cold host that any balancer may send
+const COLD_LEAST: f64 = 8.0; // pushes a window to a cold host that all balancers may send together
 const RETRY_RATE: f64 = 0.2; // further pushes earned by an acked op
 const RETRY_STORE: f64 = 20.0;
 const COME_BACK: Micros = 1_000_000;
@@ -56,20 +56,10 @@
 enum ToHost {
     Listed(Listed),
     Unlisted,
-    Sent {
-        op: OpId,
-        push: PushNo,
-    },
-    Ended {
-        op: OpId,
-        push: PushNo,
-        end: End,
-        took: Micros,
-    },
-    /// Time to judge; with the fleet's typical slowness and answer time.
-    Sweep {
-        typical: f64,
-    },
+    Sent(OpId, PushNo),
+    Ended(OpId, PushNo, End, Micros),
+    /// Time to judge; with the fleet's typical answer time.
+    Sweep(f64),
 }
 
 enum ToDesk {
@@ -112,12 +102,8 @@
         self.post.now = now;
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
-            while self.hosts.len() < known {
-                self.hosts.push(Host::new(
-                    HostId(self.hosts.len() as u32),
-                    self.desk.warming.clone(),
-                    self.desk.bearable,
-                ));
+            for id in (self.hosts.len() as u32..known as u32).map(HostId) {
+                self.hosts.push(Host::new(id, self.desk.warming.clone(), self.desk.bearable));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -139,7 +125,7 @@
 }
 
 /// How a host gains its capacity after a start, and what one window may bring it meanwhile.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 struct Warming {
     from: f64,
     within: Micros,
@@ -179,6 +165,7 @@
 }
 
 /// One host as this balancer sees it: its life, health, answer times and room.
+#[derive(Default)]
 struct Host {
     id: HostId,
     warming: Warming,
@@ -204,25 +191,8 @@
 
 impl Host {
     fn new(id: HostId, warming: Warming, bearable: f64) -> Host {
-        Host {
-            id,
-            warming,
-            standing: Standing { limit: FIRST_LIMIT, ..Standing::default() },
-            out: BTreeMap::new(),
-            cold_since: None,
-            suspect_since: None,
-            trial_at: 0,
-            trials: 0,
-            lost_connection: false,
-            strikes: 0.0,
-            answered_at: 0,
-            answers: Histogram::default(),
-            judged_at: 0,
-            shortest: f64::MAX,
-            bearable,
-            share: 1.0,
-            peak: 0,
-        }
+        let standing = Standing { limit: FIRST_LIMIT, ..Standing::default() };
+        Host { id, warming, standing, bearable, shortest: f64::MAX, share: 1.0, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -240,7 +210,7 @@
                     listed.lifecycle = Lifecycle::Gone;
                 }
             }
-            ToHost::Sent { op, push } => {
+            ToHost::Sent(op, push) => {
                 self.out.insert((op, push), (post.now, false));
                 self.peak = self.peak.max(self.out.len());
                 if self.suspect_since.is_some() {
@@ -248,8 +218,8 @@
                     self.trial_at = post.now + (TRIAL_EVERY << self.trials.min(2));
                 }
             }
-            ToHost::Ended { op, push, end, took } => self.ended(op, push, end, took, post.now),
-            ToHost::Sweep { typical } => self.sweep(typical, post),
+            ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
+            ToHost::Sweep(typical) => self.sweep(typical, post),
         }
         let warm = self.cold_since.map_or(1.0, |since| self.warming.part(post.now - since));
         let standing = &mut self.standing;
@@ -478,7 +448,8 @@
     claim: f64,
     pushes: u32,
     spare: u32,
-    out: Vec<(PushNo, HostId)>,
+    /// Pushes out: where, and when each was sent.
+    out: Vec<(PushNo, HostId, Micros)>,
     tried: Vec<HostId>,
     /// Where and when the first push went that may have run.
     may_have_run: Option<(HostId, Micros)>,
@@ -489,6 +460,7 @@
 struct Desk {
     rng: ChaCha8Rng,
     warming: Warming,
+    cold_least: f64,
     aside: bool,
     list_asked: bool,
     weights_steady: bool,
@@ -539,6 +511,7 @@
                 multiple: terms.cold.fall_multiple,
                 window: terms.cold.fall_window,
             },
+            cold_least: (COLD_LEAST / f64::from(terms.balancers)).max(1.0),
             aside: terms.aside,
             list_asked: terms.list_asked,
             weights_steady: terms.weights_steady,
@@ -637,8 +610,8 @@
             }
             Heard::Dropped { op } => self.forget(op, post),
             Heard::Ended { op, push, host, took, end, over, load: _ } => {
-                post.host(host, ToHost::Ended { op, push, end, took });
-                self.ended(op, push, host, end, over, post);
+                post.host(host, ToHost::Ended(op, push, end, took));
+                self.ended(op, push, end, over, post);
             }
         }
     }
@@ -677,14 +650,15 @@
         typical.sort_by(f64::total_cmp);
         self.typical = typical.get(typical.len() / 2).copied().unwrap_or(self.typical);
         for host in (0..self.board.len() as u32).map(HostId) {
-            post.host(host, ToHost::Sweep { typical: self.typical });
+            post.host(host, ToHost::Sweep(self.typical));
         }
         post.orders.push(Order::Wake { after: SWEEP, wake: Wake::Sweep });
     }
 
-    fn ended(&mut self, id: OpId, push: PushNo, host: HostId, end: End, over: bool, post: &mut Post) {
+    fn ended(&mut self, id: OpId, push: PushNo, end: End, over: bool, post: &mut Post) {
         let Some(op) = self.ops.get_mut(&id) else { return };
-        op.out.retain(|out| out.0 != push);
+        let at = op.out.iter().position(|out| out.0 == push);
+        let sent = at.map(|at| op.out.remove(at));
         if end == End::Acked {
             self.retries = (self.retries + RETRY_RATE).min(RETRY_STORE);
         }
@@ -693,10 +667,14 @@
         }
         if end == End::Miss && self.aside && !op.write {
             op.missed = true;
-            return self.route(id, post);
+            // A trial's miss says nothing while the op itself is out elsewhere.
+            if op.out.is_empty() {
+                self.route(id, post);
+            }
+            return;
         }
-        if !end.proves_not_run() && op.may_have_run.is_none() {
-            op.may_have_run = Some((host, post.now));
+        if let Some((_, host, at)) = sent.filter(|_| !end.proves_not_run()) {
+            op.may_have_run = op.may_have_run.filter(|earlier| earlier.1 <= at).or(Some((host, at)));
         }
         self.again(id, post);
     }
@@ -846,7 +824,8 @@
             return false;
         }
         // Rule 2: nothing that could take effect twice.
-        let first = op.may_have_run.or(op.out.first().map(|out| (out.1, now)));
+        let out = op.out.iter().map(|out| (out.1, out.2));
+        let first = out.chain(op.may_have_run).min_by_key(|earlier| earlier.1);
         if let (Some((earlier, at)), Some(there)) = (first, standing.listed.as_ref()) {
             let before = self.board[earlier.0 as usize].listed.as_ref();
             let allowed = match self.categories[op.category].repeats {
@@ -880,21 +859,21 @@
             let windows = self.warming.window as f64 / (1.5 * HALVING as f64);
             let normal = self.loads.mean() * windows / 2.0;
             let allowance = COLD_MARGIN * self.warming.multiple * standing.warm * normal;
-            if sends.len() as f64 >= allowance.max(COLD_LEAST) {
+            if sends.len() as f64 >= allowance.max(self.cold_least) {
                 return false;
             }
             sends.push_back(now);
         }
         let push = PushNo(op.pushes);
         op.pushes += 1;
-        op.out.push((push, host));
+        op.out.push((push, host, now));
         op.tried.push(host);
         if standing.cache() {
             let home = op.key.and_then(|key| self.ring.walk(key).next()).map_or(host, |point| point.1);
             self.loads.count(host, op.key, home);
         }
         standing.in_flight += 1;
-        post.host(host, ToHost::Sent { op: id, push });
+        post.host(host, ToHost::Sent(id, push));
         post.orders.push(Order::Push { op: id, host, timeout: op.give_up - now });
         true
     }
