--- a/src/rules.rs
+++ b/src/rules.rs
@@ -579,7 +579,7 @@
             }
             Heard::Wake(Wake::Watch) => post.orders.push(Order::Watch),
             Heard::Wake(Wake::Sweep) => self.sweep(post),
-            Heard::Op { op, category, customer, key, write, again: _, ttl_at } => {
+            Heard::Op { op, category, customer, key, write, again, ttl_at } => {
                 let within = customer.is_none_or(|customer| self.within_share(customer, post.now));
                 let terms = &self.categories[category.0 as usize];
                 let held = Op {
@@ -587,7 +587,7 @@
                     key,
                     write,
                     give_up: ttl_at.min(post.now + terms.useful),
-                    claim: terms.claim * if within { 1.0 } else { self.excess_claim },
+                    claim: terms.claim * if within && !again { 1.0 } else { self.excess_claim },
                     pushes: 0,
                     spare: terms.spare,
                     out: Vec::new(),
