--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,7 +51,7 @@
 const COLD_LEAST: f64 = 8.0; // pushes a window to a cold host that all balancers may send together
 const RETRY_RATE: f64 = 0.2; // further pushes earned by an acked op
 const RETRY_STORE: f64 = 20.0;
-const COME_BACK: Micros = 1_000_000;
+const COME_BACK: Micros = 300_000;
 
 enum ToHost {
     Listed(Listed),
