--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,7 +51,6 @@
 const COLD_LEAST: f64 = 8.0; // pushes a window to a cold host that all balancers may send together
 const RETRY_RATE: f64 = 0.2; // further pushes earned by an acked op
 const RETRY_STORE: f64 = 20.0;
-const COME_BACK: Micros = 300_000;
 
 enum ToHost {
     Listed(Listed),
@@ -518,7 +517,7 @@
             max_pushes: terms.max_pushes,
             second_copies: terms.second_copies,
             call_off: terms.call_off,
-            come_back: terms.come_back.map(|longest| longest.min(COME_BACK)),
+            come_back: terms.come_back.map(|longest| longest.min(shortest / 2)),
             excess_claim: 0.5 + 0.5 * terms.excess_benefit.clamp(0.0, 1.0),
             categories: categories.collect(),
             customers: customers.collect(),
