--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -111,21 +111,14 @@
             Event::FirstByte { ticket, hop } => {
                 Heard::Streaming { op: OpId(self.tickets.known(&ticket, "op")?), push: PushNo(hop) }
             }
-            Event::Finished { ticket, hop, wait_time_ms, rc, over, host, stats } => {
-                let load = stats.map(|stats| Load {
-                    queue: stats.get("queue").copied(),
-                    in_flight: stats.get("inflight").copied(),
-                });
-                Heard::Ended {
-                    op: OpId(self.tickets.known(&ticket, "op")?),
-                    push: PushNo(hop),
-                    host: HostId(self.hosts.known(&host, "host")?),
-                    took: micros(wait_time_ms),
-                    end: end(rc),
-                    over,
-                    load,
-                }
-            }
+            Event::Finished { ticket, hop, wait_time_ms, rc, over, host } => Heard::Ended {
+                op: OpId(self.tickets.known(&ticket, "op")?),
+                push: PushNo(hop),
+                host: HostId(self.hosts.known(&host, "host")?),
+                took: micros(wait_time_ms),
+                end: end(rc),
+                over,
+            },
             Event::Dropped { ticket } => Heard::Dropped { op: OpId(self.tickets.known(&ticket, "op")?) },
             Event::TickDue { ctx } => Heard::Wake(wake(&ctx)?),
             _ => return Ok(None),
@@ -248,7 +241,6 @@
             .filter(|&ms| info.limits.retry_after && ms > 0.0)
             .map(micros),
         tick: micros(info.tick_ms.unwrap_or(1.0)),
-        waste_price: info.costs.get("waste").copied().unwrap_or(0.0),
         excess_benefit: info.excess_benefit.unwrap_or(1.0),
         cold: ColdTerms {
             from: info.invariants.cold_from,
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -66,8 +66,6 @@
         rc: Rc,
         over: bool,
         host: String,
-        #[serde(default)]
-        stats: Option<BTreeMap<String, f64>>,
     },
     Dropped {
         ticket: String,
@@ -165,8 +163,6 @@
 pub struct Info {
     pub categories: Vec<Category>,
     #[serde(default)]
-    pub costs: BTreeMap<String, f64>,
-    #[serde(default)]
     pub dcs: Vec<String>,
     #[serde(default)]
     pub discovery: Option<String>,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -608,7 +608,7 @@
                 }
             }
             Heard::Dropped { op } => self.forget(op, post),
-            Heard::Ended { op, push, host, took, end, over, load: _ } => {
+            Heard::Ended { op, push, host, took, end, over } => {
                 post.host(host, ToHost::Ended(op, push, end, took));
                 self.ended(op, push, end, over, post);
             }
--- a/src/types.rs
+++ b/src/types.rs
@@ -107,8 +107,6 @@
     pub come_back: Option<Micros>,
     /// Events come in steps of this length.
     pub tick: Micros,
-    /// Benefit lost when as much work is wasted as was asked for.
-    pub waste_price: f64,
     /// The part of the benefit left for ops past a customer's share.
     pub excess_benefit: f64,
     pub cold: ColdTerms,
@@ -162,13 +160,6 @@
     }
 }
 
-/// A host's own report of its load: late and a little noisy.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    pub queue: Option<f64>,
-    pub in_flight: Option<f64>,
-}
-
 #[derive(Clone, Debug)]
 pub enum Heard {
     /// The whole list, or only the entries that changed.
@@ -201,7 +192,6 @@
         end: End,
         /// Nothing more is owed for the op.
         over: bool,
-        load: Option<Load>,
     },
     /// Nobody waits for the op any more.
     Dropped {
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,334 @@
+//! What a balancer decides, as short traces to be read.
+
+mod common;
+
+use basaltwood::types::*;
+use common::*;
+use expect_test::expect;
+
+fn fleet(hosts: u32) -> Fleet {
+    Fleet::new(&terms(), (0..hosts).map(listed).collect())
+}
+
+fn keys(count: u32) -> Vec<String> {
+    (0..count).map(|key| format!("key-{key}")).collect()
+}
+
+fn homes(fleet: &mut Fleet, count: u32) -> Vec<HostId> {
+    keys(count).iter().map(|key| fleet.served(key)[0]).collect()
+}
+
+#[test]
+fn a_host_that_leaves_or_returns_moves_only_its_own_keys() {
+    let mut fleet = fleet(6);
+    let before = homes(&mut fleet, 120);
+    let gone = Listed { lifecycle: Lifecycle::Draining, ..listed(2) };
+    fleet.hear(Heard::List { whole: false, entries: vec![gone] });
+    let without = homes(&mut fleet, 120);
+    fleet.hear(Heard::List { whole: false, entries: vec![listed(2)] });
+    let after = homes(&mut fleet, 120);
+    let own = before.iter().filter(|&&home| home == HostId(2)).count();
+    let moved = before.iter().zip(&without).filter(|(a, b)| a != b).count();
+    expect!["its keys 22, moved 22, sent to it 0, back as before true"].assert_eq(&format!(
+        "its keys {own}, moved {moved}, sent to it {}, back as before {}",
+        without.iter().filter(|&&home| home == HostId(2)).count(),
+        before == after
+    ));
+}
+
+#[test]
+fn weight_widens_a_hosts_part_of_the_ring() {
+    let mut hosts: Vec<_> = (0..4).map(listed).collect();
+    hosts[1].weight = 2.0;
+    let homes = homes(&mut Fleet::new(&terms(), hosts), 400);
+    let counts: Vec<_> =
+        (0..4).map(|host| homes.iter().filter(|&&home| home == HostId(host)).count()).collect();
+    expect!["[79, 172, 84, 65]"].assert_eq(&format!("{counts:?}"));
+}
+
+#[test]
+fn a_hot_key_is_read_from_three_holders_and_an_ordinary_one_of_a_quiet_balancer_is_not() {
+    let mut busy = fleet(9);
+    let spread = |fleet: &mut Fleet, rounds: u32, hot: u32| {
+        let mut hosts: Vec<HostId> = Vec::new();
+        for round in 0..rounds {
+            for nth in 0..hot {
+                // Answers come late enough for reads to overlap, so that the least busy holder changes.
+                let (_, orders) = fleet.op(READ, "hot");
+                hosts.extend(pushed(&orders));
+                fleet.end(OpId(0), 9, HostId(0), End::Void, 0);
+                fleet.now += 2 * MS + Micros::from(nth);
+            }
+            for key in 0..10 {
+                fleet.served(&format!("cold-{}", round * 10 + key));
+                fleet.hear(Heard::Wake(Wake::Sweep));
+            }
+        }
+        hosts.sort_unstable();
+        hosts.dedup();
+        hosts.len()
+    };
+    let at_first = spread(&mut busy, 1, 4);
+    let later = spread(&mut busy, 8, 4);
+    let quiet = spread(&mut fleet(9), 8, 1);
+    expect!["at first 1, later 6, at a quiet balancer 5"].assert_eq(&format!("at first {at_first}, later {later}, at a quiet balancer {quiet}"));
+}
+
+#[test]
+fn each_outcome_leads_to_one_final_answer_as_its_category_allows() {
+    let ends = [
+        End::Acked,
+        End::Error,
+        End::TurnedAway,
+        End::TimedOut,
+        End::Unreachable,
+        End::Broken,
+        End::CalledOff,
+        End::Void,
+    ];
+    let mut lines = String::new();
+    for (name, category) in [("redeliverable", READ), ("deduplicated", KEYED), ("at-most-once", ONCE)] {
+        for end in ends {
+            let mut fleet = fleet(4);
+            let (op, orders) = fleet.op(category, "k");
+            fleet.now += 50 * MS;
+            let next = fleet.end(op, 0, pushed(&orders)[0], end, 50 * MS);
+            lines += &format!("{name} {end:?}: {}\n", trace(&next));
+        }
+    }
+    expect![[r#"
+        redeliverable Acked: nothing
+        redeliverable Error: push h2 for 748
+        redeliverable TurnedAway: push h2 for 748
+        redeliverable TimedOut: push h2 for 748
+        redeliverable Unreachable: push h2 for 748
+        redeliverable Broken: push h2 for 748
+        redeliverable CalledOff: push h2 for 748
+        redeliverable Void: push h2 for 748
+        deduplicated Acked: nothing
+        deduplicated Error: dead letter
+        deduplicated TurnedAway: push h2 for 748
+        deduplicated TimedOut: dead letter
+        deduplicated Unreachable: push h2 for 748
+        deduplicated Broken: dead letter
+        deduplicated CalledOff: dead letter
+        deduplicated Void: push h2 for 748
+        at-most-once Acked: nothing
+        at-most-once Error: dead letter
+        at-most-once TurnedAway: push h2 for 748
+        at-most-once TimedOut: dead letter
+        at-most-once Unreachable: push h2 for 748
+        at-most-once Broken: dead letter
+        at-most-once CalledOff: dead letter
+        at-most-once Void: push h2 for 748
+    "#]].assert_eq(&lines);
+}
+
+#[test]
+fn pushes_run_out_and_the_op_is_answered_once() {
+    let mut fleet = fleet(6);
+    let (op, mut orders) = fleet.op(READ, "k");
+    let mut lines = String::new();
+    for push in 0..4 {
+        let Some(&host) = pushed(&orders).first() else { break };
+        fleet.now += 10 * MS;
+        orders = fleet.end(op, push, host, End::Error, 10 * MS);
+        lines += &format!("{}\n", trace(&orders));
+    }
+    lines += &format!("late: {}", trace(&fleet.end(op, 0, HostId(0), End::TimedOut, 0)));
+    expect![[r#"
+        push h3 for 788
+        push h2 for 778
+        dead letter
+        late: nothing"#]].assert_eq(&lines);
+}
+
+#[test]
+fn a_deduplicated_op_goes_again_only_inside_group_and_window() {
+    let mut lines = String::new();
+    for after in [100, 990] {
+        let mut fleet = fleet(6);
+        let (op, orders) = fleet.op(KEYED, "k");
+        let first = pushed(&orders)[0];
+        fleet.now += after * MS;
+        let next = fleet.end(op, 0, first, End::Broken, after * MS);
+        lines += &format!("first {first:?}, after {after} ms: {}\n", trace(&next));
+    }
+    expect![[r#"
+        first HostId(5), after 100 ms: push h3 for 698
+        first HostId(5), after 990 ms: dead letter
+    "#]].assert_eq(&lines);
+}
+
+#[test]
+fn nothing_new_goes_to_a_host_told_to_drain_in_any_way() {
+    let mut lines = String::new();
+    for way in ["change", "gone", "missing from the whole list", "origin gone"] {
+        let mut terms = terms();
+        terms.aside = way.starts_with("origin");
+        let origin = Listed { origin: true, ..listed(1) };
+        let hosts = if terms.aside { vec![listed(0), origin.clone()] } else { vec![listed(0)] };
+        let mut fleet = Fleet::new(&terms, hosts);
+        let heard = match way {
+            "change" => Heard::List {
+                whole: false,
+                entries: vec![Listed { lifecycle: Lifecycle::Draining, ..listed(0) }],
+            },
+            "gone" => Heard::List {
+                whole: false,
+                entries: vec![Listed { lifecycle: Lifecycle::Gone, ..listed(0) }],
+            },
+            "origin gone" => {
+                Heard::List { whole: false, entries: vec![Listed { lifecycle: Lifecycle::Gone, ..origin }] }
+            }
+            _ => Heard::List { whole: true, entries: Vec::new() },
+        };
+        fleet.hear(heard);
+        let category = if terms.aside { ONCE } else { READ };
+        lines += &format!("{way}: {}\n", trace(&fleet.op(category, "k").1));
+    }
+    expect![[r#"
+        change: nack, back in 400
+        gone: nack, back in 400
+        missing from the whole list: nack, back in 400
+        origin gone: nack, back in 400
+    "#]].assert_eq(&lines);
+}
+
+#[test]
+fn a_cold_host_gets_a_growing_part_of_its_keys_and_no_more_than_its_budget() {
+    let mut hosts: Vec<_> = (0..4).map(listed).collect();
+    let mut fleet = Fleet::new(&terms(), hosts.clone());
+    let warm = homes(&mut fleet, 100).iter().filter(|&&home| home == HostId(3)).count();
+    hosts[3].started = Some(fleet.now);
+    fleet.hear(Heard::List { whole: true, entries: hosts });
+    let mut line = format!("warm {warm}");
+    for _ in 0..3 {
+        fleet.hear(Heard::Wake(Wake::Sweep));
+        let cold = homes(&mut fleet, 100).iter().filter(|&&home| home == HostId(3)).count();
+        line += &format!(", then {cold}");
+    }
+    expect!["warm 28, then 14, then 28, then 28"].assert_eq(&line);
+
+    // A fleet that is cold as a whole: the rest is turned away, whatever is asked.
+    let cold = (0..2).map(|host| Listed { started: Some(0), ..listed(host) }).collect();
+    let mut fleet = Fleet::new(&terms(), cold);
+    let sent: usize = keys(50).iter().map(|key| pushed(&fleet.op(READ, key).1).len()).sum();
+    expect!["sent 4 of 50 at once"].assert_eq(&format!("sent {sent} of 50 at once"));
+}
+
+#[test]
+fn a_silent_host_is_left_tried_and_taken_back_as_cold() {
+    let mut fleet = fleet(4);
+    homes(&mut fleet, 60);
+    let key = keys(60).into_iter().find(|key| fleet.served(key)[0] == HostId(2)).expect("a key of h2");
+    let (op, orders) = fleet.op(READ, &key);
+    let mut lines = format!("first: {}\n", trace(&orders));
+    lines += &format!("within 750 ms: {}\n", trace(&fleet.pass(750 * MS)));
+    fleet.end(op, 1, HostId(0), End::Acked, 90 * MS);
+    fleet.end(op, 0, HostId(2), End::TimedOut, 798 * MS);
+    lines += &format!("soon after: {}\n", trace(&fleet.op(READ, &key).1));
+    fleet.pass(3_000 * MS);
+    let (trial, orders) = fleet.op(READ, &key);
+    lines += &format!("3 s later: {}\n", trace(&orders));
+    fleet.now += 100 * MS;
+    fleet.end(trial, 1, HostId(2), End::Acked, 100 * MS);
+    let back = homes(&mut fleet, 60).iter().filter(|&&home| home == HostId(2)).count();
+    lines += &format!("back for {back} keys");
+    expect![[""]].assert_eq(&lines);
+}
+
+#[test]
+fn most_hosts_hung_are_left_for_the_few_that_answer() {
+    let mut fleet = fleet(5);
+    let hung = |host: HostId| host.0 < 4;
+    let mut sent = Vec::new();
+    for round in 0..12 {
+        let mut out = Vec::new();
+        for key in keys(10) {
+            let (op, orders) = fleet.op(READ, &format!("{key}-{round}"));
+            out.extend(pushed(&orders).into_iter().enumerate().map(|(push, host)| (op, push as u32, host)));
+        }
+        for &(op, push, host) in out.iter().filter(|push| !hung(push.2)) {
+            fleet.end(op, push, host, End::Acked, 60 * MS);
+        }
+        fleet.pass(750 * MS);
+        for &(op, push, host) in out.iter().filter(|push| hung(push.2)) {
+            fleet.end(op, push, host, End::TimedOut, 750 * MS);
+        }
+        sent.push(out.iter().filter(|push| hung(push.2)).count());
+    }
+    expect!["pushes to hung hosts by round: [8, 2, 2, 2, 3, 2, 2, 3, 3, 2, 2, 3]"].assert_eq(&format!("pushes to hung hosts by round: {sent:?}"));
+}
+
+#[test]
+fn a_jam_met_at_the_start_does_not_pass_for_the_shortest_answer_time() {
+    let mut fleet = fleet(1);
+    let mut let_in = Vec::new();
+    for round in 0..6 {
+        let mut out = Vec::new();
+        for nth in 0..20 {
+            let (op, orders) = fleet.op(READ, &format!("{round}-{nth}"));
+            out.extend(pushed(&orders).iter().map(|_| op));
+        }
+        fleet.pass(750 * MS);
+        for &op in &out {
+            fleet.end(op, 0, HostId(0), End::Acked, 750 * MS);
+        }
+        fleet.pass(250 * MS);
+        let_in.push(out.len());
+    }
+    expect!["let in of 20 by round: [5, 4, 2, 2, 2, 2]"].assert_eq(&format!("let in of 20 by round: {let_in:?}"));
+}
+
+#[test]
+fn no_host_and_no_origin_mean_an_answer_at_once() {
+    let mut lines = format!("no host: {}\n", trace(&fleet(0).op(READ, "k").1));
+    let aside = Terms { aside: true, ..terms() };
+    let mut fleet = Fleet::new(&aside, vec![listed(0)]);
+    let (op, _) = fleet.op(READ, "k");
+    lines += &format!("miss, no origin: {}\n", trace(&fleet.end(op, 0, HostId(0), End::Miss, MS)));
+    lines += &format!("write, no origin: {}\n", trace(&fleet.op(ONCE, "k").1));
+    fleet.hear(Heard::List { whole: false, entries: vec![Listed { origin: true, ..listed(1) }] });
+    let (op, _) = fleet.op(READ, "k");
+    lines += &format!("miss: {}\n", trace(&fleet.end(op, 0, HostId(0), End::Miss, MS)));
+    lines += &format!("write: {}", trace(&fleet.op(ONCE, "k").1));
+    expect![[r#"
+        no host: nack, back in 400
+        miss, no origin: nack, back in 400
+        write, no origin: nack, back in 400
+        miss: push h1 for 798
+        write: push h1 for 798"#]].assert_eq(&lines);
+}
+
+#[test]
+fn a_customers_flood_leaves_room_for_the_others() {
+    let mut fleet = fleet(1);
+    let mut count = |customer, ops| -> usize {
+        (0..ops)
+            .map(|nth| pushed(&fleet.op_of(READ, &format!("{nth}"), Some(CustomerId(customer))).1).len())
+            .sum()
+    };
+    let (flood, other) = (count(0, 30), count(1, 30));
+    expect!["flood let in 3, then others 2"].assert_eq(&format!("flood let in {flood}, then others {other}"));
+}
+
+#[test]
+fn the_list_is_watched_again_after_a_refusal_and_the_same_events_give_the_same_orders() {
+    let run = || {
+        let mut fleet = Fleet::new(&Terms { list_asked: true, ..terms() }, Vec::new());
+        let mut lines = String::new();
+        for heard in [Heard::ListRefused, Heard::Wake(Wake::Watch), Heard::ListRefused] {
+            let orders = fleet.hear(heard);
+            lines += &format!("{}\n", trace(&orders));
+        }
+        fleet.hear(Heard::List { whole: true, entries: (0..5).map(listed).collect() });
+        lines + &format!("{:?}", homes(&mut fleet, 12))
+    };
+    assert_eq!(run(), run());
+    expect![[r#"
+        wake Watch
+        watch
+        wake Watch
+        [HostId(0), HostId(2), HostId(4), HostId(3), HostId(2), HostId(2), HostId(3), HostId(2), HostId(4), HostId(1), HostId(4), HostId(0)]"#]].assert_eq(&run());
+}
