--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,7 +49,8 @@
 const MOST_LIMIT: f64 = 256.0;
 const COLD_MARGIN: f64 = 0.6; // of the allowance of a cold host that is spent at most
 const COLD_LEAST: f64 = 8.0; // pushes a window to a cold host that all balancers may send together
-const RETRY_RATE: f64 = 0.2; // further pushes earned by an acked op
+const RETRY_RATE: f64 = 0.2; // further pushes or spills earned by an acked op
+const FETCH_RATE: f64 = 0.02; // the same in through mode, where each of them may be one more fetch
 const RETRY_STORE: f64 = 20.0;
 
 enum ToHost {
@@ -478,6 +479,8 @@
     loads: Loads,
     ops: BTreeMap<OpId, Op>,
     retries: f64,
+    /// Further pushes earned by an acked op.
+    earned: f64,
     watches: u32,
     started: bool,
 }
@@ -529,6 +532,7 @@
             loads: Loads::default(),
             ops: BTreeMap::new(),
             retries: RETRY_STORE,
+            earned: if terms.aside { RETRY_RATE } else { FETCH_RATE },
             watches: 0,
             started: false,
         }
@@ -659,7 +663,7 @@
         let at = op.out.iter().position(|out| out.0 == push);
         let sent = at.map(|at| op.out.remove(at));
         if end == End::Acked {
-            self.retries = (self.retries + RETRY_RATE).min(RETRY_STORE);
+            self.retries = (self.retries + self.earned).min(RETRY_STORE);
         }
         if over {
             return self.forget(id, post);
