--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 //! They talk by notes only, and the loop in `hear` empties the inboxes. `Desk::push` and `Desk::close` are
 //! the gate: every push and every final answer passes there, and there the four rules are kept.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -28,7 +28,6 @@
 // Departures.
 const SWEEP: Micros = 50_000;
 const SILENT: f64 = 5.0; // evidence, in typical answer times, that a host is not answering
-const LATE: f64 = 4.0; // typical answer times after which a push with no sign of life from its host is lost
 const STRIKE: f64 = 3.0; // evidence in one lost connection or unanswered push
 const WITNESSES: usize = 3; // the pushes out that count as evidence: one slow op must not stand for many
 const TRIAL_EVERY: Micros = 500_000;
@@ -103,7 +102,7 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             for id in (self.hosts.len() as u32..known as u32).map(HostId) {
-                self.hosts.push(Host::new(id, self.desk.warming.clone(), self.desk.bearable));
+                self.hosts.push(Host::new(id, self.desk.cold.clone(), self.desk.bearable));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -124,19 +123,9 @@
     }
 }
 
-/// How a host gains its capacity after a start, and what one window may bring it meanwhile.
-#[derive(Clone, Default)]
-struct Warming {
-    from: f64,
-    within: Micros,
-    multiple: f64,
-    window: Micros,
-}
-
-impl Warming {
-    fn part(&self, age: Micros) -> f64 {
-        (self.from + (1.0 - self.from) * age as f64 / self.within.max(1) as f64).clamp(self.from, 1.0)
-    }
+/// The least part of its capacity that a host has at an age.
+fn warmth(cold: &ColdTerms, age: Micros) -> f64 {
+    (cold.from + (1.0 - cold.from) * age as f64 / cold.warm_within.max(1) as f64).clamp(cold.from, 1.0)
 }
 
 /// What a host shows the desk.
@@ -168,10 +157,10 @@
 #[derive(Default)]
 struct Host {
     id: HostId,
-    warming: Warming,
+    cold: ColdTerms,
     standing: Standing,
-    /// The pushes out: when each was sent, and whether it was given up as lost.
-    out: BTreeMap<(OpId, PushNo), (Micros, bool)>,
+    /// When each push that is out was sent.
+    out: BTreeMap<(OpId, PushNo), Micros>,
     cold_since: Option<Micros>,
     suspect_since: Option<Micros>,
     trial_at: Micros,
@@ -190,9 +179,9 @@
 }
 
 impl Host {
-    fn new(id: HostId, warming: Warming, bearable: f64) -> Host {
+    fn new(id: HostId, cold: ColdTerms, bearable: f64) -> Host {
         let standing = Standing { limit: FIRST_LIMIT, ..Standing::default() };
-        Host { id, warming, standing, bearable, shortest: f64::MAX, share: 1.0, ..Host::default() }
+        Host { id, cold, standing, bearable, shortest: f64::MAX, share: 1.0, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -211,7 +200,7 @@
                 }
             }
             ToHost::Sent(op, push) => {
-                self.out.insert((op, push), (post.now, false));
+                self.out.insert((op, push), post.now);
                 self.peak = self.peak.max(self.out.len());
                 if self.suspect_since.is_some() {
                     self.trials += 1;
@@ -221,7 +210,7 @@
             ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
             ToHost::Sweep(typical) => self.sweep(typical, post),
         }
-        let warm = self.cold_since.map_or(1.0, |since| self.warming.part(post.now - since));
+        let warm = self.cold_since.map_or(1.0, |since| warmth(&self.cold, post.now - since));
         let standing = &mut self.standing;
         standing.suspect = self.suspect_since.is_some();
         standing.trial_due = standing.suspect && post.now >= self.trial_at;
@@ -244,9 +233,7 @@
     }
 
     fn ended(&mut self, op: OpId, push: PushNo, end: End, took: Micros, now: Micros) {
-        let Some((sent, _)) = self.out.remove(&(op, push)) else {
-            return;
-        };
+        let Some(sent) = self.out.remove(&(op, push)) else { return };
         match end {
             End::Acked | End::Miss => {
                 self.answered_at = now;
@@ -289,20 +276,12 @@
         let now = post.now;
         // Time-outs count as answer times: they must not make silence look like slowness.
         let own = self.answers.mean().unwrap_or(typical).max(typical).min(BEARABLE * self.bearable);
-        let answered = self.answered_at;
-        let unanswered = self.out.values().map(|out| (now - out.0.max(answered)) as f64 / own);
+        let unanswered = self.out.values().map(|&sent| (now - sent.max(self.answered_at)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
-        let origin = self.is_origin();
-        if evidence > SILENT && self.suspect_since.is_none() && !origin {
+        if evidence > SILENT && self.suspect_since.is_none() && !self.is_origin() {
             self.suspect_since = Some(now);
             self.trial_at = now + TRIAL_EVERY;
-        }
-        for (&(op, _), (sent, lost)) in &mut self.out {
-            let late = *sent > answered && (now - *sent) as f64 > LATE * own;
-            if !*lost && !origin && (late || self.suspect_since.is_some()) {
-                *lost = true;
-                post.desk.push_back(ToDesk::Lost(op));
-            }
+            post.desk.extend(self.out.keys().map(|&(op, _)| ToDesk::Lost(op)));
         }
         if now - self.judged_at < JUDGE {
             return;
@@ -375,7 +354,7 @@
     hosts: Vec<f64>,
     over_since: Vec<Option<Micros>>,
     keys: BTreeMap<Place, (f64, HostId)>,
-    hot: BTreeMap<Place, ()>,
+    hot: BTreeSet<Place>,
     halved_at: Micros,
 }
 
@@ -404,10 +383,10 @@
             *since = (*load > ALPHA * mean).then(|| since.unwrap_or(now));
         }
         let mut hot = std::mem::take(&mut self.hot);
-        hot.retain(|key, ()| self.keys.get(key).is_some_and(|entry| entry.0 >= BETA * mean));
+        hot.retain(|key| self.keys.get(key).is_some_and(|entry| entry.0 >= BETA * mean));
         for (key, &(count, home)) in &self.keys {
             if count >= REPEATS && count >= BETA * self.hosts[home.0 as usize] && self.overloaded(home, now) {
-                hot.insert(*key, ());
+                hot.insert(*key);
             }
         }
         self.hot = hot;
@@ -440,6 +419,7 @@
     at: Micros,
 }
 
+#[derive(Default)]
 struct Op {
     category: usize,
     key: Option<Place>,
@@ -459,7 +439,7 @@
 
 struct Desk {
     rng: ChaCha8Rng,
-    warming: Warming,
+    cold: ColdTerms,
     cold_least: f64,
     aside: bool,
     list_asked: bool,
@@ -507,12 +487,7 @@
         });
         Desk {
             rng: ChaCha8Rng::seed_from_u64(terms.seed),
-            warming: Warming {
-                from: terms.cold.from,
-                within: terms.cold.warm_within,
-                multiple: terms.cold.fall_multiple,
-                window: terms.cold.fall_window,
-            },
+            cold: terms.cold.clone(),
             cold_least: (COLD_LEAST / f64::from(terms.balancers)).max(1.0),
             aside: terms.aside,
             list_asked: terms.list_asked,
@@ -591,25 +566,17 @@
                     write,
                     give_up: ttl_at.min(post.now + terms.useful),
                     claim: terms.claim * if within && !again { 1.0 } else { self.excess_claim },
-                    pushes: 0,
                     spare: terms.spare,
-                    out: Vec::new(),
-                    tried: Vec::new(),
-                    may_have_run: None,
-                    missed: false,
-                    streaming: false,
+                    ..Op::default()
                 };
                 self.ops.insert(op, held);
                 self.route(op, post);
             }
             Heard::Streaming { op, push } => {
-                if let Some(held) = self.ops.get_mut(&op) {
-                    held.streaming = true;
-                    let others = held.out.iter().filter(|out| out.0 != push);
-                    if self.call_off {
-                        post.orders.extend(others.map(|out| Order::CallOff { op, push: out.0 }));
-                    }
-                }
+                let Some(held) = self.ops.get_mut(&op) else { return };
+                held.streaming = true;
+                let others = held.out.iter().filter(|out| self.call_off && out.0 != push);
+                post.orders.extend(others.map(|out| Order::CallOff { op, push: out.0 }));
             }
             Heard::Dropped { op } => self.forget(op, post),
             Heard::Ended { op, push, host, took, end, over } => {
@@ -687,9 +654,6 @@
         let Some(op) = self.ops.get_mut(&id) else { return };
         let room = op.give_up - post.now > (self.typical / 4.0) as Micros;
         if !op.streaming && room && op.spare > 0 && self.retries >= 1.0 && op.pushes < self.max_pushes {
-            if !op.out.is_empty() && !self.second_copies {
-                return;
-            }
             op.spare -= 1;
             self.retries -= 1.0;
             self.route(id, post);
@@ -700,8 +664,8 @@
 
     fn route(&mut self, id: OpId, post: &mut Post) {
         let op = &self.ops[&id];
-        let chosen =
-            if self.aside && (op.write || op.missed) { self.origin(op) } else { self.choose(id, post.now) };
+        let asks_origin = self.aside && (op.write || op.missed);
+        let chosen = if asks_origin { self.origin(op) } else { self.choose(id, post.now) };
         let pushed = chosen.is_some_and(|host| self.push(id, host, post));
         if !pushed && self.ops[&id].out.is_empty() {
             self.close(id, true, post);
@@ -729,7 +693,7 @@
         let op = &self.ops[&id];
         let key = op.key.unwrap_or_else(|| Place(self.rng.random()));
         let mut holders = Vec::new();
-        if self.loads.hot.contains_key(&key) && !op.write {
+        if self.loads.hot.contains(&key) && !op.write {
             holders = self.holders(key, now);
             holders.sort_by_cached_key(|&host| {
                 (self.board[host.0 as usize].in_flight, self.rng.random::<u32>())
@@ -782,17 +746,11 @@
                 let standing = &self.board[host.0 as usize];
                 standing.cache() && !standing.suspect && !holders.contains(host)
             };
-            let mut walk = self.ring.walk(from).take_while(within).map(|point| point.1).filter(usable);
-            let found =
-                if nth == 0 {
-                    walk.next()
-                } else {
-                    let hosts: Vec<HostId> = walk.collect();
-                    let light = |host: &HostId| self.loads.hosts[host.0 as usize];
-                    hosts.iter().copied().find(|&host| !self.loads.overloaded(host, now)).or_else(|| {
-                        hosts.into_iter().min_by(|a, b| light(a).total_cmp(&light(b)).then(a.cmp(b)))
-                    })
-                };
+            let hosts = || self.ring.walk(from).take_while(within).map(|point| point.1).filter(usable);
+            let light = |host: HostId| self.loads.hosts[host.0 as usize];
+            let found = hosts()
+                .find(|&host| nth == 0 || !self.loads.overloaded(host, now))
+                .or_else(|| hosts().min_by(|&a, &b| light(a).total_cmp(&light(b)).then(a.cmp(&b))));
             holders.extend(found);
         }
         holders
@@ -802,12 +760,8 @@
     /// already out elsewhere.
     fn trial(&mut self, id: OpId, post: &mut Post) {
         let op = &self.ops[&id];
-        let Some(key) = op.key.filter(|_| self.second_copies && !op.missed && !op.write) else {
-            return;
-        };
-        let Some((_, home)) = self.ring.walk(key).next() else {
-            return;
-        };
+        let read = op.key.filter(|_| !op.missed && !op.write);
+        let Some((_, home)) = read.and_then(|key| self.ring.walk(key).next()) else { return };
         let standing = &self.board[home.0 as usize];
         let harmless = self.categories[op.category].repeats == Repeats::Redeliverable;
         if standing.suspect && standing.trial_due && harmless && !op.tried.contains(&home) {
@@ -818,15 +772,17 @@
     /// The gate for pushes: each rule is kept here, whatever was decided before.
     fn push(&mut self, id: OpId, host: HostId, post: &mut Post) -> bool {
         let now = post.now;
-        let Some(op) = self.ops.get_mut(&id) else {
-            return false;
-        };
+        let Some(op) = self.ops.get_mut(&id) else { return false };
         let standing = &self.board[host.0 as usize];
         // Rule 1: nothing for an op that is over, out of time or out of pushes.
-        if op.streaming || now >= op.give_up || op.pushes >= self.max_pushes {
+        // Rule 3: nothing new to a host that drains or is gone; the grace is not used.
+        if op.streaming || now >= op.give_up || op.pushes >= self.max_pushes || !standing.up() {
+            return false;
+        }
+        // Rule 2: nothing that could take effect twice, and two pushes at a time only where that is allowed.
+        if !op.out.is_empty() && !self.second_copies {
             return false;
         }
-        // Rule 2: nothing that could take effect twice.
         let out = op.out.iter().map(|out| (out.1, out.2));
         let first = out.chain(op.may_have_run).min_by_key(|earlier| earlier.1);
         if let (Some((earlier, at)), Some(there)) = (first, standing.listed.as_ref()) {
@@ -848,20 +804,16 @@
             }
         }
         let standing = &mut self.board[host.0 as usize];
-        // Rule 3: nothing new to a host that drains or is gone; the grace is not used.
-        if !standing.up() {
-            return false;
-        }
         // Rule 4: to a cold host no more in a window than this balancer's part of what it can bear. A warm
         // host bears the mean load at least; own sends are already this balancer's part of it.
         if standing.warm < 1.0 && standing.cache() {
             let sends = self.cold_sends.entry(host).or_default();
-            while sends.front().is_some_and(|&at| now - at >= self.warming.window) {
+            while sends.front().is_some_and(|&at| now - at >= self.cold.fall_window) {
                 sends.pop_front();
             }
-            let windows = self.warming.window as f64 / (1.5 * HALVING as f64);
+            let windows = self.cold.fall_window as f64 / (1.5 * HALVING as f64);
             let normal = self.loads.mean() * windows / 2.0;
-            let allowance = COLD_MARGIN * self.warming.multiple * standing.warm * normal;
+            let allowance = COLD_MARGIN * self.cold.fall_multiple * standing.warm * normal;
             if sends.len() as f64 >= allowance.max(self.cold_least) {
                 return false;
             }
@@ -899,8 +851,7 @@
 
     fn forget(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.remove(&id) else { return };
-        if self.call_off && !op.streaming {
-            post.orders.extend(op.out.iter().map(|out| Order::CallOff { op: id, push: out.0 }));
-        }
+        let out = op.out.iter().filter(|_| self.call_off && !op.streaming);
+        post.orders.extend(out.map(|out| Order::CallOff { op: id, push: out.0 }));
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -82,7 +82,7 @@
 }
 
 /// How a host warms up and what makes it fall.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ColdTerms {
     pub from: f64,
     pub warm_within: Micros,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -71,7 +71,8 @@
     let at_first = spread(&mut busy, 1, 4);
     let later = spread(&mut busy, 8, 4);
     let quiet = spread(&mut fleet(9), 8, 1);
-    expect!["at first 1, later 6, at a quiet balancer 5"].assert_eq(&format!("at first {at_first}, later {later}, at a quiet balancer {quiet}"));
+    expect!["at first 1, later 6, at a quiet balancer 5"]
+        .assert_eq(&format!("at first {at_first}, later {later}, at a quiet balancer {quiet}"));
 }
 
 #[test]
@@ -121,7 +122,8 @@
         at-most-once Broken: dead letter
         at-most-once CalledOff: dead letter
         at-most-once Void: push h2 for 748
-    "#]].assert_eq(&lines);
+    "#]]
+    .assert_eq(&lines);
 }
 
 #[test]
@@ -140,7 +142,8 @@
         push h3 for 788
         push h2 for 778
         dead letter
-        late: nothing"#]].assert_eq(&lines);
+        late: nothing"#]]
+    .assert_eq(&lines);
 }
 
 #[test]
@@ -157,7 +160,8 @@
     expect![[r#"
         first HostId(5), after 100 ms: push h3 for 698
         first HostId(5), after 990 ms: dead letter
-    "#]].assert_eq(&lines);
+    "#]]
+    .assert_eq(&lines);
 }
 
 #[test]
@@ -192,7 +196,8 @@
         gone: nack, back in 400
         missing from the whole list: nack, back in 400
         origin gone: nack, back in 400
-    "#]].assert_eq(&lines);
+    "#]]
+    .assert_eq(&lines);
 }
 
 #[test]
@@ -258,7 +263,8 @@
         }
         sent.push(out.iter().filter(|push| hung(push.2)).count());
     }
-    expect!["pushes to hung hosts by round: [8, 2, 2, 2, 3, 2, 2, 3, 3, 2, 2, 3]"].assert_eq(&format!("pushes to hung hosts by round: {sent:?}"));
+    expect!["pushes to hung hosts by round: [8, 2, 2, 2, 3, 2, 2, 3, 3, 2, 2, 3]"]
+        .assert_eq(&format!("pushes to hung hosts by round: {sent:?}"));
 }
 
 #[test]
@@ -278,7 +284,8 @@
         fleet.pass(250 * MS);
         let_in.push(out.len());
     }
-    expect!["let in of 20 by round: [5, 4, 2, 2, 2, 2]"].assert_eq(&format!("let in of 20 by round: {let_in:?}"));
+    expect!["let in of 20 by round: [5, 4, 2, 2, 2, 2]"]
+        .assert_eq(&format!("let in of 20 by round: {let_in:?}"));
 }
 
 #[test]
@@ -298,7 +305,8 @@
         miss, no origin: nack, back in 400
         write, no origin: nack, back in 400
         miss: push h1 for 798
-        write: push h1 for 798"#]].assert_eq(&lines);
+        write: push h1 for 798"#]]
+    .assert_eq(&lines);
 }
 
 #[test]
