--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -83,3 +83,57 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Hosting;
+    use expect_test::expect;
+
+    const INFO: &str = r#"{"categories":[{"name":"read","targetLatencyMs":300.0,"ttlMs":900.0,"semantics":"retryable"}],
+        "invariants":{"coldFrom":0.2,"warmWithinMs":9000.0,"tipMultiple":3.0,"tipAfterMs":3000.0},
+        "limits":{"maxPushes":4},"someday":1}"#;
+
+    fn answers(events: &[&str]) -> String {
+        let mut hosting = Hosting::default();
+        let spawn = format!(r#"{{"type":"SPAWN","initSeed":7,"info":{}}}"#, INFO.replace('\n', ""));
+        let mut lines = Vec::new();
+        for events in [&[spawn.as_str()][..], events] {
+            let line = format!(r#"{{"timeMs":5.5,"parts":[{{"who":3,"events":[{}]}}]}}"#, events.join(","));
+            lines.push(hosting.batch(&line).unwrap_or_else(|cause| format!("ends: {cause}")));
+        }
+        lines.join("\n")
+    }
+
+    #[test]
+    fn list_numbers_are_reused_within_a_batch_and_unknown_things_are_skipped() {
+        expect![[r#"
+            {"parts":[]}
+            {"parts":[{"who":3,"outbox":[{"type":"WAKE_AT","sleepForMs":50.000,"ctx":"sweep"},{"type":"HAND_OFF","ticket":"t/1","host":"b é","timeoutMs":99.750}]}]}"#]].assert_eq(&answers(&[
+            r#"{"type":"MANIFEST","table":0,"elements":[{"host":"a","lifecycle":"up"}]}"#,
+            r#"{"type":"UPDATE","scope":"remembered","revision":1,"table":0}"#,
+            r#"{"type":"MANIFEST","table":0,"elements":[{"host":"b é","lifecycle":"up","news":[1]}]}"#,
+            r#"{"type":"UPDATE","scope":"all","revision":2,"table":0}"#,
+            r#"{"type":"WEATHER","sky":"blue"}"#,
+            r#"{"type":"DEMAND","ticket":"t/1","lane":"read","routeKey":"k","dropDeadMs":105.25,"bits":null}"#,
+            r#"{"type":"DETACH"}"#,
+            r#"{"type":"DROPPED","ticket":"t/1"}"#,
+        ]));
+    }
+
+    #[test]
+    fn malformed_input_ends_the_adapter_and_settings_without_sense_are_answered() {
+        let mut lines = vec![Hosting::default().batch("{nonsense").unwrap_err()];
+        lines.push(answers(&[r#"{"type":"DEMAND","ticket":"t/1"}"#]));
+        lines.push(answers(&[r#"{"type":"DROPPED","ticket":"t/9"}"#]));
+        let bare = r#"{"timeMs":0,"parts":[{"who":1,"events":[{"type":"SPAWN","initSeed":1,"info":{"categories":[],
+            "invariants":{"coldFrom":0.2,"warmWithinMs":9.0,"tipMultiple":3.0,"tipAfterMs":3.0},"limits":{"maxPushes":4}}}]}]}"#;
+        lines.push(Hosting::default().batch(&bare.replace('\n', "")).expect("it is answered"));
+        expect![[r#"
+            key must be a string at line 1 column 2
+            {"parts":[]}
+            ends: part 0, event 0: missing field `lane`
+            {"parts":[]}
+            ends: part 0, event 0: unknown op t/9
+            {"parts":[{"who":1,"outbox":[{"bodyText":"no categories","type":"BROKEN"}]}]}"#]].assert_eq(&lines.join("\n"));
+    }
+}
