--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -134,6 +134,7 @@
             ends: part 0, event 0: missing field `lane`
             {"parts":[]}
             ends: part 0, event 0: unknown op t/9
-            {"parts":[{"who":1,"outbox":[{"bodyText":"no categories","type":"BROKEN"}]}]}"#]].assert_eq(&lines.join("\n"));
+            {"parts":[{"who":1,"outbox":[{"bodyText":"no categories","type":"BROKEN"}]}]}"#]]
+        .assert_eq(&lines.join("\n"));
     }
 }
