--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,7 +43,7 @@
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of a limit that is not used, lost a step: it must not stand high when a jam begins
-const LEAST_LIMIT: f64 = 1.0;
+const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
 const COLD_MARGIN: f64 = 0.6; // of the allowance of a cold host that is spent at most
@@ -148,6 +148,13 @@
         self.listed.as_ref().is_some_and(|listed| listed.lifecycle == Lifecycle::Up)
     }
 
+    /// Whether an op with this claim fits. A room of less than one push is kept by chance: many balancers may
+    /// each have less than one to give.
+    fn room(&self, claim: f64, rng: &mut ChaCha8Rng) -> bool {
+        let room = self.limit * claim;
+        (self.in_flight as f64) < room && (room >= 1.0 || rng.random::<f64>() < room)
+    }
+
     fn cache(&self) -> bool {
         self.up() && self.listed.as_ref().is_some_and(|listed| !listed.origin)
     }
@@ -665,7 +672,7 @@
     fn route(&mut self, id: OpId, post: &mut Post) {
         let op = &self.ops[&id];
         let asks_origin = self.aside && (op.write || op.missed);
-        let chosen = if asks_origin { self.origin(op) } else { self.choose(id, post.now) };
+        let chosen = if asks_origin { self.origin(id) } else { self.choose(id, post.now) };
         let pushed = chosen.is_some_and(|host| self.push(id, host, post));
         if !pushed && self.ops[&id].out.is_empty() {
             self.close(id, true, post);
@@ -675,10 +682,11 @@
         }
     }
 
-    fn origin(&self, op: &Op) -> Option<HostId> {
+    fn origin(&mut self, id: OpId) -> Option<HostId> {
+        let op = &self.ops[&id];
         let at = self.board.iter().position(|standing| standing.up() && !standing.cache())?;
-        let room = self.board[at].limit * if op.write { 2.0 } else { op.claim };
-        ((self.board[at].in_flight as f64) < room).then_some(HostId(at as u32))
+        let claim = if op.write { 2.0 } else { op.claim };
+        self.board[at].room(claim, &mut self.rng).then_some(HostId(at as u32))
     }
 
     /// Whether a host keeps this key: a cold or slow one keeps a part of its own, the same keys as it grows.
@@ -711,7 +719,7 @@
         let mut second: Option<(f64, HostId)> = None;
         for host in order {
             let standing = &self.board[host.0 as usize];
-            let room = (standing.in_flight as f64) < standing.limit * op.claim;
+            let room = standing.room(op.claim, &mut self.rng);
             if !standing.cache() || op.tried.contains(&host) {
                 continue;
             }
