--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,7 +37,7 @@
 const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
 const SPILL: usize = 1; // hosts past the first that an op may try for room
-const BEARABLE: f64 = 2.0; // and in quarters of the shortest target latency
+const BEARABLE: f64 = 1.5; // and in quarters of the shortest target latency
 const ORIGIN_BEARABLE: f64 = 3.0; // a slow origin still serves, and no other host can
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
@@ -537,11 +537,9 @@
     fn heard(&mut self, heard: Heard, post: &mut Post) {
         match heard {
             Heard::List { whole, entries } => {
-                if whole {
-                    for host in (0..self.board.len() as u32).map(HostId) {
-                        if entries.iter().all(|entry| entry.host != host) {
-                            post.host(host, ToHost::Unlisted);
-                        }
+                for host in (0..self.board.len() as u32).map(HostId) {
+                    if whole && entries.iter().all(|entry| entry.host != host) {
+                        post.host(host, ToHost::Unlisted);
                     }
                 }
                 for entry in entries {
@@ -798,14 +796,12 @@
             let allowed = match self.categories[op.category].repeats {
                 Repeats::Redeliverable => true,
                 Repeats::AtMostOnce => false,
-                Repeats::Deduplicated { group, window } => {
-                    now - at < window - SWEEP
-                        && before.is_some_and(|before| match group {
-                            Group::All => true,
-                            Group::Zone => before.zone == there.zone,
-                            Group::Cell => before.cell == there.cell,
-                        })
-                }
+                Repeats::Deduplicated { window, .. } if now - at >= window - SWEEP => false,
+                Repeats::Deduplicated { group, .. } => before.is_some_and(|before| match group {
+                    Group::All => true,
+                    Group::Zone => before.zone == there.zone,
+                    Group::Cell => before.cell == there.cell,
+                }),
             };
             if !allowed {
                 return false;
