--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,13 +32,12 @@
 const WITNESSES: usize = 3; // the pushes out that count as evidence: one slow op must not stand for many
 const TRIAL_EVERY: Micros = 500_000;
 const RESTART: Micros = 2_000_000; // a host silent for longer may have been started anew, hence cold
-const SLOWER: f64 = 2.0; // answer time over the shortest up to which the limit stays
+const SLOWER: f64 = 1.3; // answer time over the shortest, or a quarter of the target latency, that the limit bears
 const EVEN: f64 = 1.6; // answer time over the fleet's median up to which a host keeps all its keys
 const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
 const SPILL: usize = 1; // hosts past the first that an op may try for room
-const BEARABLE: f64 = 1.5; // and in quarters of the shortest target latency
-const ORIGIN_BEARABLE: f64 = 3.0; // a slow origin still serves, and no other host can
+const ORIGIN_BEARABLE: f64 = 3.0; // of the shortest one: a slow origin still serves, no other can
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
@@ -57,8 +56,8 @@
     Unlisted,
     Sent(OpId, PushNo),
     Ended(OpId, PushNo, End, Micros),
-    /// Time to judge; with the fleet's typical answer time.
-    Sweep(f64),
+    /// Time to judge; with the fleet's typical answer time, and the longest that can pass for the shortest.
+    Sweep(f64, f64),
 }
 
 enum ToDesk {
@@ -102,7 +101,7 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             for id in (self.hosts.len() as u32..known as u32).map(HostId) {
-                self.hosts.push(Host::new(id, self.desk.cold.clone(), self.desk.bearable));
+                self.hosts.push(Host::new(id, self.desk.cold.clone()));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -178,17 +177,15 @@
     answers: Histogram,
     judged_at: Micros,
     shortest: f64,
-    /// The longest answer time that can pass for the shortest.
-    bearable: f64,
     /// Of its keys for its answer times alone.
     share: f64,
     peak: usize,
 }
 
 impl Host {
-    fn new(id: HostId, cold: ColdTerms, bearable: f64) -> Host {
+    fn new(id: HostId, cold: ColdTerms) -> Host {
         let standing = Standing { limit: FIRST_LIMIT, ..Standing::default() };
-        Host { id, cold, standing, bearable, shortest: f64::MAX, share: 1.0, ..Host::default() }
+        Host { id, cold, standing, shortest: f64::MAX, share: 1.0, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -215,7 +212,7 @@
                 }
             }
             ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
-            ToHost::Sweep(typical) => self.sweep(typical, post),
+            ToHost::Sweep(typical, bearable) => self.sweep(typical, bearable, post),
         }
         let warm = self.cold_since.map_or(1.0, |since| warmth(&self.cold, post.now - since));
         let standing = &mut self.standing;
@@ -279,10 +276,10 @@
         }
     }
 
-    fn sweep(&mut self, typical: f64, post: &mut Post) {
+    fn sweep(&mut self, typical: f64, quarter: f64, post: &mut Post) {
         let now = post.now;
         // Time-outs count as answer times: they must not make silence look like slowness.
-        let own = self.answers.mean().unwrap_or(typical).max(typical).min(BEARABLE * self.bearable);
+        let own = self.answers.mean().unwrap_or(typical).max(typical).min(quarter);
         let unanswered = self.out.values().map(|&sent| (now - sent.max(self.answered_at)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
         if evidence > SILENT && self.suspect_since.is_none() && !self.is_origin() {
@@ -299,8 +296,8 @@
         }
         if let Some(present) = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES) {
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
-            self.shortest = (self.shortest * 1.005).min(present).min(self.bearable);
-            let bearable = if self.is_origin() { ORIGIN_BEARABLE } else { BEARABLE } * self.bearable;
+            self.shortest = (self.shortest * 1.005).min(present).min(quarter);
+            let bearable = if self.is_origin() { ORIGIN_BEARABLE } else { 1.0 } * quarter;
             let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
             let wanted = self.peak as f64 >= self.standing.limit / 2.0;
             let growth = if wanted { 1.0 } else { -self.standing.limit * UNUSED };
@@ -459,7 +456,9 @@
     categories: Vec<Category>,
     customers: Vec<Customer>,
     typical: f64,
-    bearable: f64,
+    /// The target latency of late, over the ops taken.
+    target: f64,
+    shortest: f64,
     board: Vec<Standing>,
     cold_sends: BTreeMap<HostId, VecDeque<Micros>>,
     ring: Ring,
@@ -507,7 +506,8 @@
             categories: categories.collect(),
             customers: customers.collect(),
             typical: shortest as f64 / 4.0,
-            bearable: shortest as f64 / 4.0,
+            target: shortest as f64,
+            shortest: shortest as f64,
             board: Vec::new(),
             cold_sends: BTreeMap::new(),
             ring: Ring::default(),
@@ -565,6 +565,7 @@
             Heard::Op { op, category, customer, key, write, again, ttl_at } => {
                 let within = customer.is_none_or(|customer| self.within_share(customer, post.now));
                 let terms = &self.categories[category.0 as usize];
+                self.target += (terms.useful as f64 - self.target) / 64.0;
                 let held = Op {
                     category: category.0 as usize,
                     key,
@@ -625,7 +626,10 @@
         typical.sort_by(f64::total_cmp);
         self.typical = typical.get(typical.len() / 2).copied().unwrap_or(self.typical);
         for host in (0..self.board.len() as u32).map(HostId) {
-            post.host(host, ToHost::Sweep(self.typical));
+            // The origin serves every category, so there the shortest target latency counts.
+            let cache = self.board[host.0 as usize].cache();
+            let target = if cache { self.target } else { self.shortest };
+            post.host(host, ToHost::Sweep(self.typical, target / 4.0));
         }
         post.orders.push(Order::Wake { after: SWEEP, wake: Wake::Sweep });
     }
