--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,7 +32,7 @@
 const WITNESSES: usize = 3; // the pushes out that count as evidence: one slow op must not stand for many
 const TRIAL_EVERY: Micros = 500_000;
 const RESTART: Micros = 2_000_000; // a host silent for longer may have been started anew, hence cold
-const SLOWER: f64 = 1.3; // answer time over the shortest, or a quarter of the target latency, that the limit bears
+const SLOWER: f64 = 1.3; // a limit bears answer times up to this over the shortest, or a quarter of the target
 const EVEN: f64 = 1.6; // answer time over the fleet's median up to which a host keeps all its keys
 const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
@@ -41,7 +41,7 @@
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
-const UNUSED: f64 = 0.05; // of a limit that is not used, lost a step: it must not stand high when a jam begins
+const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
@@ -242,8 +242,7 @@
             End::Acked | End::Miss => {
                 self.answered_at = now;
                 if let Some(since) = self.suspect_since {
-                    // A host that was away long enough to be started anew comes back cold, whatever the
-                    // list says: it must not be given all its keys at once.
+                    // Away long enough to be started anew, so cold whatever the list says.
                     if now - since > RESTART || self.lost_connection {
                         self.cold_since = Some(now);
                     }
@@ -386,14 +385,12 @@
         for (load, since) in self.hosts.iter().zip(&mut self.over_since) {
             *since = (*load > ALPHA * mean).then(|| since.unwrap_or(now));
         }
-        let mut hot = std::mem::take(&mut self.hot);
-        hot.retain(|key| self.keys.get(key).is_some_and(|entry| entry.0 >= BETA * mean));
-        for (key, &(count, home)) in &self.keys {
-            if count >= REPEATS && count >= BETA * self.hosts[home.0 as usize] && self.overloaded(home, now) {
-                hot.insert(*key);
-            }
-        }
-        self.hot = hot;
+        let stays = |key: &Place, count: f64| self.hot.contains(key) && count >= BETA * mean;
+        let comes = |count: f64, home: HostId| {
+            count >= REPEATS.max(BETA * self.hosts[home.0 as usize]) && self.overloaded(home, now)
+        };
+        let hot = self.keys.iter().filter(|(key, &(count, home))| stays(key, count) || comes(count, home));
+        self.hot = hot.map(|(&key, _)| key).collect();
         if now - self.halved_at >= HALVING {
             self.halved_at = now;
             self.hosts.iter_mut().for_each(|load| *load /= 2.0);
@@ -726,9 +723,9 @@
                 continue;
             }
             if standing.suspect || !self.keeps(host, key) {
-                // With no better host left: the one that has most to give, a suspect last and one push at a time.
-                let worth = if standing.suspect { 0.0 } else { standing.share };
-                let able = if standing.suspect { standing.in_flight == 0 } else { room };
+                // With no better host left: the one with most to give, suspects last and one push at a time.
+                let (worth, able) =
+                    if standing.suspect { (0.0, standing.in_flight == 0) } else { (standing.share, room) };
                 if able && second.is_none_or(|(best, _)| worth > best) {
                     second = Some((worth, host));
                 }
