--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,6 +42,7 @@
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
+const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
 const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
@@ -101,7 +102,7 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             for id in (self.hosts.len() as u32..known as u32).map(HostId) {
-                self.hosts.push(Host::new(id, self.desk.cold.clone()));
+                self.hosts.push(Host::new(id, self.desk.cold.clone(), self.desk.growth));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -164,6 +165,7 @@
 struct Host {
     id: HostId,
     cold: ColdTerms,
+    growth: f64,
     standing: Standing,
     /// When each push that is out was sent.
     out: BTreeMap<(OpId, PushNo), Micros>,
@@ -183,9 +185,9 @@
 }
 
 impl Host {
-    fn new(id: HostId, cold: ColdTerms) -> Host {
+    fn new(id: HostId, cold: ColdTerms, growth: f64) -> Host {
         let standing = Standing { limit: FIRST_LIMIT, ..Standing::default() };
-        Host { id, cold, standing, shortest: f64::MAX, share: 1.0, ..Host::default() }
+        Host { id, cold, growth, standing, shortest: f64::MAX, share: 1.0, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -299,7 +301,8 @@
             let bearable = if self.is_origin() { ORIGIN_BEARABLE } else { 1.0 } * quarter;
             let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
             let wanted = self.peak as f64 >= self.standing.limit / 2.0;
-            let growth = if wanted { 1.0 } else { -self.standing.limit * UNUSED };
+            let step = if self.is_origin() { 1.0 } else { self.growth };
+            let growth = if wanted { step } else { -self.standing.limit * UNUSED };
             self.standing.limit = (self.standing.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
             let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
             self.share += (target - self.share) * GAIN;
@@ -442,6 +445,7 @@
     rng: ChaCha8Rng,
     cold: ColdTerms,
     cold_least: f64,
+    growth: f64,
     aside: bool,
     list_asked: bool,
     weights_steady: bool,
@@ -471,15 +475,14 @@
 impl Desk {
     fn new(terms: &Terms) -> Desk {
         let top = terms.categories.iter().map(|category| category.benefit).fold(0.0, f64::max);
-        let margin = 2 * terms.tick;
         let categories = terms.categories.iter().map(|category| Category {
             useful: if category.late_benefit > 0.0 {
                 category.ttl
             } else {
-                (category.target_latency - margin).max(terms.tick)
+                (category.target_latency - 2 * terms.tick).max(terms.tick)
             },
             claim: 0.6 + 0.4 * category.benefit / top.max(1e-9),
-            spare: 1 + (2.0 * category.benefit / top.max(1e-9)) as u32,
+            spare: 1 + (category.benefit / top.max(1e-9)) as u32,
             repeats: category.repeats,
         });
         let shortest = terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(0);
@@ -491,6 +494,7 @@
         Desk {
             rng: ChaCha8Rng::seed_from_u64(terms.seed),
             cold: terms.cold.clone(),
+            growth: (GROWTH / f64::from(terms.balancers)).min(1.0),
             cold_least: (COLD_LEAST / f64::from(terms.balancers)).max(1.0),
             aside: terms.aside,
             list_asked: terms.list_asked,
@@ -624,8 +628,7 @@
         self.typical = typical.get(typical.len() / 2).copied().unwrap_or(self.typical);
         for host in (0..self.board.len() as u32).map(HostId) {
             // The origin serves every category, so there the shortest target latency counts.
-            let cache = self.board[host.0 as usize].cache();
-            let target = if cache { self.target } else { self.shortest };
+            let target = if self.board[host.0 as usize].cache() { self.target } else { self.shortest };
             post.host(host, ToHost::Sweep(self.typical, target / 4.0));
         }
         post.orders.push(Order::Wake { after: SWEEP, wake: Wake::Sweep });
@@ -633,8 +636,7 @@
 
     fn ended(&mut self, id: OpId, push: PushNo, end: End, over: bool, post: &mut Post) {
         let Some(op) = self.ops.get_mut(&id) else { return };
-        let at = op.out.iter().position(|out| out.0 == push);
-        let sent = at.map(|at| op.out.remove(at));
+        let sent = op.out.iter().position(|out| out.0 == push).map(|at| op.out.remove(at));
         if end == End::Acked {
             self.retries = (self.retries + self.earned).min(RETRY_STORE);
         }
@@ -709,9 +711,7 @@
         let mut seen = Vec::new();
         let order = holders.into_iter().chain(self.ring.walk(key).map(|point| point.1)).filter(|host| {
             let new = !seen.contains(host);
-            if new {
-                seen.push(*host);
-            }
+            seen.extend(new.then_some(*host));
             new
         });
         let mut full = 0;
