The ring is rebuilt once for all hosts that came or went together

It was rebuilt for each host of a new list. Also one place says what an origin is, and route's two outcomes are one branch.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,7 +37,7 @@
 const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
 const SPILL: usize = 1; // hosts past the first that an op may try for room
-const ORIGIN_BEARABLE: f64 = 3.0; // of the shortest one: a slow origin still serves, no other can
+const ORIGIN_BEARABLE: f64 = 3.0; // such quarters, of the shortest target: a slow origin still serves
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
@@ -156,7 +156,11 @@
     }
 
     fn cache(&self) -> bool {
-        self.up() && self.listed.as_ref().is_some_and(|listed| !listed.origin)
+        self.up() && !self.origin()
+    }
+
+    fn origin(&self) -> bool {
+        self.listed.as_ref().is_some_and(|listed| listed.origin)
     }
 }
 
@@ -227,10 +231,6 @@
         post.desk.push_back(ToDesk::Standing(self.id, standing.clone()));
     }
 
-    fn is_origin(&self) -> bool {
-        self.standing.listed.as_ref().is_some_and(|listed| listed.origin)
-    }
-
     fn well(&mut self) {
         self.suspect_since = None;
         self.strikes = 0.0;
@@ -283,7 +283,7 @@
         let own = self.answers.mean().unwrap_or(typical).max(typical).min(quarter);
         let unanswered = self.out.values().map(|&sent| (now - sent.max(self.answered_at)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
-        if evidence > SILENT && self.suspect_since.is_none() && !self.is_origin() {
+        if evidence > SILENT && self.suspect_since.is_none() && !self.standing.origin() {
             self.suspect_since = Some(now);
             self.trial_at = now + TRIAL_EVERY;
             post.desk.extend(self.out.keys().map(|&(op, _)| ToDesk::Lost(op)));
@@ -298,10 +298,10 @@
         if let Some(present) = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES) {
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
             self.shortest = (self.shortest * 1.005).min(present).min(quarter);
-            let bearable = if self.is_origin() { ORIGIN_BEARABLE } else { 1.0 } * quarter;
+            let bearable = if self.standing.origin() { ORIGIN_BEARABLE } else { 1.0 } * quarter;
             let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
             let wanted = self.peak as f64 >= self.standing.limit / 2.0;
-            let step = if self.is_origin() { 1.0 } else { self.growth };
+            let step = if self.standing.origin() { 1.0 } else { self.growth };
             let growth = if wanted { step } else { -self.standing.limit * UNUSED };
             self.standing.limit = (self.standing.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
             let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
@@ -463,6 +463,7 @@
     board: Vec<Standing>,
     cold_sends: BTreeMap<HostId, VecDeque<Micros>>,
     ring: Ring,
+    stale: bool,
     loads: Loads,
     ops: BTreeMap<OpId, Op>,
     retries: f64,
@@ -512,6 +513,7 @@
             board: Vec::new(),
             cold_sends: BTreeMap::new(),
             ring: Ring::default(),
+            stale: false,
             loads: Loads::default(),
             ops: BTreeMap::new(),
             retries: RETRY_STORE,
@@ -522,13 +524,14 @@
     }
 
     fn take(&mut self, note: ToDesk, post: &mut Post) {
+        // Once for all hosts that came or went together, before anything looks at the ring.
+        if self.stale && !matches!(note, ToDesk::Standing(..)) {
+            self.relist();
+        }
         match note {
             ToDesk::Standing(host, standing) => {
-                let relisted = self.board[host.0 as usize].up() != standing.up();
+                self.stale |= self.board[host.0 as usize].up() != standing.up();
                 self.board[host.0 as usize] = standing;
-                if relisted {
-                    self.relist();
-                }
             }
             ToDesk::Lost(op) => self.again(op, post),
             ToDesk::Heard(heard) => self.heard(heard, post),
@@ -606,15 +609,14 @@
     }
 
     fn relist(&mut self) {
-        let up = self.board.iter().enumerate().filter(|(_, standing)| standing.cache());
-        let hosts: Vec<_> = up
-            .filter_map(|(host, standing)| {
-                let listed = standing.listed.as_ref()?;
-                let weight = if self.weights_steady && listed.weight > 0.0 { listed.weight } else { 1.0 };
-                Some((listed.place, HostId(host as u32), weight))
-            })
-            .collect();
-        self.ring = Ring::build(&hosts);
+        self.stale = false;
+        let up = (0..).map(HostId).zip(&self.board).filter(|(_, standing)| standing.cache());
+        let hosts = up.filter_map(|(host, standing)| {
+            let listed = standing.listed.as_ref()?;
+            let weight = if self.weights_steady && listed.weight > 0.0 { listed.weight } else { 1.0 };
+            Some((listed.place, host, weight))
+        });
+        self.ring = Ring::build(&hosts.collect::<Vec<_>>());
         let mean = self.loads.mean();
         self.loads.hosts.resize(self.board.len(), mean);
         self.loads.over_since.resize(self.board.len(), None);
@@ -675,17 +677,16 @@
         let asks_origin = self.aside && (op.write || op.missed);
         let chosen = if asks_origin { self.origin(id) } else { self.choose(id, post.now) };
         let pushed = chosen.is_some_and(|host| self.push(id, host, post));
-        if !pushed && self.ops[&id].out.is_empty() {
-            self.close(id, true, post);
-        }
         if pushed {
             self.trial(id, post);
+        } else if self.ops[&id].out.is_empty() {
+            self.close(id, true, post);
         }
     }
 
     fn origin(&mut self, id: OpId) -> Option<HostId> {
         let op = &self.ops[&id];
-        let at = self.board.iter().position(|standing| standing.up() && !standing.cache())?;
+        let at = self.board.iter().position(|standing| standing.up() && standing.origin())?;
         let claim = if op.write { 2.0 } else { op.claim };
         self.board[at].room(claim, &mut self.rng).then_some(HostId(at as u32))
     }
