--- a/src/rules.rs
+++ b/src/rules.rs
@@ -141,6 +141,8 @@
     typical: Option<f64>,
     limit: f64,
     in_flight: usize,
+    /// Nothing to judge and nothing under way: a sweep may pass it by. Fleets are large, ops at one host few.
+    rests: bool,
 }
 
 impl Standing {
@@ -228,6 +230,8 @@
         standing.share = self.share * warm;
         standing.typical = self.answers.mean();
         standing.in_flight = self.out.len();
+        let quiet = self.out.is_empty() && self.peak == 0 && self.strikes < 0.1;
+        standing.rests = quiet && !standing.suspect && warm >= 1.0;
         post.desk.push_back(ToDesk::Standing(self.id, standing.clone()));
     }
 
@@ -317,19 +321,30 @@
 /// The ring of homes, built alike by every balancer from the hosts' names and weights.
 #[derive(Default)]
 struct Ring {
+    scale: f64,
+    /// Each host's points where its name put them, with its weight, in the ring's order.
+    raw: Vec<(u64, HostId, f64)>,
+    /// The same after Equation 1.
     points: Vec<(u64, HostId)>,
 }
 
 impl Ring {
-    fn build(hosts: &[(Place, HostId, f64)]) -> Ring {
+    /// Takes the hosts as they now are. Only what came or went is sorted anew: in a large fleet that grows
+    /// the list tells of a few hosts again and again.
+    fn set(&mut self, hosts: &[(Place, HostId, f64)]) {
         // A power of two near the mean weight, so that the scale rarely changes when a host comes or goes.
         let mean = hosts.iter().map(|host| host.2).sum::<f64>() / hosts.len().max(1) as f64;
         let scale = mean.max(1e-9).log2().round().exp2();
-        let mut raw: Vec<(u64, HostId, f64)> = Vec::new();
-        for &(place, host, weight) in hosts {
+        let now: BTreeMap<HostId, f64> = hosts.iter().map(|host| (host.1, host.2)).collect();
+        let same = scale == self.scale;
+        self.scale = scale;
+        self.raw.retain(|point| same && now.get(&point.1) == Some(&point.2));
+        let stay: BTreeSet<HostId> = self.raw.iter().map(|point| point.1).collect();
+        for &(place, host, weight) in hosts.iter().filter(|host| !stay.contains(&host.1)) {
             let points = (POINTS * weight / scale).clamp(8.0, 8.0 * POINTS) as u64;
-            raw.extend((1..=points).map(|nth| (place.mixed(nth).0, host, weight)));
+            self.raw.extend((1..=points).map(|nth| (place.mixed(nth).0, host, weight)));
         }
+        let raw = &mut self.raw;
         raw.sort_by_key(|point| (point.0, point.1));
         let count = raw.len();
         let points = (0..count).map(|i| {
@@ -342,9 +357,8 @@
             };
             (moved, here.1)
         });
-        let mut points: Vec<_> = points.collect();
-        points.sort_unstable();
-        Ring { points }
+        self.points = points.collect();
+        self.points.sort();
     }
 
     /// The hosts clockwise from a place; a host comes once for each of its points.
@@ -541,8 +555,9 @@
     fn heard(&mut self, heard: Heard, post: &mut Post) {
         match heard {
             Heard::List { whole, entries } => {
+                let named: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
                 for host in (0..self.board.len() as u32).map(HostId) {
-                    if whole && entries.iter().all(|entry| entry.host != host) {
+                    if whole && !named.contains(&host) {
                         post.host(host, ToHost::Unlisted);
                     }
                 }
@@ -616,7 +631,7 @@
             let weight = if self.weights_steady && listed.weight > 0.0 { listed.weight } else { 1.0 };
             Some((listed.place, host, weight))
         });
-        self.ring = Ring::build(&hosts.collect::<Vec<_>>());
+        self.ring.set(&hosts.collect::<Vec<_>>());
         let mean = self.loads.mean();
         self.loads.hosts.resize(self.board.len(), mean);
         self.loads.over_since.resize(self.board.len(), None);
@@ -624,13 +639,17 @@
 
     fn sweep(&mut self, post: &mut Post) {
         self.loads.sweep(post.now);
-        let caches = || self.board.iter().filter(|standing| standing.cache());
-        let mut typical: Vec<f64> = caches().filter_map(|standing| standing.typical).collect();
-        typical.sort_by(f64::total_cmp);
-        self.typical = typical.get(typical.len() / 2).copied().unwrap_or(self.typical);
-        for host in (0..self.board.len() as u32).map(HostId) {
+        if self.board.iter().any(|standing| !standing.rests) {
+            let caches = self.board.iter().filter(|standing| standing.cache());
+            let mut typical: Vec<f64> = caches.filter_map(|standing| standing.typical).collect();
+            let middle = typical.len() / 2;
+            if middle < typical.len() {
+                self.typical = *typical.select_nth_unstable_by(middle, f64::total_cmp).1;
+            }
+        }
+        for (host, standing) in (0..).map(HostId).zip(&self.board).filter(|(_, standing)| !standing.rests) {
             // The origin serves every category, so there the shortest target latency counts.
-            let target = if self.board[host.0 as usize].cache() { self.target } else { self.shortest };
+            let target = if standing.cache() { self.target } else { self.shortest };
             post.host(host, ToHost::Sweep(self.typical, target / 4.0));
         }
         post.orders.push(Order::Wake { after: SWEEP, wake: Wake::Sweep });
