--- a/src/rules.rs
+++ b/src/rules.rs
@@ -322,8 +322,10 @@
 #[derive(Default)]
 struct Ring {
     scale: f64,
-    /// Each host's points where its name put them, with its weight, in the ring's order.
-    raw: Vec<(u64, HostId, f64)>,
+    /// By host; 0 for one that has no points.
+    weights: Vec<f64>,
+    /// Each host's points where its name put them, in the ring's order.
+    raw: Vec<(u64, HostId)>,
     /// The same after Equation 1.
     points: Vec<(u64, HostId)>,
 }
@@ -335,22 +337,25 @@
         // A power of two near the mean weight, so that the scale rarely changes when a host comes or goes.
         let mean = hosts.iter().map(|host| host.2).sum::<f64>() / hosts.len().max(1) as f64;
         let scale = mean.max(1e-9).log2().round().exp2();
-        let now: BTreeMap<HostId, f64> = hosts.iter().map(|host| (host.1, host.2)).collect();
-        let same = scale == self.scale;
-        self.scale = scale;
-        self.raw.retain(|point| same && now.get(&point.1) == Some(&point.2));
-        let stay: BTreeSet<HostId> = self.raw.iter().map(|point| point.1).collect();
-        for &(place, host, weight) in hosts.iter().filter(|host| !stay.contains(&host.1)) {
+        let known = hosts.iter().map(|host| host.1 .0 as usize + 1).max().unwrap_or(0).max(self.weights.len());
+        let mut weights = vec![0.0; known];
+        hosts.iter().for_each(|host| weights[host.1 .0 as usize] = host.2);
+        self.weights.resize(known, 0.0);
+        let stays = |host: HostId| scale == self.scale && weights[host.0 as usize] == self.weights[host.0 as usize];
+        self.raw.retain(|point| stays(point.1));
+        for &(place, host, weight) in hosts.iter().filter(|host| !stays(host.1)) {
             let points = (POINTS * weight / scale).clamp(8.0, 8.0 * POINTS) as u64;
-            self.raw.extend((1..=points).map(|nth| (place.mixed(nth).0, host, weight)));
+            self.raw.extend((1..=points).map(|nth| (place.mixed(nth).0, host)));
         }
+        (self.scale, self.weights) = (scale, weights);
         let raw = &mut self.raw;
-        raw.sort_by_key(|point| (point.0, point.1));
+        raw.sort();
         let count = raw.len();
         let points = (0..count).map(|i| {
             let (before, here, next) = (raw[(i + count - 1) % count], raw[i], raw[(i + 1) % count]);
             // Equation 1: MH_i = (H_i + H_{i+1}) / 2 for a host weighted above its next.
-            let moved = if here.1 != next.1 && here.2 > next.2 {
+            let weight = |host: HostId| self.weights[host.0 as usize];
+            let moved = if here.1 != next.1 && weight(here.1) > weight(next.1) {
                 before.0.wrapping_add(next.0.wrapping_sub(before.0) / 2)
             } else {
                 here.0
