--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,7 @@
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
+const RECOVERY: f64 = 1.25; // a limit below one grows so at each answer: a quiet balancer has no steps to count
 const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
@@ -247,6 +248,7 @@
         match end {
             End::Acked | End::Miss => {
                 self.answered_at = now;
+                self.standing.limit = self.standing.limit.max((self.standing.limit * RECOVERY).min(1.0));
                 if let Some(since) = self.suspect_since {
                     // Away long enough to be started anew, so cold whatever the list says.
                     if now - since > RESTART || self.lost_connection {
@@ -304,7 +306,7 @@
             self.shortest = (self.shortest * 1.005).min(present).min(quarter);
             let bearable = if self.standing.origin() { ORIGIN_BEARABLE } else { 1.0 } * quarter;
             let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
-            let wanted = self.peak as f64 >= self.standing.limit / 2.0;
+            let wanted = self.peak as f64 >= (self.standing.limit / 2.0).min(1.0);
             let step = if self.standing.origin() { 1.0 } else { self.growth };
             let growth = if wanted { step } else { -self.standing.limit * UNUSED };
             self.standing.limit = (self.standing.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
