--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,6 +40,7 @@
 const ORIGIN_BEARABLE: f64 = 3.0; // such quarters, of the shortest target: a slow origin still serves
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
+const PRIOR: f64 = 1.0; // answers that the fleet's typical answer time stands for in a host's own
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
@@ -188,13 +189,15 @@
     shortest: f64,
     /// Of its keys for its answer times alone.
     share: f64,
+    /// What that part moves towards.
+    target: f64,
     peak: usize,
 }
 
 impl Host {
     fn new(id: HostId, cold: ColdTerms, growth: f64) -> Host {
         let standing = Standing { limit: FIRST_LIMIT, ..Standing::default() };
-        Host { id, cold, growth, standing, shortest: f64::MAX, share: 1.0, ..Host::default() }
+        Host { id, cold, growth, standing, shortest: f64::MAX, share: 1.0, target: 1.0, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -231,7 +234,7 @@
         standing.share = self.share * warm;
         standing.typical = self.answers.mean();
         standing.in_flight = self.out.len();
-        let quiet = self.out.is_empty() && self.peak == 0 && self.strikes < 0.1;
+        let quiet = self.out.is_empty() && self.peak == 0 && self.strikes < 0.1 && (self.target - self.share).abs() < 0.02;
         standing.rests = quiet && !standing.suspect && warm >= 1.0;
         post.desk.push_back(ToDesk::Standing(self.id, standing.clone()));
     }
@@ -310,12 +313,15 @@
             let step = if self.standing.origin() { 1.0 } else { self.growth };
             let growth = if wanted { step } else { -self.standing.limit * UNUSED };
             self.standing.limit = (self.standing.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
-            let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
-            self.share += (target - self.share) * GAIN;
             if self.answers.total() >= 2.0 * SAMPLES {
                 self.answers.halve();
             }
         }
+        // One time-out may be all that a quiet balancer hears of a jammed host in many seconds.
+        let total = self.answers.total();
+        let present = (self.answers.mean().unwrap_or(0.0) * total + typical * PRIOR) / (total + PRIOR);
+        self.target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
+        self.share += (self.target - self.share) * GAIN;
         self.peak = self.out.len();
     }
 }
