--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,6 +41,7 @@
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const PRIOR: f64 = 1.0; // answers that the fleet's typical answer time stands for in a host's own
+const TIMED_OUT: Micros = 2; // times its length that a push that timed out counts as an answer time
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
@@ -189,6 +190,9 @@
     shortest: f64,
     /// Of its keys for its answer times alone.
     share: f64,
+    /// When the last answer time came, and how long after the one before.
+    measured_at: Micros,
+    gap: Micros,
     /// What that part moves towards.
     target: f64,
     peak: usize,
@@ -282,7 +286,9 @@
             End::CalledOff | End::Void => {}
         }
         if matches!(end, End::Acked | End::TimedOut) {
-            self.answers.add(took);
+            self.answers.add(if end == End::TimedOut { TIMED_OUT * took } else { took });
+            self.gap = now - self.measured_at;
+            self.measured_at = now;
         }
     }
 
@@ -321,7 +327,7 @@
         let total = self.answers.total();
         let present = (self.answers.mean().unwrap_or(0.0) * total + typical * PRIOR) / (total + PRIOR);
         self.target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
-        self.share += (self.target - self.share) * GAIN;
+        self.share += (self.target - self.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
         self.peak = self.out.len();
     }
 }
