--- a/src/rules.rs
+++ b/src/rules.rs
@@ -193,6 +193,8 @@
     /// When the last answer time came, and how long after the one before.
     measured_at: Micros,
     gap: Micros,
+    /// Answered since last judged: an old answer must not cut the limit again and again.
+    fresh: bool,
     /// What that part moves towards.
     target: f64,
     peak: usize,
@@ -289,6 +291,7 @@
             self.answers.add(if end == End::TimedOut { TIMED_OUT * took } else { took });
             self.gap = now - self.measured_at;
             self.measured_at = now;
+            self.fresh = true;
         }
     }
 
@@ -310,7 +313,7 @@
         if self.suspect_since.is_none() {
             self.strikes *= 0.8;
         }
-        if let Some(present) = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES) {
+        if let Some(present) = self.answers.mean().filter(|_| self.fresh && self.answers.total() >= SAMPLES) {
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
             self.shortest = (self.shortest * 1.005).min(present).min(quarter);
             let bearable = if self.standing.origin() { ORIGIN_BEARABLE } else { 1.0 } * quarter;
@@ -323,6 +326,7 @@
                 self.answers.halve();
             }
         }
+        self.fresh = false;
         // One time-out may be all that a quiet balancer hears of a jammed host in many seconds.
         let total = self.answers.total();
         let present = (self.answers.mean().unwrap_or(0.0) * total + typical * PRIOR) / (total + PRIOR);
