--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -12,13 +12,13 @@
 }
 
 impl Histogram {
-    pub fn add(&mut self, value: Micros) {
+    pub fn add(&mut self, value: Micros, weight: f64) {
         let mut bin = 0;
         while bin + 1 < BINS && value >= FIRST << bin {
             bin += 1;
         }
-        self.counts[bin] += 1.0;
-        self.sum += value as f64;
+        self.counts[bin] += weight;
+        self.sum += weight * value as f64;
     }
 
     pub fn halve(&mut self) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,7 +41,7 @@
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const PRIOR: f64 = 1.0; // answers that the fleet's typical answer time stands for in a host's own
-const TIMED_OUT: Micros = 4; // times its length that a push that timed out counts as an answer time
+const STANDS_FOR: f64 = 8.0; // answers that one stands for at most, after a long gap
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
@@ -288,9 +288,10 @@
             End::CalledOff | End::Void => {}
         }
         if matches!(end, End::Acked | End::TimedOut) {
-            self.answers.add(if end == End::TimedOut { TIMED_OUT * took } else { took });
             self.gap = now - self.measured_at;
             self.measured_at = now;
+            // At a quiet balancer one answer stands for all that the host gave others meanwhile.
+            self.answers.add(took, (self.gap as f64 / JUDGE as f64).clamp(1.0, STANDS_FOR));
             self.fresh = true;
         }
     }
