--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,7 +21,8 @@
 const BETA: f64 = 0.1; // hot: at least this share of its overloaded home's load
 const OVERLOADED_FOR: Micros = 2_000_000;
 const HALVING: Micros = 1_400_000; // of the load counts: what is left of a send after 2 s is about a third
-const REPEATS: f64 = 6.0; // a key with fewer counted sends is never hot: chance repeats at a quiet balancer
+const LASTING: f64 = 2.0; // sends a host for which the counts last at least: a quiet balancer needs long to meet a key twice
+const REPEATS: f64 = 3.0; // a key with fewer counted sends is never hot: chance repeats at a quiet balancer
 const KEYS: usize = 2_048; // the hot-key table's size
 const HOLDERS: u64 = 3;
 
@@ -399,6 +400,8 @@
     over_since: Vec<Option<Micros>>,
     keys: BTreeMap<Place, (f64, HostId)>,
     hot: BTreeSet<Place>,
+    /// Since the last halving.
+    sends: f64,
     halved_at: Micros,
 }
 
@@ -410,6 +413,7 @@
 
     fn count(&mut self, host: HostId, key: Option<Place>, home: HostId) {
         self.hosts[host.0 as usize] += 1.0;
+        self.sends += 1.0;
         let Some(key) = key else { return };
         if self.keys.len() < KEYS || self.keys.contains_key(&key) {
             let entry = self.keys.entry(key).or_insert((0.0, home));
@@ -432,8 +436,8 @@
         };
         let hot = self.keys.iter().filter(|(key, &(count, home))| stays(key, count) || comes(count, home));
         self.hot = hot.map(|(&key, _)| key).collect();
-        if now - self.halved_at >= HALVING {
-            self.halved_at = now;
+        if now - self.halved_at >= HALVING && self.sends >= LASTING * self.hosts.len() as f64 {
+            (self.halved_at, self.sends) = (now, 0.0);
             self.hosts.iter_mut().for_each(|load| *load /= 2.0);
             self.keys.retain(|_, entry| {
                 entry.0 /= 2.0;
