--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,7 +24,7 @@
 const LASTING: f64 = 2.0; // sends a host for which the counts last at least: a quiet balancer needs long to meet a key twice
 const REPEATS: f64 = 3.0; // a key with fewer counted sends is never hot: chance repeats at a quiet balancer
 const KEYS: usize = 2_048; // the hot-key table's size
-const HOLDERS: u64 = 3;
+const HOLDERS: u64 = 3; // at least; more where three would each read more of the key than the mean load
 
 // Departures.
 const SWEEP: Micros = 50_000;
@@ -421,6 +421,12 @@
         }
     }
 
+    /// A key's part of all sends.
+    fn part(&self, key: Place) -> f64 {
+        let all = self.hosts.iter().sum::<f64>().max(1.0);
+        self.keys.get(&key).map_or(0.0, |entry| entry.0 / all)
+    }
+
     fn overloaded(&self, host: HostId, now: Micros) -> bool {
         self.over_since[host.0 as usize].is_some_and(|since| now - since >= OVERLOADED_FOR)
     }
@@ -792,9 +798,11 @@
 
     /// Three holders, one per equal range of the ring from the key's place; the home is the first.
     fn holders(&self, key: Place, now: Micros) -> Vec<HostId> {
-        let range = u64::MAX / HOLDERS;
+        let used = self.ring.weights.iter().filter(|&&weight| weight > 0.0).count() as f64;
+        let count = ((self.loads.part(key) * used) as u64).max(HOLDERS);
+        let range = u64::MAX / count;
         let mut holders: Vec<HostId> = Vec::new();
-        for nth in 0..HOLDERS {
+        for nth in 0..count {
             let from = Place(key.0.wrapping_add(nth * range));
             let within = |point: &(u64, HostId)| point.0.wrapping_sub(from.0) < range;
             let usable = |host: &HostId| {
