--- a/src/rules.rs
+++ b/src/rules.rs
@@ -402,6 +402,8 @@
     hot: BTreeSet<Place>,
     /// Since the last halving.
     sends: f64,
+    /// The time that the counts of before it stand for.
+    before: f64,
     halved_at: Micros,
 }
 
@@ -421,6 +423,11 @@
         }
     }
 
+    /// The time that the counts stand for.
+    fn span(&self, now: Micros) -> f64 {
+        (self.before + (now - self.halved_at) as f64).max(HALVING as f64)
+    }
+
     /// A key's part of all sends.
     fn part(&self, key: Place) -> f64 {
         let all = self.hosts.iter().sum::<f64>().max(1.0);
@@ -443,6 +450,7 @@
         let hot = self.keys.iter().filter(|(key, &(count, home))| stays(key, count) || comes(count, home));
         self.hot = hot.map(|(&key, _)| key).collect();
         if now - self.halved_at >= HALVING && self.sends >= LASTING * self.hosts.len() as f64 {
+            self.before = self.span(now) / 2.0;
             (self.halved_at, self.sends) = (now, 0.0);
             self.hosts.iter_mut().for_each(|load| *load /= 2.0);
             self.keys.retain(|_, entry| {
@@ -776,6 +784,10 @@
             if !standing.cache() || op.tried.contains(&host) {
                 continue;
             }
+            let overflow = standing.warm < 1.0 && (full > 0 || !op.tried.is_empty());
+            if overflow {
+                continue;
+            }
             if standing.suspect || !self.keeps(host, key) {
                 // With no better host left: the one with most to give, suspects last and one push at a time.
                 let (worth, able) =
@@ -868,11 +880,15 @@
         // Rule 4: to a cold host no more in a window than this balancer's part of what it can bear. A warm
         // host bears the mean load at least; own sends are already this balancer's part of it.
         if standing.warm < 1.0 && standing.cache() {
+            // What other hosts turned away or lost comes from every balancer at once.
+            if !op.tried.is_empty() {
+                return false;
+            }
             let sends = self.cold_sends.entry(host).or_default();
             while sends.front().is_some_and(|&at| now - at >= self.cold.fall_window) {
                 sends.pop_front();
             }
-            let windows = self.cold.fall_window as f64 / (1.5 * HALVING as f64);
+            let windows = self.cold.fall_window as f64 / self.loads.span(now);
             let normal = self.loads.mean() * windows / 2.0;
             let allowance = COLD_MARGIN * self.cold.fall_multiple * standing.warm * normal;
             if sends.len() as f64 >= allowance.max(self.cold_least) {
