--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,7 +22,7 @@
 const OVERLOADED_FOR: Micros = 2_000_000;
 const HALVING: Micros = 1_400_000; // of the load counts: what is left of a send after 2 s is about a third
 const LASTING: f64 = 2.0; // sends a host for which the counts last at least: a quiet balancer needs long to meet a key twice
-const REPEATS: f64 = 3.0; // a key with fewer counted sends is never hot: chance repeats at a quiet balancer
+const REPEATS: f64 = 2.0; // a key with fewer counted sends is never hot: chance repeats at a quiet balancer
 const KEYS: usize = 2_048; // the hot-key table's size
 const HOLDERS: u64 = 3; // at least; more where three would each read more of the key than the mean load
 
