--- a/src/rules.rs
+++ b/src/rules.rs
@@ -238,7 +238,7 @@
         standing.suspect = self.suspect_since.is_some();
         standing.trial_due = standing.suspect && post.now >= self.trial_at;
         standing.warm = warm;
-        standing.share = self.share * warm;
+        standing.share = self.share;
         standing.typical = self.answers.mean();
         standing.in_flight = self.out.len();
         let quiet = self.out.is_empty() && self.peak == 0 && self.strikes < 0.1 && (self.target - self.share).abs() < 0.02;
@@ -499,6 +499,8 @@
 
 struct Desk {
     rng: ChaCha8Rng,
+    /// Of its own, so that balancers leave different keys of a slow host.
+    salt: u64,
     cold: ColdTerms,
     cold_least: f64,
     growth: f64,
@@ -548,8 +550,10 @@
             level: 0.0,
             at: 0,
         });
+        let mut rng = ChaCha8Rng::seed_from_u64(terms.seed);
         Desk {
-            rng: ChaCha8Rng::seed_from_u64(terms.seed),
+            salt: rng.random(),
+            rng,
             cold: terms.cold.clone(),
             growth: (GROWTH / f64::from(terms.balancers)).min(1.0),
             cold_least: (COLD_LEAST / f64::from(terms.balancers)).max(1.0),
@@ -752,10 +756,13 @@
         self.board[at].room(claim, &mut self.rng).then_some(HostId(at as u32))
     }
 
-    /// Whether a host keeps this key: a cold or slow one keeps a part of its own, the same keys as it grows.
+    /// Whether a host keeps this key. A cold one keeps a part of its own, the same at every balancer, which grows
+    /// as it warms. Of a slow one's keys each balancer leaves others: a hot key must not move as a whole and jam
+    /// the next host.
     fn keeps(&self, host: HostId, key: Place) -> bool {
-        let share = self.board[host.0 as usize].share;
-        share >= 1.0 || (key.mixed(u64::from(host.0) + 1).0 as f64) < share * u64::MAX as f64
+        let standing = &self.board[host.0 as usize];
+        let part = |salt: u64, of: f64| of >= 1.0 || (key.mixed(salt).0 as f64) < of * u64::MAX as f64;
+        part(u64::from(host.0) + 1, standing.warm) && part(self.salt ^ u64::from(host.0), standing.share)
     }
 
     /// The ordinary path: the key's home, or for a hot key the least busy of its holders; past a host that is
@@ -791,7 +798,7 @@
             if standing.suspect || !self.keeps(host, key) {
                 // With no better host left: the one with most to give, suspects last and one push at a time.
                 let (worth, able) =
-                    if standing.suspect { (0.0, standing.in_flight == 0) } else { (standing.share, room) };
+                    if standing.suspect { (0.0, standing.in_flight == 0) } else { (standing.share * standing.warm, room) };
                 if able && second.is_none_or(|(best, _)| worth > best) {
                     second = Some((worth, host));
                 }
