--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,7 +46,6 @@
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
-const RECOVERY: f64 = 1.25; // a limit below one grows so at each answer: a quiet balancer has no steps to count
 const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
@@ -106,7 +105,7 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             for id in (self.hosts.len() as u32..known as u32).map(HostId) {
-                self.hosts.push(Host::new(id, self.desk.cold.clone(), self.desk.growth));
+                self.hosts.push(Host::new(id, self.desk.cold.clone(), self.desk.growth, self.desk.least));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -143,7 +142,7 @@
     /// The part of its own keys that it keeps.
     share: f64,
     typical: Option<f64>,
-    limit: f64,
+    limit: Limit,
     in_flight: usize,
     /// Nothing to judge and nothing under way: a sweep may pass it by. Fleets are large, ops at one host few.
     rests: bool,
@@ -154,13 +153,6 @@
         self.listed.as_ref().is_some_and(|listed| listed.lifecycle == Lifecycle::Up)
     }
 
-    /// Whether an op with this claim fits. A room of less than one push is kept by chance: many balancers may
-    /// each have less than one to give.
-    fn room(&self, claim: f64, rng: &mut ChaCha8Rng) -> bool {
-        let room = self.limit * claim;
-        (self.in_flight as f64) < room && (room >= 1.0 || rng.random::<f64>() < room)
-    }
-
     fn cache(&self) -> bool {
         self.up() && !self.origin()
     }
@@ -170,12 +162,60 @@
     }
 }
 
+/// How much may be in flight at a host, or at all cache hosts together.
+#[derive(Clone, Default)]
+struct Limit {
+    most: f64,
+    /// With a limit below one the next push waits, so that on the whole no more than that is out.
+    free_at: Micros,
+    shortest: f64,
+    peak: usize,
+    /// Answered since last judged: an old answer must not cut the limit again and again.
+    fresh: bool,
+}
+
+impl Limit {
+    fn new(most: f64) -> Limit {
+        Limit { most, shortest: f64::MAX, ..Limit::default() }
+    }
+
+    fn room(&self, in_flight: usize, claim: f64, now: Micros) -> bool {
+        let room = (self.most * claim).max(1.0);
+        (in_flight as f64) < room && now >= self.free_at
+    }
+
+    fn cut(&mut self, to: f64, least: f64) {
+        self.most = (self.most * to).max(least);
+    }
+
+    fn answered(&mut self, took: Micros, now: Micros) {
+        self.fresh = true;
+        self.free_at = now + (took as f64 * (1.0 / self.most.min(1.0) - 1.0)) as Micros;
+    }
+
+    /// Follows the shortest answer time over the present one, from a time that is bearable anyway.
+    fn judge(&mut self, present: Option<f64>, quarter: f64, bearable: f64, growth: f64, least: f64) {
+        let wanted = self.peak as f64 >= (self.most / 2.0).min(1.0);
+        let step = if wanted || self.most < 1.0 { growth } else { -self.most * UNUSED };
+        if let Some(present) = present.filter(|_| self.fresh) {
+            // A host that was in a jam when first met must not pass its jam for its shortest answer time.
+            self.shortest = (self.shortest * 1.005).min(present).min(quarter);
+            let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
+            self.most = (self.most * ratio + step).clamp(least, MOST_LIMIT);
+        } else if self.most < 1.0 {
+            self.most = (self.most + growth).min(1.0);
+        }
+        self.fresh = false;
+    }
+}
+
 /// One host as this balancer sees it: its life, health, answer times and room.
 #[derive(Default)]
 struct Host {
     id: HostId,
     cold: ColdTerms,
     growth: f64,
+    least: f64,
     standing: Standing,
     /// When each push that is out was sent.
     out: BTreeMap<(OpId, PushNo), Micros>,
@@ -188,23 +228,19 @@
     answered_at: Micros,
     answers: Histogram,
     judged_at: Micros,
-    shortest: f64,
     /// Of its keys for its answer times alone.
     share: f64,
     /// When the last answer time came, and how long after the one before.
     measured_at: Micros,
     gap: Micros,
-    /// Answered since last judged: an old answer must not cut the limit again and again.
-    fresh: bool,
     /// What that part moves towards.
     target: f64,
-    peak: usize,
 }
 
 impl Host {
-    fn new(id: HostId, cold: ColdTerms, growth: f64) -> Host {
-        let standing = Standing { limit: FIRST_LIMIT, ..Standing::default() };
-        Host { id, cold, growth, standing, shortest: f64::MAX, share: 1.0, target: 1.0, ..Host::default() }
+    fn new(id: HostId, cold: ColdTerms, growth: f64, least: f64) -> Host {
+        let standing = Standing { limit: Limit::new(FIRST_LIMIT), ..Standing::default() };
+        Host { id, cold, growth, least, standing, share: 1.0, target: 1.0, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -224,7 +260,8 @@
             }
             ToHost::Sent(op, push) => {
                 self.out.insert((op, push), post.now);
-                self.peak = self.peak.max(self.out.len());
+                let limit = &mut self.standing.limit;
+                limit.peak = limit.peak.max(self.out.len());
                 if self.suspect_since.is_some() {
                     self.trials += 1;
                     self.trial_at = post.now + (TRIAL_EVERY << self.trials.min(2));
@@ -241,8 +278,9 @@
         standing.share = self.share;
         standing.typical = self.answers.mean();
         standing.in_flight = self.out.len();
-        let quiet = self.out.is_empty() && self.peak == 0 && self.strikes < 0.1 && (self.target - self.share).abs() < 0.02;
-        standing.rests = quiet && !standing.suspect && warm >= 1.0;
+        let settled = self.strikes < 0.1 && (self.target - self.share).abs() < 0.02 && standing.limit.most >= 1.0;
+        let quiet = self.out.is_empty() && standing.limit.peak == 0;
+        standing.rests = settled && quiet && !standing.suspect && warm >= 1.0;
         post.desk.push_back(ToDesk::Standing(self.id, standing.clone()));
     }
 
@@ -258,7 +296,6 @@
         match end {
             End::Acked | End::Miss => {
                 self.answered_at = now;
-                self.standing.limit = self.standing.limit.max((self.standing.limit * RECOVERY).min(1.0));
                 if let Some(since) = self.suspect_since {
                     // Away long enough to be started anew, so cold whatever the list says.
                     if now - since > RESTART || self.lost_connection {
@@ -273,7 +310,7 @@
             }
             End::TurnedAway => {
                 self.answered_at = now;
-                self.standing.limit = (self.standing.limit / 2.0).max(LEAST_LIMIT);
+                self.standing.limit.cut(0.5, self.least);
             }
             End::Unreachable | End::Broken => {
                 self.strikes += STRIKE;
@@ -281,7 +318,7 @@
             }
             // Too much is in flight; and silence, unless other answers came meanwhile.
             End::TimedOut => {
-                self.standing.limit = (self.standing.limit * BACK_OFF).max(LEAST_LIMIT);
+                self.standing.limit.cut(BACK_OFF, self.least);
                 if self.answered_at < sent {
                     self.strikes += STRIKE;
                 }
@@ -293,7 +330,7 @@
             self.measured_at = now;
             // At a quiet balancer one answer stands for all that the host gave others meanwhile.
             self.answers.add(took, (self.gap as f64 / JUDGE as f64).clamp(1.0, STANDS_FOR));
-            self.fresh = true;
+            self.standing.limit.answered(took, now);
         }
     }
 
@@ -315,26 +352,20 @@
         if self.suspect_since.is_none() {
             self.strikes *= 0.8;
         }
-        if let Some(present) = self.answers.mean().filter(|_| self.fresh && self.answers.total() >= SAMPLES) {
-            // A host that was in a jam when first met must not pass its jam for its shortest answer time.
-            self.shortest = (self.shortest * 1.005).min(present).min(quarter);
-            let bearable = if self.standing.origin() { ORIGIN_BEARABLE } else { 1.0 } * quarter;
-            let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
-            let wanted = self.peak as f64 >= (self.standing.limit / 2.0).min(1.0);
-            let step = if self.standing.origin() { 1.0 } else { self.growth };
-            let growth = if wanted { step } else { -self.standing.limit * UNUSED };
-            self.standing.limit = (self.standing.limit * ratio + growth).clamp(LEAST_LIMIT, MOST_LIMIT);
-            if self.answers.total() >= 2.0 * SAMPLES {
-                self.answers.halve();
-            }
+        let origin = self.standing.origin();
+        let bearable = if origin { ORIGIN_BEARABLE } else { 1.0 } * quarter;
+        let growth = if origin { (2.0 * self.growth).min(1.0) } else { self.growth };
+        let present = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES);
+        self.standing.limit.judge(present, quarter, bearable, growth, self.least);
+        if self.answers.total() >= 2.0 * SAMPLES {
+            self.answers.halve();
         }
-        self.fresh = false;
         // One time-out may be all that a quiet balancer hears of a jammed host in many seconds.
         let total = self.answers.total();
         let present = (self.answers.mean().unwrap_or(0.0) * total + typical * PRIOR) / (total + PRIOR);
         self.target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
         self.share += (self.target - self.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
-        self.peak = self.out.len();
+        self.standing.limit.peak = self.out.len();
     }
 }
 
@@ -504,6 +535,12 @@
     cold: ColdTerms,
     cold_least: f64,
     growth: f64,
+    least: f64,
+    /// Of all cache hosts together.
+    fleet: Limit,
+    answers: Histogram,
+    abroad: usize,
+    judged_at: Micros,
     aside: bool,
     list_asked: bool,
     weights_steady: bool,
@@ -556,6 +593,11 @@
             rng,
             cold: terms.cold.clone(),
             growth: (GROWTH / f64::from(terms.balancers)).min(1.0),
+            least: (GROWTH / f64::from(terms.balancers)).min(LEAST_LIMIT),
+            fleet: Limit::new(MOST_LIMIT),
+            answers: Histogram::default(),
+            abroad: 0,
+            judged_at: 0,
             cold_least: (COLD_LEAST / f64::from(terms.balancers)).max(1.0),
             aside: terms.aside,
             list_asked: terms.list_asked,
@@ -651,6 +693,13 @@
             }
             Heard::Dropped { op } => self.forget(op, post),
             Heard::Ended { op, push, host, took, end, over } => {
+                if !self.board[host.0 as usize].origin() {
+                    self.abroad = self.abroad.saturating_sub(1);
+                    if matches!(end, End::Acked | End::Miss | End::TimedOut) {
+                        self.answers.add(took, 1.0);
+                        self.fleet.answered(took, post.now);
+                    }
+                }
                 post.host(host, ToHost::Ended(op, push, end, took));
                 self.ended(op, push, end, over, post);
             }
@@ -693,6 +742,18 @@
                 self.typical = *typical.select_nth_unstable_by(middle, f64::total_cmp).1;
             }
         }
+        if post.now - self.judged_at >= JUDGE {
+            self.judged_at = post.now;
+            // The median: hosts that answer nothing, while few, are no reason to turn ops away.
+            let present = self.answers.quantile(0.5).filter(|_| self.answers.total() >= SAMPLES);
+            let caches = self.board.iter().filter(|standing| standing.cache()).count() as f64;
+            let (quarter, growth) = (self.target / 4.0, self.growth * caches);
+            self.fleet.judge(present.map(|present| present as f64), quarter, quarter, growth, self.least);
+            self.fleet.peak = self.abroad;
+            if self.answers.total() >= 4.0 * SAMPLES {
+                self.answers.halve();
+            }
+        }
         for (host, standing) in (0..).map(HostId).zip(&self.board).filter(|(_, standing)| !standing.rests) {
             // The origin serves every category, so there the shortest target latency counts.
             let target = if standing.cache() { self.target } else { self.shortest };
@@ -740,7 +801,7 @@
     fn route(&mut self, id: OpId, post: &mut Post) {
         let op = &self.ops[&id];
         let asks_origin = self.aside && (op.write || op.missed);
-        let chosen = if asks_origin { self.origin(id) } else { self.choose(id, post.now) };
+        let chosen = if asks_origin { self.origin(id, post.now) } else { self.choose(id, post.now) };
         let pushed = chosen.is_some_and(|host| self.push(id, host, post));
         if pushed {
             self.trial(id, post);
@@ -749,11 +810,11 @@
         }
     }
 
-    fn origin(&mut self, id: OpId) -> Option<HostId> {
+    fn origin(&self, id: OpId, now: Micros) -> Option<HostId> {
         let op = &self.ops[&id];
         let at = self.board.iter().position(|standing| standing.up() && standing.origin())?;
         let claim = if op.write { 2.0 } else { op.claim };
-        self.board[at].room(claim, &mut self.rng).then_some(HostId(at as u32))
+        self.board[at].limit.room(self.board[at].in_flight, claim, now).then_some(HostId(at as u32))
     }
 
     /// Whether a host keeps this key. A cold one keeps a part of its own, the same at every balancer, which grows
@@ -769,6 +830,9 @@
     /// not to be used or has no room, the next one clockwise.
     fn choose(&mut self, id: OpId, now: Micros) -> Option<HostId> {
         let op = &self.ops[&id];
+        if !self.fleet.room(self.abroad, op.claim, now) {
+            return None;
+        }
         let key = op.key.unwrap_or_else(|| Place(self.rng.random()));
         let mut holders = Vec::new();
         if self.loads.hot.contains(&key) && !op.write {
@@ -787,7 +851,7 @@
         let mut second: Option<(f64, HostId)> = None;
         for host in order {
             let standing = &self.board[host.0 as usize];
-            let room = standing.room(op.claim, &mut self.rng);
+            let room = standing.limit.room(standing.in_flight, op.claim, now);
             if !standing.cache() || op.tried.contains(&host) {
                 continue;
             }
@@ -908,6 +972,8 @@
         op.out.push((push, host, now));
         op.tried.push(host);
         if standing.cache() {
+            self.abroad += 1;
+            self.fleet.peak = self.fleet.peak.max(self.abroad);
             let home = op.key.and_then(|key| self.ring.walk(key).next()).map_or(host, |point| point.1);
             self.loads.count(host, op.key, home);
         }
