--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,6 +38,7 @@
 const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
 const LEAST_SHARE: f64 = 0.05; // of its own keys that a slow host keeps, to see it recover
 const SPILL: usize = 1; // hosts past the first that an op may try for room
+const PASSED: usize = 3; // hosts that are looked at when the gate lets none through
 const ORIGIN_BEARABLE: f64 = 3.0; // such quarters, of the shortest target: a slow origin still serves
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
@@ -799,10 +800,19 @@
     }
 
     fn route(&mut self, id: OpId, post: &mut Post) {
-        let op = &self.ops[&id];
-        let asks_origin = self.aside && (op.write || op.missed);
-        let chosen = if asks_origin { self.origin(id, post.now) } else { self.choose(id, post.now) };
-        let pushed = chosen.is_some_and(|host| self.push(id, host, post));
+        let mut pushed = false;
+        // A host that may not have the op, mostly a cold one whose part is spent, is passed by.
+        for _ in 0..PASSED {
+            let op = &self.ops[&id];
+            let asks_origin = self.aside && (op.write || op.missed);
+            let chosen = if asks_origin { self.origin(id, post.now) } else { self.choose(id, post.now) };
+            let Some(host) = chosen else { break };
+            pushed = self.push(id, host, post);
+            if pushed || asks_origin {
+                break;
+            }
+            self.ops.get_mut(&id).expect("it is open").tried.push(host);
+        }
         if pushed {
             self.trial(id, post);
         } else if self.ops[&id].out.is_empty() {
