--- a/src/rules.rs
+++ b/src/rules.rs
@@ -279,7 +279,8 @@
         standing.share = self.share;
         standing.typical = self.answers.mean();
         standing.in_flight = self.out.len();
-        let settled = self.strikes < 0.1 && (self.target - self.share).abs() < 0.02 && standing.limit.most >= 1.0;
+        let settled =
+            self.strikes < 0.1 && (self.target - self.share).abs() < 0.02 && standing.limit.most >= 1.0;
         let quiet = self.out.is_empty() && standing.limit.peak == 0;
         standing.rests = settled && quiet && !standing.suspect && warm >= 1.0;
         post.desk.push_back(ToDesk::Standing(self.id, standing.clone()));
@@ -365,7 +366,8 @@
         let total = self.answers.total();
         let present = (self.answers.mean().unwrap_or(0.0) * total + typical * PRIOR) / (total + PRIOR);
         self.target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
-        self.share += (self.target - self.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
+        self.share +=
+            (self.target - self.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
         self.standing.limit.peak = self.out.len();
     }
 }
@@ -389,11 +391,13 @@
         // A power of two near the mean weight, so that the scale rarely changes when a host comes or goes.
         let mean = hosts.iter().map(|host| host.2).sum::<f64>() / hosts.len().max(1) as f64;
         let scale = mean.max(1e-9).log2().round().exp2();
-        let known = hosts.iter().map(|host| host.1 .0 as usize + 1).max().unwrap_or(0).max(self.weights.len());
+        let known =
+            hosts.iter().map(|host| host.1 .0 as usize + 1).max().unwrap_or(0).max(self.weights.len());
         let mut weights = vec![0.0; known];
         hosts.iter().for_each(|host| weights[host.1 .0 as usize] = host.2);
         self.weights.resize(known, 0.0);
-        let stays = |host: HostId| scale == self.scale && weights[host.0 as usize] == self.weights[host.0 as usize];
+        let stays =
+            |host: HostId| scale == self.scale && weights[host.0 as usize] == self.weights[host.0 as usize];
         self.raw.retain(|point| stays(point.1));
         for &(place, host, weight) in hosts.iter().filter(|host| !stays(host.1)) {
             let points = (POINTS * weight / scale).clamp(8.0, 8.0 * POINTS) as u64;
@@ -871,8 +875,11 @@
             }
             if standing.suspect || !self.keeps(host, key) {
                 // With no better host left: the one with most to give, suspects last and one push at a time.
-                let (worth, able) =
-                    if standing.suspect { (0.0, standing.in_flight == 0) } else { (standing.share * standing.warm, room) };
+                let (worth, able) = if standing.suspect {
+                    (0.0, standing.in_flight == 0)
+                } else {
+                    (standing.share * standing.warm, room)
+                };
                 if able && second.is_none_or(|(best, _)| worth > best) {
                     second = Some((worth, host));
                 }
