--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,7 +50,7 @@
 const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
-const COLD_MARGIN: f64 = 0.6; // of the allowance of a cold host that is spent at most
+const COLD_MARGIN: f64 = 0.6; // of what a cold host can bear that it gets at most: homes are not alike
 const COLD_LEAST: f64 = 8.0; // pushes a window to a cold host that all balancers may send together
 const RETRY_RATE: f64 = 0.2; // further pushes or spills earned by an acked op
 const FETCH_RATE: f64 = 0.02; // the same in through mode, where each of them may be one more fetch
@@ -276,7 +276,7 @@
         standing.suspect = self.suspect_since.is_some();
         standing.trial_due = standing.suspect && post.now >= self.trial_at;
         standing.warm = warm;
-        standing.share = self.share;
+        standing.share = self.share * if warm < 1.0 { COLD_MARGIN * warm } else { 1.0 };
         standing.typical = self.answers.mean();
         standing.in_flight = self.out.len();
         let settled =
@@ -831,13 +831,11 @@
         self.board[at].limit.room(self.board[at].in_flight, claim, now).then_some(HostId(at as u32))
     }
 
-    /// Whether a host keeps this key. A cold one keeps a part of its own, the same at every balancer, which grows
-    /// as it warms. Of a slow one's keys each balancer leaves others: a hot key must not move as a whole and jam
-    /// the next host.
+    /// Whether a cold or slow host keeps this key. Each balancer leaves other keys: a hot key must neither come to
+    /// a cold host from all at once, nor move as a whole and jam the next host.
     fn keeps(&self, host: HostId, key: Place) -> bool {
-        let standing = &self.board[host.0 as usize];
-        let part = |salt: u64, of: f64| of >= 1.0 || (key.mixed(salt).0 as f64) < of * u64::MAX as f64;
-        part(u64::from(host.0) + 1, standing.warm) && part(self.salt ^ u64::from(host.0), standing.share)
+        let part = self.board[host.0 as usize].share;
+        part >= 1.0 || (key.mixed(self.salt ^ u64::from(host.0)).0 as f64) < part * u64::MAX as f64
     }
 
     /// The ordinary path: the key's home, or for a hot key the least busy of its holders; past a host that is
