--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,8 +31,7 @@
 const SILENT: f64 = 5.0; // evidence, in typical answer times, that a host is not answering
 const STRIKE: f64 = 3.0; // evidence in one lost connection or unanswered push
 const WITNESSES: usize = 3; // the pushes out that count as evidence: one slow op must not stand for many
-const TRIAL_EVERY: Micros = 500_000;
-const RESTART: Micros = 2_000_000; // a host silent for longer may have been started anew, hence cold
+const AWAY: Micros = 2_000_000; // how long a silent host is left out; then it may have been started anew
 const SLOWER: f64 = 1.3; // a limit bears answer times to this over the shortest, or a quarter of the target
 const EVEN: f64 = 1.2; // answer time over the fleet's median up to which a host keeps all its keys
 const GAIN: f64 = 0.06; // step of the share towards its target: faster, and the load rolls from host to host
@@ -137,7 +136,6 @@
 struct Standing {
     listed: Option<Listed>,
     suspect: bool,
-    trial_due: bool,
     /// The part of its capacity that it surely has since its start; 1 when warm.
     warm: f64,
     /// The part of its own keys that it keeps.
@@ -222,9 +220,6 @@
     out: BTreeMap<(OpId, PushNo), Micros>,
     cold_since: Option<Micros>,
     suspect_since: Option<Micros>,
-    trial_at: Micros,
-    trials: u32,
-    lost_connection: bool,
     strikes: f64,
     answered_at: Micros,
     answers: Histogram,
@@ -263,10 +258,6 @@
                 self.out.insert((op, push), post.now);
                 let limit = &mut self.standing.limit;
                 limit.peak = limit.peak.max(self.out.len());
-                if self.suspect_since.is_some() {
-                    self.trials += 1;
-                    self.trial_at = post.now + (TRIAL_EVERY << self.trials.min(2));
-                }
             }
             ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
             ToHost::Sweep(typical, bearable) => self.sweep(typical, bearable, post),
@@ -274,7 +265,6 @@
         let warm = self.cold_since.map_or(1.0, |since| warmth(&self.cold, post.now - since));
         let standing = &mut self.standing;
         standing.suspect = self.suspect_since.is_some();
-        standing.trial_due = standing.suspect && post.now >= self.trial_at;
         standing.warm = warm;
         standing.share = self.share * if warm < 1.0 { COLD_MARGIN * warm } else { 1.0 };
         standing.typical = self.answers.mean();
@@ -289,8 +279,6 @@
     fn well(&mut self) {
         self.suspect_since = None;
         self.strikes = 0.0;
-        self.trials = 0;
-        self.lost_connection = false;
     }
 
     fn ended(&mut self, op: OpId, push: PushNo, end: End, took: Micros, now: Micros) {
@@ -298,12 +286,6 @@
         match end {
             End::Acked | End::Miss => {
                 self.answered_at = now;
-                if let Some(since) = self.suspect_since {
-                    // Away long enough to be started anew, so cold whatever the list says.
-                    if now - since > RESTART || self.lost_connection {
-                        self.cold_since = Some(now);
-                    }
-                }
                 self.well();
             }
             End::Error => {
@@ -314,10 +296,7 @@
                 self.answered_at = now;
                 self.standing.limit.cut(0.5, self.least);
             }
-            End::Unreachable | End::Broken => {
-                self.strikes += STRIKE;
-                self.lost_connection = true;
-            }
+            End::Unreachable | End::Broken => self.strikes += STRIKE,
             // Too much is in flight; and silence, unless other answers came meanwhile.
             End::TimedOut => {
                 self.standing.limit.cut(BACK_OFF, self.least);
@@ -344,9 +323,13 @@
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
         if evidence > SILENT && self.suspect_since.is_none() && !self.standing.origin() {
             self.suspect_since = Some(now);
-            self.trial_at = now + TRIAL_EVERY;
             post.desk.extend(self.out.keys().map(|&(op, _)| ToDesk::Lost(op)));
         }
+        // Away for long enough to be started anew, so cold whatever the list says; and only asking tells.
+        if self.suspect_since.is_some_and(|since| now - since >= AWAY) {
+            self.cold_since = Some(now);
+            self.well();
+        }
         if now - self.judged_at < JUDGE {
             return;
         }
@@ -817,9 +800,7 @@
             }
             self.ops.get_mut(&id).expect("it is open").tried.push(host);
         }
-        if pushed {
-            self.trial(id, post);
-        } else if self.ops[&id].out.is_empty() {
+        if !pushed && self.ops[&id].out.is_empty() {
             self.close(id, true, post);
         }
     }
@@ -917,19 +898,6 @@
         holders
     }
 
-    /// A second copy of a read to a suspect home now and then, to learn that it is back; the op itself is
-    /// already out elsewhere.
-    fn trial(&mut self, id: OpId, post: &mut Post) {
-        let op = &self.ops[&id];
-        let read = op.key.filter(|_| !op.missed && !op.write);
-        let Some((_, home)) = read.and_then(|key| self.ring.walk(key).next()) else { return };
-        let standing = &self.board[home.0 as usize];
-        let harmless = self.categories[op.category].repeats == Repeats::Redeliverable;
-        if standing.suspect && standing.trial_due && harmless && !op.tried.contains(&home) {
-            self.push(id, home, post);
-        }
-    }
-
     /// The gate for pushes: each rule is kept here, whatever was decided before.
     fn push(&mut self, id: OpId, host: HostId, post: &mut Post) -> bool {
         let now = post.now;
