--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -1,6 +1,8 @@
-//! A small histogram of durations in doubling bins, halved from time to time so that it forgets.
+//! Measures that forget by halving: durations in doubling bins, counts of sends; and a leaking bucket.
 
-use crate::types::Micros;
+use std::collections::BTreeMap;
+
+use crate::types::{HostId, Micros, Place};
 
 const BINS: usize = 16;
 const FIRST: Micros = 1_000; // the upper edge of the first bin; each further edge is twice the last
@@ -49,3 +51,78 @@
         None
     }
 }
+
+/// Sends by host and by key, with the key's home.
+#[derive(Default)]
+pub struct Counts {
+    pub hosts: Vec<f64>,
+    pub keys: BTreeMap<Place, (f64, HostId)>,
+    /// Since the last halving.
+    sends: f64,
+    /// The time that the counts of before it stand for.
+    before: f64,
+    halved_at: Micros,
+}
+
+impl Counts {
+    /// Over the hosts that were used.
+    pub fn mean(&self) -> f64 {
+        let used = self.hosts.iter().filter(|&&load| load >= 0.5);
+        used.clone().sum::<f64>() / used.count().max(1) as f64
+    }
+
+    pub fn count(&mut self, host: HostId, key: Option<Place>, home: HostId, most_keys: usize) {
+        self.hosts[host.0 as usize] += 1.0;
+        self.sends += 1.0;
+        let Some(key) = key else { return };
+        if self.keys.len() < most_keys || self.keys.contains_key(&key) {
+            let entry = self.keys.entry(key).or_insert((0.0, home));
+            *entry = (entry.0 + 1.0, home);
+        }
+    }
+
+    /// The time that the counts stand for.
+    pub fn span(&self, now: Micros) -> f64 {
+        self.before + (now - self.halved_at) as f64
+    }
+
+    /// A key's part of all sends.
+    pub fn part(&self, key: Place) -> f64 {
+        let all = self.hosts.iter().sum::<f64>().max(1.0);
+        self.keys.get(&key).map_or(0.0, |entry| entry.0 / all)
+    }
+
+    /// Halves after a time and so many sends a host, whichever is later.
+    pub fn halve(&mut self, now: Micros, after: Micros, sends: f64) {
+        if now - self.halved_at >= after && self.sends >= sends * self.hosts.len() as f64 {
+            self.before = self.span(now) / 2.0;
+            (self.halved_at, self.sends) = (now, 0.0);
+            self.hosts.iter_mut().for_each(|load| *load /= 2.0);
+            self.keys.retain(|_, entry| {
+                entry.0 /= 2.0;
+                entry.0 >= 0.5
+            });
+        }
+    }
+}
+
+/// Holds a second's worth of its rate; a rate of 0 has no bound.
+pub struct Bucket {
+    rate: f64,
+    level: f64,
+    at: Micros,
+}
+
+impl Bucket {
+    pub fn new(rate: f64) -> Bucket {
+        Bucket { rate, level: 0.0, at: 0 }
+    }
+
+    pub fn within(&mut self, now: Micros) -> bool {
+        self.level = (self.level - self.rate * (now - self.at) as f64 / 1e6).max(0.0);
+        self.at = now;
+        let within = self.rate <= 0.0 || self.level < self.rate;
+        self.level += f64::from(within);
+        within
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::histogram::Histogram;
+use crate::histogram::{Bucket, Counts, Histogram};
 use crate::types::*;
 
 // The ordinary path: ring and hot keys.
@@ -21,7 +21,7 @@
 const BETA: f64 = 0.1; // hot: at least this share of its overloaded home's load
 const OVERLOADED_FOR: Micros = 2_000_000;
 const HALVING: Micros = 1_400_000; // of the load counts: what is left of a send after 2 s is about a third
-const LASTING: f64 = 2.0; // sends a host for which the counts last at least: a quiet balancer needs long to meet a key twice
+const LASTING: f64 = 2.0; // sends a host that the counts last for: a quiet balancer is long in meeting a key twice
 const REPEATS: f64 = 2.0; // a key with fewer counted sends is never hot: chance repeats at a quiet balancer
 const KEYS: usize = 2_048; // the hot-key table's size
 const HOLDERS: u64 = 3; // at least; more where three would each read more of the key than the mean load
@@ -126,11 +126,6 @@
     }
 }
 
-/// The least part of its capacity that a host has at an age.
-fn warmth(cold: &ColdTerms, age: Micros) -> f64 {
-    (cold.from + (1.0 - cold.from) * age as f64 / cold.warm_within.max(1) as f64).clamp(cold.from, 1.0)
-}
-
 /// What a host shows the desk.
 #[derive(Clone, Default)]
 struct Standing {
@@ -262,7 +257,7 @@
             ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
             ToHost::Sweep(typical, bearable) => self.sweep(typical, bearable, post),
         }
-        let warm = self.cold_since.map_or(1.0, |since| warmth(&self.cold, post.now - since));
+        let warm = self.cold_since.map_or(1.0, |since| self.cold.surely(post.now - since));
         let standing = &mut self.standing;
         standing.suspect = self.suspect_since.is_some();
         standing.warm = warm;
@@ -412,71 +407,32 @@
     }
 }
 
-/// Own sends by host and key, halved from time to time, and the keys found hot.
+/// The hosts found overloaded and the keys found hot by own sends.
 #[derive(Default)]
 struct Loads {
-    hosts: Vec<f64>,
+    counts: Counts,
     over_since: Vec<Option<Micros>>,
-    keys: BTreeMap<Place, (f64, HostId)>,
     hot: BTreeSet<Place>,
-    /// Since the last halving.
-    sends: f64,
-    /// The time that the counts of before it stand for.
-    before: f64,
-    halved_at: Micros,
 }
 
 impl Loads {
-    fn mean(&self) -> f64 {
-        let used = self.hosts.iter().filter(|&&load| load >= 0.5);
-        used.clone().sum::<f64>() / used.count().max(1) as f64
-    }
-
-    fn count(&mut self, host: HostId, key: Option<Place>, home: HostId) {
-        self.hosts[host.0 as usize] += 1.0;
-        self.sends += 1.0;
-        let Some(key) = key else { return };
-        if self.keys.len() < KEYS || self.keys.contains_key(&key) {
-            let entry = self.keys.entry(key).or_insert((0.0, home));
-            *entry = (entry.0 + 1.0, home);
-        }
-    }
-
-    /// The time that the counts stand for.
-    fn span(&self, now: Micros) -> f64 {
-        (self.before + (now - self.halved_at) as f64).max(HALVING as f64)
-    }
-
-    /// A key's part of all sends.
-    fn part(&self, key: Place) -> f64 {
-        let all = self.hosts.iter().sum::<f64>().max(1.0);
-        self.keys.get(&key).map_or(0.0, |entry| entry.0 / all)
-    }
-
     fn overloaded(&self, host: HostId, now: Micros) -> bool {
         self.over_since[host.0 as usize].is_some_and(|since| now - since >= OVERLOADED_FOR)
     }
 
     fn sweep(&mut self, now: Micros) {
-        let mean = self.mean();
-        for (load, since) in self.hosts.iter().zip(&mut self.over_since) {
+        let mean = self.counts.mean();
+        for (load, since) in self.counts.hosts.iter().zip(&mut self.over_since) {
             *since = (*load > ALPHA * mean).then(|| since.unwrap_or(now));
         }
         let stays = |key: &Place, count: f64| self.hot.contains(key) && count >= BETA * mean;
         let comes = |count: f64, home: HostId| {
-            count >= REPEATS.max(BETA * self.hosts[home.0 as usize]) && self.overloaded(home, now)
+            count >= REPEATS.max(BETA * self.counts.hosts[home.0 as usize]) && self.overloaded(home, now)
         };
-        let hot = self.keys.iter().filter(|(key, &(count, home))| stays(key, count) || comes(count, home));
+        let keys = self.counts.keys.iter();
+        let hot = keys.filter(|(key, &(count, home))| stays(key, count) || comes(count, home));
         self.hot = hot.map(|(&key, _)| key).collect();
-        if now - self.halved_at >= HALVING && self.sends >= LASTING * self.hosts.len() as f64 {
-            self.before = self.span(now) / 2.0;
-            (self.halved_at, self.sends) = (now, 0.0);
-            self.hosts.iter_mut().for_each(|load| *load /= 2.0);
-            self.keys.retain(|_, entry| {
-                entry.0 /= 2.0;
-                entry.0 >= 0.5
-            });
-        }
+        self.counts.halve(now, HALVING, LASTING);
     }
 }
 
@@ -491,13 +447,6 @@
     repeats: Repeats,
 }
 
-/// Ops a second of a customer within its share at this balancer, as a leaking bucket.
-struct Customer {
-    rate: f64,
-    level: f64,
-    at: Micros,
-}
-
 #[derive(Default)]
 struct Op {
     category: usize,
@@ -538,7 +487,8 @@
     come_back: Option<Micros>,
     excess_claim: f64,
     categories: Vec<Category>,
-    customers: Vec<Customer>,
+    /// Ops a second of each customer within its share at this balancer.
+    customers: Vec<Bucket>,
     typical: f64,
     /// The target latency of late, over the ops taken.
     target: f64,
@@ -570,11 +520,7 @@
             repeats: category.repeats,
         });
         let shortest = terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(0);
-        let customers = terms.customers.iter().map(|customer| Customer {
-            rate: customer.quota_per_s / f64::from(terms.balancers),
-            level: 0.0,
-            at: 0,
-        });
+        let rate = |customer: &CustomerTerms| customer.quota_per_s / f64::from(terms.balancers);
         let mut rng = ChaCha8Rng::seed_from_u64(terms.seed);
         Desk {
             salt: rng.random(),
@@ -596,7 +542,7 @@
             come_back: terms.come_back.map(|longest| longest.min(shortest / 2)),
             excess_claim: 0.5 + 0.5 * terms.excess_benefit.clamp(0.0, 1.0),
             categories: categories.collect(),
-            customers: customers.collect(),
+            customers: terms.customers.iter().map(|customer| Bucket::new(rate(customer))).collect(),
             typical: shortest as f64 / 4.0,
             target: shortest as f64,
             shortest: shortest as f64,
@@ -658,7 +604,8 @@
             Heard::Wake(Wake::Watch) => post.orders.push(Order::Watch),
             Heard::Wake(Wake::Sweep) => self.sweep(post),
             Heard::Op { op, category, customer, key, write, again, ttl_at } => {
-                let within = customer.is_none_or(|customer| self.within_share(customer, post.now));
+                let within =
+                    customer.is_none_or(|customer| self.customers[customer.0 as usize].within(post.now));
                 let terms = &self.categories[category.0 as usize];
                 self.target += (terms.useful as f64 - self.target) / 64.0;
                 let held = Op {
@@ -694,18 +641,6 @@
         }
     }
 
-    fn within_share(&mut self, customer: CustomerId, now: Micros) -> bool {
-        let customer = &mut self.customers[customer.0 as usize];
-        let leaked = customer.rate * (now - customer.at) as f64 / 1e6;
-        customer.level = (customer.level - leaked).max(0.0);
-        customer.at = now;
-        let within = customer.rate <= 0.0 || customer.level < customer.rate;
-        if within {
-            customer.level += 1.0;
-        }
-        within
-    }
-
     fn relist(&mut self) {
         self.stale = false;
         let up = (0..).map(HostId).zip(&self.board).filter(|(_, standing)| standing.cache());
@@ -715,8 +650,8 @@
             Some((listed.place, host, weight))
         });
         self.ring.set(&hosts.collect::<Vec<_>>());
-        let mean = self.loads.mean();
-        self.loads.hosts.resize(self.board.len(), mean);
+        let mean = self.loads.counts.mean();
+        self.loads.counts.hosts.resize(self.board.len(), mean);
         self.loads.over_since.resize(self.board.len(), None);
     }
 
@@ -878,7 +813,7 @@
     /// Three holders, one per equal range of the ring from the key's place; the home is the first.
     fn holders(&self, key: Place, now: Micros) -> Vec<HostId> {
         let used = self.ring.weights.iter().filter(|&&weight| weight > 0.0).count() as f64;
-        let count = ((self.loads.part(key) * used) as u64).max(HOLDERS);
+        let count = ((self.loads.counts.part(key) * used) as u64).max(HOLDERS);
         let range = u64::MAX / count;
         let mut holders: Vec<HostId> = Vec::new();
         for nth in 0..count {
@@ -889,7 +824,7 @@
                 standing.cache() && !standing.suspect && !holders.contains(host)
             };
             let hosts = || self.ring.walk(from).take_while(within).map(|point| point.1).filter(usable);
-            let light = |host: HostId| self.loads.hosts[host.0 as usize];
+            let light = |host: HostId| self.loads.counts.hosts[host.0 as usize];
             let found = hosts()
                 .find(|&host| nth == 0 || !self.loads.overloaded(host, now))
                 .or_else(|| hosts().min_by(|&a, &b| light(a).total_cmp(&light(b)).then(a.cmp(&b))));
@@ -942,8 +877,8 @@
             while sends.front().is_some_and(|&at| now - at >= self.cold.fall_window) {
                 sends.pop_front();
             }
-            let windows = self.cold.fall_window as f64 / self.loads.span(now);
-            let normal = self.loads.mean() * windows / 2.0;
+            let windows = self.cold.fall_window as f64 / self.loads.counts.span(now).max(HALVING as f64);
+            let normal = self.loads.counts.mean() * windows / 2.0;
             let allowance = COLD_MARGIN * self.cold.fall_multiple * standing.warm * normal;
             if sends.len() as f64 >= allowance.max(self.cold_least) {
                 return false;
@@ -958,7 +893,7 @@
             self.abroad += 1;
             self.fleet.peak = self.fleet.peak.max(self.abroad);
             let home = op.key.and_then(|key| self.ring.walk(key).next()).map_or(host, |point| point.1);
-            self.loads.count(host, op.key, home);
+            self.loads.counts.count(host, op.key, home, KEYS);
         }
         standing.in_flight += 1;
         post.host(host, ToHost::Sent(id, push));
--- a/src/types.rs
+++ b/src/types.rs
@@ -90,6 +90,13 @@
     pub fall_window: Micros,
 }
 
+impl ColdTerms {
+    /// The least part of its capacity that a host has at an age.
+    pub fn surely(&self, age: Micros) -> f64 {
+        (self.from + (1.0 - self.from) * age as f64 / self.warm_within.max(1) as f64).clamp(self.from, 1.0)
+    }
+}
+
 /// What a balancer is told at its start.
 #[derive(Clone, Debug)]
 pub struct Terms {
