--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -229,12 +229,14 @@
     Ok(Terms {
         seed,
         balancers: info.group_size.unwrap_or(1).max(1),
-        aside: info.domain.as_ref().and_then(|domain| domain.mode.as_deref()) == Some("aside"),
-        list_asked: info.discovery.as_deref() == Some("ask"),
-        weights_steady: !matches!(info.weights.as_deref(), Some("live" | "off") | None),
-        max_pushes: info.limits.max_pushes,
-        second_copies: info.limits.may_duplicate,
-        call_off: info.limits.cancel,
+        allowed: Allowed {
+            aside: info.domain.as_ref().and_then(|domain| domain.mode.as_deref()) == Some("aside"),
+            list_asked: info.discovery.as_deref() == Some("ask"),
+            weights_steady: !matches!(info.weights.as_deref(), Some("live" | "off") | None),
+            max_pushes: info.limits.max_pushes,
+            second_copies: info.limits.may_duplicate,
+            call_off: info.limits.cancel,
+        },
         come_back: info
             .limits
             .max_retry_after_ms
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,9 +9,6 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
-
 use crate::histogram::{Bucket, Counts, Histogram};
 use crate::types::*;
 
@@ -50,14 +47,13 @@
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
 const COLD_MARGIN: f64 = 0.6; // of what a cold host can bear that it gets at most: homes are not alike
-const COLD_LEAST: f64 = 8.0; // pushes a window to a cold host that all balancers may send together
+const COLD_LEAST: f64 = 4.0; // steps of a limit, pushes a window to a cold host where nothing is known yet
 const RETRY_RATE: f64 = 0.2; // further pushes or spills earned by an acked op
 const FETCH_RATE: f64 = 0.02; // the same in through mode, where each of them may be one more fetch
 const RETRY_STORE: f64 = 20.0;
 
 enum ToHost {
     Listed(Listed),
-    Unlisted,
     Sent(OpId, PushNo),
     Ended(OpId, PushNo, End, Micros),
     /// Time to judge; with the fleet's typical answer time, and the longest that can pass for the shortest.
@@ -66,7 +62,7 @@
 
 enum ToDesk {
     Heard(Heard),
-    Standing(HostId, Standing),
+    Standing(HostId, Box<Standing>),
     /// The host does not answer: ops that are out there may go elsewhere.
     Lost(OpId),
 }
@@ -105,7 +101,7 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             for id in (self.hosts.len() as u32..known as u32).map(HostId) {
-                self.hosts.push(Host::new(id, self.desk.cold.clone(), self.desk.growth, self.desk.least));
+                self.hosts.push(Host::new(id, self.desk.cold.clone(), self.desk.fleet.growth));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -135,7 +131,6 @@
     warm: f64,
     /// The part of its own keys that it keeps.
     share: f64,
-    typical: Option<f64>,
     limit: Limit,
     in_flight: usize,
     /// Nothing to judge and nothing under way: a sweep may pass it by. Fleets are large, ops at one host few.
@@ -160,8 +155,10 @@
 #[derive(Clone, Default)]
 struct Limit {
     most: f64,
+    growth: f64,
     /// With a limit below one the next push waits, so that on the whole no more than that is out.
     free_at: Micros,
+    answers: Histogram,
     shortest: f64,
     peak: usize,
     /// Answered since last judged: an old answer must not cut the limit again and again.
@@ -169,37 +166,41 @@
 }
 
 impl Limit {
-    fn new(most: f64) -> Limit {
-        Limit { most, shortest: f64::MAX, ..Limit::default() }
+    fn new(most: f64, growth: f64) -> Limit {
+        Limit { most, growth, shortest: f64::MAX, ..Limit::default() }
     }
 
     fn room(&self, in_flight: usize, claim: f64, now: Micros) -> bool {
-        let room = (self.most * claim).max(1.0);
-        (in_flight as f64) < room && now >= self.free_at
+        (in_flight as f64) < (self.most * claim).max(1.0) && now >= self.free_at
     }
 
-    fn cut(&mut self, to: f64, least: f64) {
-        self.most = (self.most * to).max(least);
+    /// The least is for all balancers together too: a jam fed by hundreds of them would never end.
+    fn cut(&mut self, to: f64) {
+        self.most = (self.most * to).max(LEAST_LIMIT * self.growth);
     }
 
-    fn answered(&mut self, took: Micros, now: Micros) {
+    fn answered(&mut self, took: Micros, weight: f64, now: Micros) {
+        self.answers.add(took, weight);
         self.fresh = true;
         self.free_at = now + (took as f64 * (1.0 / self.most.min(1.0) - 1.0)) as Micros;
     }
 
     /// Follows the shortest answer time over the present one, from a time that is bearable anyway.
-    fn judge(&mut self, present: Option<f64>, quarter: f64, bearable: f64, growth: f64, least: f64) {
-        let wanted = self.peak as f64 >= (self.most / 2.0).min(1.0);
-        let step = if wanted || self.most < 1.0 { growth } else { -self.most * UNUSED };
-        if let Some(present) = present.filter(|_| self.fresh) {
+    fn judge(&mut self, present: Option<f64>, quarter: f64, bearable: f64, parts: f64, in_flight: usize) {
+        let wanted = self.peak as f64 >= (self.most / 2.0).min(1.0) || self.most < 1.0;
+        let step = if wanted { (self.growth * parts).min(parts.max(1.0)) } else { -self.most * UNUSED };
+        if let Some(present) = present.filter(|_| self.fresh && self.answers.total() >= SAMPLES) {
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
             self.shortest = (self.shortest * 1.005).min(present).min(quarter);
-            let ratio = ((SLOWER * self.shortest).max(bearable) / present).min(1.0);
-            self.most = (self.most * ratio + step).clamp(least, MOST_LIMIT);
+            self.cut(((SLOWER * self.shortest).max(bearable) / present).min(1.0));
+            self.most = (self.most + step).min(MOST_LIMIT);
         } else if self.most < 1.0 {
-            self.most = (self.most + growth).min(1.0);
+            self.most = (self.most + step).min(1.0);
+        }
+        if self.answers.total() >= 2.0 * SAMPLES {
+            self.answers.halve();
         }
-        self.fresh = false;
+        (self.fresh, self.peak) = (false, in_flight);
     }
 }
 
@@ -208,8 +209,6 @@
 struct Host {
     id: HostId,
     cold: ColdTerms,
-    growth: f64,
-    least: f64,
     standing: Standing,
     /// When each push that is out was sent.
     out: BTreeMap<(OpId, PushNo), Micros>,
@@ -217,7 +216,6 @@
     suspect_since: Option<Micros>,
     strikes: f64,
     answered_at: Micros,
-    answers: Histogram,
     judged_at: Micros,
     /// Of its keys for its answer times alone.
     share: f64,
@@ -229,9 +227,9 @@
 }
 
 impl Host {
-    fn new(id: HostId, cold: ColdTerms, growth: f64, least: f64) -> Host {
-        let standing = Standing { limit: Limit::new(FIRST_LIMIT), ..Standing::default() };
-        Host { id, cold, growth, least, standing, share: 1.0, target: 1.0, ..Host::default() }
+    fn new(id: HostId, cold: ColdTerms, growth: f64) -> Host {
+        let standing = Standing { limit: Limit::new(FIRST_LIMIT, growth), ..Standing::default() };
+        Host { id, cold, standing, share: 1.0, target: 1.0, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -244,11 +242,6 @@
                 }
                 self.standing.listed = Some(listed);
             }
-            ToHost::Unlisted => {
-                if let Some(listed) = &mut self.standing.listed {
-                    listed.lifecycle = Lifecycle::Gone;
-                }
-            }
             ToHost::Sent(op, push) => {
                 self.out.insert((op, push), post.now);
                 let limit = &mut self.standing.limit;
@@ -262,13 +255,12 @@
         standing.suspect = self.suspect_since.is_some();
         standing.warm = warm;
         standing.share = self.share * if warm < 1.0 { COLD_MARGIN * warm } else { 1.0 };
-        standing.typical = self.answers.mean();
         standing.in_flight = self.out.len();
         let settled =
             self.strikes < 0.1 && (self.target - self.share).abs() < 0.02 && standing.limit.most >= 1.0;
         let quiet = self.out.is_empty() && standing.limit.peak == 0;
         standing.rests = settled && quiet && !standing.suspect && warm >= 1.0;
-        post.desk.push_back(ToDesk::Standing(self.id, standing.clone()));
+        post.desk.push_back(ToDesk::Standing(self.id, Box::new(standing.clone())));
     }
 
     fn well(&mut self) {
@@ -289,12 +281,12 @@
             }
             End::TurnedAway => {
                 self.answered_at = now;
-                self.standing.limit.cut(0.5, self.least);
+                self.standing.limit.cut(0.5);
             }
             End::Unreachable | End::Broken => self.strikes += STRIKE,
             // Too much is in flight; and silence, unless other answers came meanwhile.
             End::TimedOut => {
-                self.standing.limit.cut(BACK_OFF, self.least);
+                self.standing.limit.cut(BACK_OFF);
                 if self.answered_at < sent {
                     self.strikes += STRIKE;
                 }
@@ -305,15 +297,15 @@
             self.gap = now - self.measured_at;
             self.measured_at = now;
             // At a quiet balancer one answer stands for all that the host gave others meanwhile.
-            self.answers.add(took, (self.gap as f64 / JUDGE as f64).clamp(1.0, STANDS_FOR));
-            self.standing.limit.answered(took, now);
+            let weight = (self.gap as f64 / JUDGE as f64).clamp(1.0, STANDS_FOR);
+            self.standing.limit.answered(took, weight, now);
         }
     }
 
     fn sweep(&mut self, typical: f64, quarter: f64, post: &mut Post) {
         let now = post.now;
         // Time-outs count as answer times: they must not make silence look like slowness.
-        let own = self.answers.mean().unwrap_or(typical).max(typical).min(quarter);
+        let own = self.standing.limit.answers.mean().unwrap_or(typical).max(typical).min(quarter);
         let unanswered = self.out.values().map(|&sent| (now - sent.max(self.answered_at)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
         if evidence > SILENT && self.suspect_since.is_none() && !self.standing.origin() {
@@ -332,21 +324,14 @@
         if self.suspect_since.is_none() {
             self.strikes *= 0.8;
         }
-        let origin = self.standing.origin();
-        let bearable = if origin { ORIGIN_BEARABLE } else { 1.0 } * quarter;
-        let growth = if origin { (2.0 * self.growth).min(1.0) } else { self.growth };
-        let present = self.answers.mean().filter(|_| self.answers.total() >= SAMPLES);
-        self.standing.limit.judge(present, quarter, bearable, growth, self.least);
-        if self.answers.total() >= 2.0 * SAMPLES {
-            self.answers.halve();
-        }
+        let (bearable, parts) = if self.standing.origin() { (ORIGIN_BEARABLE, 2.0) } else { (1.0, 1.0) };
+        let (mean, total) = (self.standing.limit.answers.mean(), self.standing.limit.answers.total());
+        self.standing.limit.judge(mean, quarter, bearable * quarter, parts, self.out.len());
         // One time-out may be all that a quiet balancer hears of a jammed host in many seconds.
-        let total = self.answers.total();
-        let present = (self.answers.mean().unwrap_or(0.0) * total + typical * PRIOR) / (total + PRIOR);
+        let present = (mean.unwrap_or(0.0) * total + typical * PRIOR) / (total + PRIOR);
         self.target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
         self.share +=
             (self.target - self.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
-        self.standing.limit.peak = self.out.len();
     }
 }
 
@@ -465,25 +450,17 @@
     streaming: bool,
 }
 
+#[derive(Default)]
 struct Desk {
-    rng: ChaCha8Rng,
+    chance: Chance,
     /// Of its own, so that balancers leave different keys of a slow host.
     salt: u64,
     cold: ColdTerms,
-    cold_least: f64,
-    growth: f64,
-    least: f64,
     /// Of all cache hosts together.
     fleet: Limit,
-    answers: Histogram,
     abroad: usize,
     judged_at: Micros,
-    aside: bool,
-    list_asked: bool,
-    weights_steady: bool,
-    max_pushes: u32,
-    second_copies: bool,
-    call_off: bool,
+    allowed: Allowed,
     come_back: Option<Micros>,
     excess_claim: f64,
     categories: Vec<Category>,
@@ -494,7 +471,8 @@
     target: f64,
     shortest: f64,
     board: Vec<Standing>,
-    cold_sends: BTreeMap<HostId, VecDeque<Micros>>,
+    /// When the present window of a cold host began, and its sends in it.
+    cold_sends: BTreeMap<HostId, (Micros, f64)>,
     ring: Ring,
     stale: bool,
     loads: Loads,
@@ -521,24 +499,13 @@
         });
         let shortest = terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(0);
         let rate = |customer: &CustomerTerms| customer.quota_per_s / f64::from(terms.balancers);
-        let mut rng = ChaCha8Rng::seed_from_u64(terms.seed);
+        let mut chance = Chance::new(terms.seed);
         Desk {
-            salt: rng.random(),
-            rng,
+            salt: chance.draw(),
+            chance,
             cold: terms.cold.clone(),
-            growth: (GROWTH / f64::from(terms.balancers)).min(1.0),
-            least: (GROWTH / f64::from(terms.balancers)).min(LEAST_LIMIT),
-            fleet: Limit::new(MOST_LIMIT),
-            answers: Histogram::default(),
-            abroad: 0,
-            judged_at: 0,
-            cold_least: (COLD_LEAST / f64::from(terms.balancers)).max(1.0),
-            aside: terms.aside,
-            list_asked: terms.list_asked,
-            weights_steady: terms.weights_steady,
-            max_pushes: terms.max_pushes,
-            second_copies: terms.second_copies,
-            call_off: terms.call_off,
+            fleet: Limit::new(MOST_LIMIT, (GROWTH / f64::from(terms.balancers)).min(1.0)),
+            allowed: terms.allowed,
             come_back: terms.come_back.map(|longest| longest.min(shortest / 2)),
             excess_claim: 0.5 + 0.5 * terms.excess_benefit.clamp(0.0, 1.0),
             categories: categories.collect(),
@@ -546,16 +513,9 @@
             typical: shortest as f64 / 4.0,
             target: shortest as f64,
             shortest: shortest as f64,
-            board: Vec::new(),
-            cold_sends: BTreeMap::new(),
-            ring: Ring::default(),
-            stale: false,
-            loads: Loads::default(),
-            ops: BTreeMap::new(),
             retries: RETRY_STORE,
-            earned: if terms.aside { RETRY_RATE } else { FETCH_RATE },
-            watches: 0,
-            started: false,
+            earned: if terms.allowed.aside { RETRY_RATE } else { FETCH_RATE },
+            ..Desk::default()
         }
     }
 
@@ -567,7 +527,7 @@
         match note {
             ToDesk::Standing(host, standing) => {
                 self.stale |= self.board[host.0 as usize].up() != standing.up();
-                self.board[host.0 as usize] = standing;
+                self.board[host.0 as usize] = *standing;
             }
             ToDesk::Lost(op) => self.again(op, post),
             ToDesk::Heard(heard) => self.heard(heard, post),
@@ -578,10 +538,10 @@
         match heard {
             Heard::List { whole, entries } => {
                 let named: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
-                for host in (0..self.board.len() as u32).map(HostId) {
-                    if whole && !named.contains(&host) {
-                        post.host(host, ToHost::Unlisted);
-                    }
+                let unnamed = self.board.iter().filter_map(|standing| standing.listed.as_ref());
+                for listed in unnamed.filter(|listed| whole && !named.contains(&listed.host)) {
+                    let gone = Listed { lifecycle: Lifecycle::Gone, ..listed.clone() };
+                    post.host(listed.host, ToHost::Listed(gone));
                 }
                 for entry in entries {
                     post.host(entry.host, ToHost::Listed(entry));
@@ -590,7 +550,7 @@
                 if !self.started {
                     self.started = true;
                     post.orders.push(Order::Wake { after: SWEEP, wake: Wake::Sweep });
-                    if self.list_asked {
+                    if self.allowed.list_asked {
                         post.orders.push(Order::Watch);
                     }
                 }
@@ -598,7 +558,7 @@
             Heard::ListRefused => {
                 self.watches += 1;
                 let pause = 200_000 << self.watches.min(4);
-                let after = self.rng.random_range(pause / 2..=pause);
+                let after = pause / 2 + (self.chance.draw() % (pause as u64 / 2)) as Micros;
                 post.orders.push(Order::Wake { after, wake: Wake::Watch });
             }
             Heard::Wake(Wake::Watch) => post.orders.push(Order::Watch),
@@ -623,7 +583,7 @@
             Heard::Streaming { op, push } => {
                 let Some(held) = self.ops.get_mut(&op) else { return };
                 held.streaming = true;
-                let others = held.out.iter().filter(|out| self.call_off && out.0 != push);
+                let others = held.out.iter().filter(|out| self.allowed.call_off && out.0 != push);
                 post.orders.extend(others.map(|out| Order::CallOff { op, push: out.0 }));
             }
             Heard::Dropped { op } => self.forget(op, post),
@@ -631,8 +591,7 @@
                 if !self.board[host.0 as usize].origin() {
                     self.abroad = self.abroad.saturating_sub(1);
                     if matches!(end, End::Acked | End::Miss | End::TimedOut) {
-                        self.answers.add(took, 1.0);
-                        self.fleet.answered(took, post.now);
+                        self.fleet.answered(took, 1.0, post.now);
                     }
                 }
                 post.host(host, ToHost::Ended(op, push, end, took));
@@ -646,7 +605,7 @@
         let up = (0..).map(HostId).zip(&self.board).filter(|(_, standing)| standing.cache());
         let hosts = up.filter_map(|(host, standing)| {
             let listed = standing.listed.as_ref()?;
-            let weight = if self.weights_steady && listed.weight > 0.0 { listed.weight } else { 1.0 };
+            let weight = if self.allowed.weights_steady && listed.weight > 0.0 { listed.weight } else { 1.0 };
             Some((listed.place, host, weight))
         });
         self.ring.set(&hosts.collect::<Vec<_>>());
@@ -659,7 +618,7 @@
         self.loads.sweep(post.now);
         if self.board.iter().any(|standing| !standing.rests) {
             let caches = self.board.iter().filter(|standing| standing.cache());
-            let mut typical: Vec<f64> = caches.filter_map(|standing| standing.typical).collect();
+            let mut typical: Vec<f64> = caches.filter_map(|standing| standing.limit.answers.mean()).collect();
             let middle = typical.len() / 2;
             if middle < typical.len() {
                 self.typical = *typical.select_nth_unstable_by(middle, f64::total_cmp).1;
@@ -668,14 +627,10 @@
         if post.now - self.judged_at >= JUDGE {
             self.judged_at = post.now;
             // The median: hosts that answer nothing, while few, are no reason to turn ops away.
-            let present = self.answers.quantile(0.5).filter(|_| self.answers.total() >= SAMPLES);
+            let present = self.fleet.answers.quantile(0.5).map(|present| present as f64);
             let caches = self.board.iter().filter(|standing| standing.cache()).count() as f64;
-            let (quarter, growth) = (self.target / 4.0, self.growth * caches);
-            self.fleet.judge(present.map(|present| present as f64), quarter, quarter, growth, self.least);
-            self.fleet.peak = self.abroad;
-            if self.answers.total() >= 4.0 * SAMPLES {
-                self.answers.halve();
-            }
+            let quarter = self.target / 4.0;
+            self.fleet.judge(present, quarter, quarter, caches, self.abroad);
         }
         for (host, standing) in (0..).map(HostId).zip(&self.board).filter(|(_, standing)| !standing.rests) {
             // The origin serves every category, so there the shortest target latency counts.
@@ -694,7 +649,7 @@
         if over {
             return self.forget(id, post);
         }
-        if end == End::Miss && self.aside && !op.write {
+        if end == End::Miss && self.allowed.aside && !op.write {
             op.missed = true;
             // A trial's miss says nothing while the op itself is out elsewhere.
             if op.out.is_empty() {
@@ -712,7 +667,8 @@
     fn again(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.get_mut(&id) else { return };
         let room = op.give_up - post.now > (self.typical / 4.0) as Micros;
-        if !op.streaming && room && op.spare > 0 && self.retries >= 1.0 && op.pushes < self.max_pushes {
+        if !op.streaming && room && op.spare > 0 && self.retries >= 1.0 && op.pushes < self.allowed.max_pushes
+        {
             op.spare -= 1;
             self.retries -= 1.0;
             self.route(id, post);
@@ -726,7 +682,7 @@
         // A host that may not have the op, mostly a cold one whose part is spent, is passed by.
         for _ in 0..PASSED {
             let op = &self.ops[&id];
-            let asks_origin = self.aside && (op.write || op.missed);
+            let asks_origin = self.allowed.aside && (op.write || op.missed);
             let chosen = if asks_origin { self.origin(id, post.now) } else { self.choose(id, post.now) };
             let Some(host) = chosen else { break };
             pushed = self.push(id, host, post);
@@ -761,13 +717,11 @@
         if !self.fleet.room(self.abroad, op.claim, now) {
             return None;
         }
-        let key = op.key.unwrap_or_else(|| Place(self.rng.random()));
+        let key = op.key.unwrap_or_else(|| Place(self.chance.draw()));
         let mut holders = Vec::new();
         if self.loads.hot.contains(&key) && !op.write {
             holders = self.holders(key, now);
-            holders.sort_by_cached_key(|&host| {
-                (self.board[host.0 as usize].in_flight, self.rng.random::<u32>())
-            });
+            holders.sort_by_cached_key(|&host| (self.board[host.0 as usize].in_flight, self.chance.draw()));
         }
         let mut seen = Vec::new();
         let order = holders.into_iter().chain(self.ring.walk(key).map(|point| point.1)).filter(|host| {
@@ -783,9 +737,8 @@
             if !standing.cache() || op.tried.contains(&host) {
                 continue;
             }
-            let overflow = standing.warm < 1.0 && (full > 0 || !op.tried.is_empty());
-            if overflow {
-                continue;
+            if standing.warm < 1.0 && (full > 0 || !op.tried.is_empty()) {
+                continue; // overflow
             }
             if standing.suspect || !self.keeps(host, key) {
                 // With no better host left: the one with most to give, suspects last and one push at a time.
@@ -840,11 +793,11 @@
         let standing = &self.board[host.0 as usize];
         // Rule 1: nothing for an op that is over, out of time or out of pushes.
         // Rule 3: nothing new to a host that drains or is gone; the grace is not used.
-        if op.streaming || now >= op.give_up || op.pushes >= self.max_pushes || !standing.up() {
+        if op.streaming || now >= op.give_up || op.pushes >= self.allowed.max_pushes || !standing.up() {
             return false;
         }
         // Rule 2: nothing that could take effect twice, and two pushes at a time only where that is allowed.
-        if !op.out.is_empty() && !self.second_copies {
+        if !op.out.is_empty() && !self.allowed.second_copies {
             return false;
         }
         let out = op.out.iter().map(|out| (out.1, out.2));
@@ -873,17 +826,17 @@
             if !op.tried.is_empty() {
                 return false;
             }
-            let sends = self.cold_sends.entry(host).or_default();
-            while sends.front().is_some_and(|&at| now - at >= self.cold.fall_window) {
-                sends.pop_front();
+            let (began, sends) = self.cold_sends.entry(host).or_default();
+            if now - *began >= self.cold.fall_window {
+                (*began, *sends) = (now, 0.0);
             }
             let windows = self.cold.fall_window as f64 / self.loads.counts.span(now).max(HALVING as f64);
             let normal = self.loads.counts.mean() * windows / 2.0;
             let allowance = COLD_MARGIN * self.cold.fall_multiple * standing.warm * normal;
-            if sends.len() as f64 >= allowance.max(self.cold_least) {
+            if *sends >= allowance.max(COLD_LEAST * self.fleet.growth).max(1.0) {
                 return false;
             }
-            sends.push_back(now);
+            *sends += 1.0;
         }
         let push = PushNo(op.pushes);
         op.pushes += 1;
@@ -919,7 +872,7 @@
 
     fn forget(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.remove(&id) else { return };
-        let out = op.out.iter().filter(|_| self.call_off && !op.streaming);
+        let out = op.out.iter().filter(|_| self.allowed.call_off && !op.streaming);
         post.orders.extend(out.map(|out| Order::CallOff { op: id, push: out.0 }));
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,5 +1,8 @@
 //! The interface of `rules`: ids, times, what a balancer hears and orders, and the terms it starts from.
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 /// A point in time or a span, in whole microseconds.
 pub type Micros = i64;
 
@@ -46,6 +49,25 @@
     }
 }
 
+/// A balancer's own chance, all from its seed.
+pub struct Chance(ChaCha8Rng);
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        Chance(ChaCha8Rng::seed_from_u64(seed))
+    }
+
+    pub fn draw(&mut self) -> u64 {
+        self.0.random()
+    }
+}
+
+impl Default for Chance {
+    fn default() -> Chance {
+        Chance::new(0)
+    }
+}
+
 /// Which hosts drop a repeat of a deduplicated op.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
@@ -97,11 +119,9 @@
     }
 }
 
-/// What a balancer is told at its start.
-#[derive(Clone, Debug)]
-pub struct Terms {
-    pub seed: u64,
-    pub balancers: u32,
+/// What the deployment is like and allows.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Allowed {
     /// A host that lacks a key says so, and the balancer asks the origin.
     pub aside: bool,
     /// The list comes only when asked for.
@@ -110,6 +130,14 @@
     pub max_pushes: u32,
     pub second_copies: bool,
     pub call_off: bool,
+}
+
+/// What a balancer is told at its start.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub seed: u64,
+    pub balancers: u32,
+    pub allowed: Allowed,
     /// The longest come-back time a client will heed; `None` where nacks carry none.
     pub come_back: Option<Micros>,
     /// Events come in steps of this length.
