--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -23,9 +23,10 @@
         self.sum += weight * value as f64;
     }
 
-    pub fn halve(&mut self) {
-        self.counts.iter_mut().for_each(|count| *count /= 2.0);
-        self.sum /= 2.0;
+    /// Keeps so much of what it holds.
+    pub fn fade(&mut self, kept: f64) {
+        self.counts.iter_mut().for_each(|count| *count *= kept);
+        self.sum *= kept;
     }
 
     pub fn total(&self) -> f64 {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,6 +40,7 @@
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const PRIOR: f64 = 1.0; // answers that the fleet's typical answer time stands for in a host's own
 const STANDS_FOR: f64 = 8.0; // answers that one stands for at most, after a long gap
+const FADING: f64 = 0.99; // of answers, kept a step: what was heard once must not be held against a host for ever
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
@@ -197,9 +198,8 @@
         } else if self.most < 1.0 {
             self.most = (self.most + step).min(1.0);
         }
-        if self.answers.total() >= 2.0 * SAMPLES {
-            self.answers.halve();
-        }
+        let many = self.answers.total() >= 2.0 * SAMPLES;
+        self.answers.fade(if many { 0.5 } else { FADING });
         (self.fresh, self.peak) = (false, in_flight);
     }
 }
@@ -256,8 +256,7 @@
         standing.warm = warm;
         standing.share = self.share * if warm < 1.0 { COLD_MARGIN * warm } else { 1.0 };
         standing.in_flight = self.out.len();
-        let settled =
-            self.strikes < 0.1 && (self.target - self.share).abs() < 0.02 && standing.limit.most >= 1.0;
+        let settled = self.strikes < 0.1 && self.share > 0.98 && standing.limit.most >= 1.0;
         let quiet = self.out.is_empty() && standing.limit.peak == 0;
         standing.rests = settled && quiet && !standing.suspect && warm >= 1.0;
         post.desk.push_back(ToDesk::Standing(self.id, Box::new(standing.clone())));
