--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,7 +18,7 @@
 const BETA: f64 = 0.1; // hot: at least this share of its overloaded home's load
 const OVERLOADED_FOR: Micros = 2_000_000;
 const HALVING: Micros = 1_400_000; // of the load counts: what is left of a send after 2 s is about a third
-const LASTING: f64 = 2.0; // sends a host that the counts last for: a quiet balancer is long in meeting a key twice
+const LASTING: f64 = 2.0; // sends a host that the counts last for: a quiet balancer meets a key seldom
 const REPEATS: f64 = 2.0; // a key with fewer counted sends is never hot: chance repeats at a quiet balancer
 const KEYS: usize = 2_048; // the hot-key table's size
 const HOLDERS: u64 = 3; // at least; more where three would each read more of the key than the mean load
@@ -40,7 +40,7 @@
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const PRIOR: f64 = 1.0; // answers that the fleet's typical answer time stands for in a host's own
 const STANDS_FOR: f64 = 8.0; // answers that one stands for at most, after a long gap
-const FADING: f64 = 0.99; // of answers, kept a step: what was heard once must not be held against a host for ever
+const FADING: f64 = 0.99; // of answers, kept a step: one must not be held against a host for ever
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
 const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
@@ -615,21 +615,16 @@
 
     fn sweep(&mut self, post: &mut Post) {
         self.loads.sweep(post.now);
-        if self.board.iter().any(|standing| !standing.rests) {
-            let caches = self.board.iter().filter(|standing| standing.cache());
-            let mut typical: Vec<f64> = caches.filter_map(|standing| standing.limit.answers.mean()).collect();
-            let middle = typical.len() / 2;
-            if middle < typical.len() {
-                self.typical = *typical.select_nth_unstable_by(middle, f64::total_cmp).1;
-            }
-        }
         if post.now - self.judged_at >= JUDGE {
             self.judged_at = post.now;
             // The median: hosts that answer nothing, while few, are no reason to turn ops away.
             let present = self.fleet.answers.quantile(0.5).map(|present| present as f64);
-            let caches = self.board.iter().filter(|standing| standing.cache()).count() as f64;
+            let caches = || self.board.iter().filter(|standing| standing.cache());
             let quarter = self.target / 4.0;
-            self.fleet.judge(present, quarter, quarter, caches, self.abroad);
+            self.fleet.judge(present, quarter, quarter, caches().count() as f64, self.abroad);
+            let mut means: Vec<f64> = caches().filter_map(|host| host.limit.answers.mean()).collect();
+            means.sort_unstable_by(f64::total_cmp);
+            self.typical = means.get(means.len() / 2).copied().unwrap_or(self.typical);
         }
         for (host, standing) in (0..).map(HostId).zip(&self.board).filter(|(_, standing)| !standing.rests) {
             // The origin serves every category, so there the shortest target latency counts.
@@ -650,7 +645,7 @@
         }
         if end == End::Miss && self.allowed.aside && !op.write {
             op.missed = true;
-            // A trial's miss says nothing while the op itself is out elsewhere.
+            // A miss at a host left for silent says nothing while the op is out elsewhere.
             if op.out.is_empty() {
                 self.route(id, post);
             }
@@ -666,8 +661,7 @@
     fn again(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.get_mut(&id) else { return };
         let room = op.give_up - post.now > (self.typical / 4.0) as Micros;
-        if !op.streaming && room && op.spare > 0 && self.retries >= 1.0 && op.pushes < self.allowed.max_pushes
-        {
+        if !op.streaming && room && op.spare > 0 && self.retries >= 1.0 {
             op.spare -= 1;
             self.retries -= 1.0;
             self.route(id, post);
@@ -698,12 +692,12 @@
     fn origin(&self, id: OpId, now: Micros) -> Option<HostId> {
         let op = &self.ops[&id];
         let at = self.board.iter().position(|standing| standing.up() && standing.origin())?;
-        let claim = if op.write { 2.0 } else { op.claim };
-        self.board[at].limit.room(self.board[at].in_flight, claim, now).then_some(HostId(at as u32))
+        let (standing, claim) = (&self.board[at], if op.write { 2.0 } else { op.claim });
+        standing.limit.room(standing.in_flight, claim, now).then_some(HostId(at as u32))
     }
 
-    /// Whether a cold or slow host keeps this key. Each balancer leaves other keys: a hot key must neither come to
-    /// a cold host from all at once, nor move as a whole and jam the next host.
+    /// Whether a cold or slow host keeps a key. Each balancer leaves other keys: a hot key must neither come
+    /// to a cold host from all at once, nor move as a whole and jam the next host.
     fn keeps(&self, host: HostId, key: Place) -> bool {
         let part = self.board[host.0 as usize].share;
         part >= 1.0 || (key.mixed(self.salt ^ u64::from(host.0)).0 as f64) < part * u64::MAX as f64
@@ -733,19 +727,14 @@
         for host in order {
             let standing = &self.board[host.0 as usize];
             let room = standing.limit.room(standing.in_flight, op.claim, now);
-            if !standing.cache() || op.tried.contains(&host) {
+            let overflow = full > 0 || !op.tried.is_empty();
+            if !standing.cache() || op.tried.contains(&host) || (standing.warm < 1.0 && overflow) {
                 continue;
             }
-            if standing.warm < 1.0 && (full > 0 || !op.tried.is_empty()) {
-                continue; // overflow
-            }
             if standing.suspect || !self.keeps(host, key) {
                 // With no better host left: the one with most to give, suspects last and one push at a time.
-                let (worth, able) = if standing.suspect {
-                    (0.0, standing.in_flight == 0)
-                } else {
-                    (standing.share * standing.warm, room)
-                };
+                let worth = if standing.suspect { 0.0 } else { standing.share };
+                let able = if standing.suspect { standing.in_flight == 0 } else { room };
                 if able && second.is_none_or(|(best, _)| worth > best) {
                     second = Some((worth, host));
                 }
@@ -762,7 +751,7 @@
         second.filter(|_| full == 0).map(|(_, host)| host)
     }
 
-    /// Three holders, one per equal range of the ring from the key's place; the home is the first.
+    /// The holders, one per equal range of the ring from the key's place; the home is the first.
     fn holders(&self, key: Place, now: Micros) -> Vec<HostId> {
         let used = self.ring.weights.iter().filter(|&&weight| weight > 0.0).count() as f64;
         let count = ((self.loads.counts.part(key) * used) as u64).max(HOLDERS);
@@ -796,9 +785,6 @@
             return false;
         }
         // Rule 2: nothing that could take effect twice, and two pushes at a time only where that is allowed.
-        if !op.out.is_empty() && !self.allowed.second_copies {
-            return false;
-        }
         let out = op.out.iter().map(|out| (out.1, out.2));
         let first = out.chain(op.may_have_run).min_by_key(|earlier| earlier.1);
         if let (Some((earlier, at)), Some(there)) = (first, standing.listed.as_ref()) {
@@ -807,13 +793,11 @@
                 Repeats::Redeliverable => true,
                 Repeats::AtMostOnce => false,
                 Repeats::Deduplicated { window, .. } if now - at >= window - SWEEP => false,
-                Repeats::Deduplicated { group, .. } => before.is_some_and(|before| match group {
-                    Group::All => true,
-                    Group::Zone => before.zone == there.zone,
-                    Group::Cell => before.cell == there.cell,
-                }),
+                Repeats::Deduplicated { group, .. } => {
+                    before.is_some_and(|before| group.joins(before, there))
+                }
             };
-            if !allowed {
+            if !allowed || !(op.out.is_empty() || self.allowed.second_copies) {
                 return false;
             }
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -76,6 +76,17 @@
     Cell,
 }
 
+impl Group {
+    /// Whether two hosts drop each other's repeats.
+    pub fn joins(self, one: &Listed, other: &Listed) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => one.zone == other.zone,
+            Group::Cell => one.cell == other.cell,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeats {
     Redeliverable,
