--- a/src/rules.rs
+++ b/src/rules.rs
@@ -320,9 +320,6 @@
             return;
         }
         self.judged_at = now;
-        if self.suspect_since.is_none() {
-            self.strikes *= 0.8;
-        }
         let (bearable, parts) = if self.standing.origin() { (ORIGIN_BEARABLE, 2.0) } else { (1.0, 1.0) };
         let (mean, total) = (self.standing.limit.answers.mean(), self.standing.limit.answers.total());
         self.standing.limit.judge(mean, quarter, bearable * quarter, parts, self.out.len());
