--- a/src/rules.rs
+++ b/src/rules.rs
@@ -490,7 +490,7 @@
                 (category.target_latency - 2 * terms.tick).max(terms.tick)
             },
             claim: 0.6 + 0.4 * category.benefit / top.max(1e-9),
-            spare: 1 + (category.benefit / top.max(1e-9)) as u32,
+            spare: 1 + (2.0 * category.benefit / top.max(1e-9)) as u32,
             repeats: category.repeats,
         });
         let shortest = terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(0);
@@ -651,6 +651,8 @@
         if let Some((_, host, at)) = sent.filter(|_| !end.proves_not_run()) {
             op.may_have_run = op.may_have_run.filter(|earlier| earlier.1 <= at).or(Some((host, at)));
         }
+        // What was turned away unseen cost next to nothing, so another push is as good as the first.
+        self.retries += f64::from(end == End::TurnedAway);
         self.again(id, post);
     }
 
