--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,7 +51,6 @@
 const COLD_LEAST: f64 = 4.0; // steps of a limit, pushes a window to a cold host where nothing is known yet
 const RETRY_RATE: f64 = 0.2; // further pushes or spills earned by an acked op
 const FETCH_RATE: f64 = 0.02; // the same in through mode, where each of them may be one more fetch
-const REFUND: f64 = 0.7; // of a further push, for one turned away unseen: it cost next to nothing
 const RETRY_STORE: f64 = 20.0;
 
 enum ToHost {
@@ -652,7 +651,6 @@
         if let Some((_, host, at)) = sent.filter(|_| !end.proves_not_run()) {
             op.may_have_run = op.may_have_run.filter(|earlier| earlier.1 <= at).or(Some((host, at)));
         }
-        self.retries += REFUND * f64::from(end == End::TurnedAway);
         self.again(id, post);
     }
 
