--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,7 +38,6 @@
 const ORIGIN_BEARABLE: f64 = 3.0; // such quarters, of the shortest target: a slow origin still serves
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
-const PRIOR: f64 = 1.0; // answers that the fleet's typical answer time stands for in a host's own
 const STANDS_FOR: f64 = 8.0; // answers that one stands for at most, after a long gap
 const FADING: f64 = 0.99; // of answers, kept a step: one must not be held against a host for ever
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
@@ -48,6 +47,7 @@
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
 const COLD_MARGIN: f64 = 0.6; // of what a cold host can bear that it gets at most: homes are not alike
+const COLD_KEY: f64 = 0.1; // of all reads: one key with so much must not push over a cold host
 const COLD_LEAST: f64 = 4.0; // steps of a limit, pushes a window to a cold host where nothing is known yet
 const RETRY_RATE: f64 = 0.2; // further pushes or spills earned by an acked op
 const FETCH_RATE: f64 = 0.02; // the same in through mode, where each of them may be one more fetch
@@ -254,7 +254,7 @@
         let standing = &mut self.standing;
         standing.suspect = self.suspect_since.is_some();
         standing.warm = warm;
-        standing.share = self.share * if warm < 1.0 { COLD_MARGIN * warm } else { 1.0 };
+        standing.share = self.share;
         standing.in_flight = self.out.len();
         let settled = self.strikes < 0.1 && self.share > 0.98 && standing.limit.most >= 1.0;
         let quiet = self.out.is_empty() && standing.limit.peak == 0;
@@ -296,8 +296,7 @@
             self.gap = now - self.measured_at;
             self.measured_at = now;
             // At a quiet balancer one answer stands for all that the host gave others meanwhile.
-            let weight = (self.gap as f64 / JUDGE as f64).clamp(1.0, STANDS_FOR);
-            self.standing.limit.answered(took, weight, now);
+            self.standing.limit.answered(took, (self.gap as f64 / JUDGE as f64).clamp(1.0, STANDS_FOR), now);
         }
     }
 
@@ -323,8 +322,8 @@
         let (bearable, parts) = if self.standing.origin() { (ORIGIN_BEARABLE, 2.0) } else { (1.0, 1.0) };
         let (mean, total) = (self.standing.limit.answers.mean(), self.standing.limit.answers.total());
         self.standing.limit.judge(mean, quarter, bearable * quarter, parts, self.out.len());
-        // One time-out may be all that a quiet balancer hears of a jammed host in many seconds.
-        let present = (mean.unwrap_or(0.0) * total + typical * PRIOR) / (total + PRIOR);
+        // One time-out may be all that a quiet balancer hears; the fleet's typical time counts as one answer.
+        let present = (mean.unwrap_or(0.0) * total + typical) / (total + 1.0);
         self.target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
         self.share +=
             (self.target - self.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
@@ -452,6 +451,8 @@
     /// Of its own, so that balancers leave different keys of a slow host.
     salt: u64,
     cold: ColdTerms,
+    /// Of what a cold host surely bears, kept there.
+    cold_part: f64,
     /// Of all cache hosts together.
     fleet: Limit,
     abroad: usize,
@@ -467,7 +468,6 @@
     target: f64,
     shortest: f64,
     board: Vec<Standing>,
-    /// When the present window of a cold host began, and its sends in it.
     cold_sends: BTreeMap<HostId, (Micros, f64)>,
     ring: Ring,
     stale: bool,
@@ -604,7 +604,9 @@
             let weight = if self.allowed.weights_steady && listed.weight > 0.0 { listed.weight } else { 1.0 };
             Some((listed.place, host, weight))
         });
-        self.ring.set(&hosts.collect::<Vec<_>>());
+        let hosts: Vec<_> = hosts.collect();
+        self.cold_part = COLD_MARGIN.min(self.cold.fall_multiple / (COLD_KEY * hosts.len().max(1) as f64));
+        self.ring.set(&hosts);
         let mean = self.loads.counts.mean();
         self.loads.counts.hosts.resize(self.board.len(), mean);
         self.loads.over_since.resize(self.board.len(), None);
@@ -696,7 +698,8 @@
     /// Whether a cold or slow host keeps a key. Each balancer leaves other keys: a hot key must neither come
     /// to a cold host from all at once, nor move as a whole and jam the next host.
     fn keeps(&self, host: HostId, key: Place) -> bool {
-        let part = self.board[host.0 as usize].share;
+        let standing = &self.board[host.0 as usize];
+        let part = standing.share * if standing.warm < 1.0 { self.cold_part * standing.warm } else { 1.0 };
         part >= 1.0 || (key.mixed(self.salt ^ u64::from(host.0)).0 as f64) < part * u64::MAX as f64
     }
 
