--- a/src/rules.rs
+++ b/src/rules.rs
@@ -217,12 +217,11 @@
     strikes: f64,
     answered_at: Micros,
     judged_at: Micros,
-    /// Of its keys for its answer times alone.
     share: f64,
     /// When the last answer time came, and how long after the one before.
     measured_at: Micros,
     gap: Micros,
-    /// What that part moves towards.
+    /// What the share of its keys that it keeps moves towards.
     target: f64,
 }
 
@@ -334,7 +333,6 @@
 #[derive(Default)]
 struct Ring {
     scale: f64,
-    /// By host; 0 for one that has no points.
     weights: Vec<f64>,
     /// Each host's points where its name put them, in the ring's order.
     raw: Vec<(u64, HostId)>,
@@ -614,9 +612,10 @@
 
     fn sweep(&mut self, post: &mut Post) {
         self.loads.sweep(post.now);
-        if post.now - self.judged_at >= JUDGE {
+        let judged = post.now - self.judged_at >= JUDGE;
+        if judged {
             self.judged_at = post.now;
-            // The median: hosts that answer nothing, while few, are no reason to turn ops away.
+            // The median: a few hosts that answer nothing are no reason to turn ops away.
             let present = self.fleet.answers.quantile(0.5).map(|present| present as f64);
             let caches = || self.board.iter().filter(|standing| standing.cache());
             let quarter = self.target / 4.0;
@@ -625,9 +624,9 @@
             means.sort_unstable_by(f64::total_cmp);
             self.typical = means.get(means.len() / 2).copied().unwrap_or(self.typical);
         }
-        for (host, standing) in (0..).map(HostId).zip(&self.board).filter(|(_, standing)| !standing.rests) {
-            // The origin serves every category, so there the shortest target latency counts.
-            let target = if standing.cache() { self.target } else { self.shortest };
+        let due = |standing: &Standing| !standing.rests && (judged || standing.in_flight > 0);
+        for (host, standing) in (0..).map(HostId).zip(&self.board).filter(|(_, standing)| due(standing)) {
+            let target = if standing.cache() { self.target } else { self.shortest }; // all go to the origin
             post.host(host, ToHost::Sweep(self.typical, target / 4.0));
         }
         post.orders.push(Order::Wake { after: SWEEP, wake: Wake::Sweep });
