--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -1,6 +1,6 @@
 //! One hosted balancer: the wire's words and the module's ids for the same things.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use basaltwood::rules::Balancer;
 use basaltwood::types::*;
@@ -41,9 +41,46 @@
     names
 }
 
+/// The ops that are open or have pushes out, by the wire's names; both ways are forgotten after that.
+#[derive(Default)]
+struct Tickets {
+    numbers: HashMap<String, OpId>,
+    open: BTreeMap<OpId, Ticket>,
+    next: u32,
+}
+
+struct Ticket {
+    text: String,
+    out: u32,
+    over: bool,
+}
+
+impl Tickets {
+    fn open(&mut self, text: String) -> OpId {
+        let op = OpId(self.next);
+        self.next += 1;
+        self.numbers.insert(text.clone(), op);
+        self.open.insert(op, Ticket { text, out: 0, over: false });
+        op
+    }
+
+    fn known(&self, text: &str) -> Result<OpId, String> {
+        self.numbers.get(text).copied().ok_or_else(|| format!("unknown op {text}"))
+    }
+
+    fn note(&mut self, op: OpId, change: impl FnOnce(&mut Ticket)) {
+        let Some(ticket) = self.open.get_mut(&op) else { return };
+        change(ticket);
+        if ticket.over && ticket.out == 0 {
+            self.numbers.remove(&ticket.text);
+            self.open.remove(&op);
+        }
+    }
+}
+
 pub struct Instance {
     balancer: Balancer,
-    tickets: Names,
+    tickets: Tickets,
     hosts: Names,
     zones: Names,
     categories: Names,
@@ -58,7 +95,7 @@
         let kind = info.domain.as_ref().and_then(|domain| domain.origin_kind).unwrap_or(-1);
         Ok(Instance {
             balancer: Balancer::new(&terms),
-            tickets: Names::default(),
+            tickets: Tickets::default(),
             hosts: Names::default(),
             zones: names(info.dcs),
             categories: names(info.categories.into_iter().map(|category| category.name)),
@@ -78,9 +115,27 @@
         let Some(heard) = self.heard(event, lists)? else {
             return Ok(());
         };
+        let ended = match &heard {
+            Heard::Ended { op, over, .. } => Some((*op, 1, *over)),
+            Heard::Dropped { op } => Some((*op, 0, true)),
+            _ => None,
+        };
         self.balancer.hear(now, heard, &mut self.orders);
         for order in self.orders.drain(..) {
-            outbox.push(written(order, &self.tickets.texts, &self.hosts.texts));
+            outbox.push(written(order, &self.tickets.open, &self.hosts.texts));
+            match order {
+                Order::Push { op, .. } => self.tickets.note(op, |ticket| ticket.out += 1),
+                Order::Nack { op, .. } | Order::DeadLetter { op } => {
+                    self.tickets.note(op, |ticket| ticket.over = true);
+                }
+                _ => {}
+            }
+        }
+        if let Some((op, pushes, over)) = ended {
+            self.tickets.note(op, |ticket| {
+                ticket.out = ticket.out.saturating_sub(pushes);
+                ticket.over |= over;
+            });
         }
         Ok(())
     }
@@ -98,7 +153,7 @@
             Event::Demand { ticket, lane, project, route_key, drop_dead_ms, bits } => {
                 let bits = bits.unwrap_or(0);
                 Heard::Op {
-                    op: OpId(self.tickets.number(&ticket)),
+                    op: self.tickets.open(ticket),
                     category: CategoryId(self.categories.known(&lane, "category")? as u16),
                     customer: project
                         .and_then(|name| self.customers.numbers.get(&name).map(|&n| CustomerId(n as u16))),
@@ -109,17 +164,21 @@
                 }
             }
             Event::FirstByte { ticket, hop } => {
-                Heard::Streaming { op: OpId(self.tickets.known(&ticket, "op")?), push: PushNo(hop) }
+                Heard::Streaming { op: self.tickets.known(&ticket)?, push: PushNo(hop) }
             }
             Event::Finished { ticket, hop, wait_time_ms, rc, over, host } => Heard::Ended {
-                op: OpId(self.tickets.known(&ticket, "op")?),
+                op: self.tickets.known(&ticket)?,
                 push: PushNo(hop),
                 host: HostId(self.hosts.known(&host, "host")?),
                 took: micros(wait_time_ms),
                 end: end(rc),
                 over,
             },
-            Event::Dropped { ticket } => Heard::Dropped { op: OpId(self.tickets.known(&ticket, "op")?) },
+            // It may have been ended a moment ago.
+            Event::Dropped { ticket } => match self.tickets.known(&ticket) {
+                Ok(op) => Heard::Dropped { op },
+                Err(_) => return Ok(None),
+            },
             Event::TickDue { ctx } => Heard::Wake(wake(&ctx)?),
             _ => return Ok(None),
         }))
@@ -170,8 +229,8 @@
     format!("{}{}.{:03}", if span < 0 { "-" } else { "" }, span.abs() / 1000, span.abs() % 1000)
 }
 
-fn written(order: Order, tickets: &[String], hosts: &[String]) -> String {
-    let ticket = |op: OpId| serde_json::Value::from(tickets[op.0 as usize].as_str());
+fn written(order: Order, tickets: &BTreeMap<OpId, Ticket>, hosts: &[String]) -> String {
+    let ticket = |op: OpId| serde_json::Value::from(tickets[&op].text.as_str());
     match order {
         Order::Push { op, host, timeout } => format!(
             r#"{{"type":"HAND_OFF","ticket":{},"host":{},"timeoutMs":{}}}"#,
