--- a/src/rules.rs
+++ b/src/rules.rs
@@ -217,7 +217,6 @@
     strikes: f64,
     answered_at: Micros,
     judged_at: Micros,
-    share: f64,
     /// When the last answer time came, and how long after the one before.
     measured_at: Micros,
     gap: Micros,
@@ -227,8 +226,8 @@
 
 impl Host {
     fn new(id: HostId, cold: ColdTerms, growth: f64) -> Host {
-        let standing = Standing { limit: Limit::new(FIRST_LIMIT, growth), ..Standing::default() };
-        Host { id, cold, standing, share: 1.0, target: 1.0, ..Host::default() }
+        let standing = Standing { share: 1.0, limit: Limit::new(FIRST_LIMIT, growth), ..Standing::default() };
+        Host { id, cold, standing, target: 1.0, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -253,9 +252,8 @@
         let standing = &mut self.standing;
         standing.suspect = self.suspect_since.is_some();
         standing.warm = warm;
-        standing.share = self.share;
         standing.in_flight = self.out.len();
-        let settled = self.strikes < 0.1 && self.share > 0.98 && standing.limit.most >= 1.0;
+        let settled = self.strikes < 0.1 && standing.share > 0.98 && standing.limit.most >= 1.0;
         let quiet = self.out.is_empty() && standing.limit.peak == 0;
         standing.rests = settled && quiet && !standing.suspect && warm >= 1.0;
         post.desk.push_back(ToDesk::Standing(self.id, Box::new(standing.clone())));
@@ -324,8 +322,8 @@
         // One time-out may be all that a quiet balancer hears; the fleet's typical time counts as one answer.
         let present = (mean.unwrap_or(0.0) * total + typical) / (total + 1.0);
         self.target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
-        self.share +=
-            (self.target - self.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
+        self.standing.share +=
+            (self.target - self.standing.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
     }
 }
 
