--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -4,43 +4,13 @@
 
 use basaltwood::rules::Balancer;
 use basaltwood::types::*;
+use basaltwood_terms::{micros, Entry, Info, Words};
 
-use crate::wire::{micros, Event, Info, ListEntry, Rc, Scope, State};
+use crate::wire::{Event, ListEntry, Rc, Scope, State};
 
 const REPEAT_BIT: u32 = 2;
 const WRITE_BIT: u32 = 4;
 
-/// Numbers texts in the order in which they are first met.
-#[derive(Default)]
-struct Names {
-    numbers: HashMap<String, u32>,
-    texts: Vec<String>,
-}
-
-impl Names {
-    fn number(&mut self, text: &str) -> u32 {
-        if let Some(&number) = self.numbers.get(text) {
-            return number;
-        }
-        let number = self.texts.len() as u32;
-        self.numbers.insert(text.to_owned(), number);
-        self.texts.push(text.to_owned());
-        number
-    }
-
-    fn known(&self, text: &str, what: &str) -> Result<u32, String> {
-        self.numbers.get(text).copied().ok_or_else(|| format!("unknown {what} {text}"))
-    }
-}
-
-fn names(texts: impl IntoIterator<Item = String>) -> Names {
-    let mut names = Names::default();
-    texts.into_iter().for_each(|text| {
-        names.number(&text);
-    });
-    names
-}
-
 /// The ops that are open or have pushes out, by the wire's names; both ways are forgotten after that.
 #[derive(Default)]
 struct Tickets {
@@ -81,26 +51,16 @@
 pub struct Instance {
     balancer: Balancer,
     tickets: Tickets,
-    hosts: Names,
-    zones: Names,
-    categories: Names,
-    customers: Names,
-    origin: Option<String>,
+    words: Words,
     orders: Vec<Order>,
 }
 
 impl Instance {
-    pub fn start(seed: u64, info: Info) -> Result<Instance, String> {
-        let terms = terms(seed, &info)?;
-        let kind = info.domain.as_ref().and_then(|domain| domain.origin_kind).unwrap_or(-1);
+    pub fn start(seed: u64, info: &Info) -> Result<Instance, String> {
         Ok(Instance {
-            balancer: Balancer::new(&terms),
+            balancer: Balancer::new(&info.terms(seed)?),
             tickets: Tickets::default(),
-            hosts: Names::default(),
-            zones: names(info.dcs),
-            categories: names(info.categories.into_iter().map(|category| category.name)),
-            customers: names(info.tenants.unwrap_or_default().into_iter().map(|tenant| tenant.name)),
-            origin: usize::try_from(kind).ok().and_then(|kind| info.machine_types.into_iter().nth(kind)),
+            words: Words::new(info),
             orders: Vec::new(),
         })
     }
@@ -122,7 +82,7 @@
         };
         self.balancer.hear(now, heard, &mut self.orders);
         for order in self.orders.drain(..) {
-            outbox.push(written(order, &self.tickets.open, &self.hosts.texts));
+            outbox.push(written(order, &self.tickets.open, &self.words.hosts.texts));
             match order {
                 Order::Push { op, .. } => self.tickets.note(op, |ticket| ticket.out += 1),
                 Order::Nack { op, .. } | Order::DeadLetter { op } => {
@@ -154,9 +114,8 @@
                 let bits = bits.unwrap_or(0);
                 Heard::Op {
                     op: self.tickets.open(ticket),
-                    category: CategoryId(self.categories.known(&lane, "category")? as u16),
-                    customer: project
-                        .and_then(|name| self.customers.numbers.get(&name).map(|&n| CustomerId(n as u16))),
+                    category: self.words.category(&lane)?,
+                    customer: project.and_then(|name| self.words.customer(&name)),
                     key: route_key.as_deref().map(Place::of),
                     write: bits & WRITE_BIT != 0,
                     again: bits & REPEAT_BIT != 0,
@@ -169,7 +128,7 @@
             Event::Finished { ticket, hop, wait_time_ms, rc, over, host } => Heard::Ended {
                 op: self.tickets.known(&ticket)?,
                 push: PushNo(hop),
-                host: HostId(self.hosts.known(&host, "host")?),
+                host: HostId(self.words.hosts.known(&host, "host")?),
                 took: micros(wait_time_ms),
                 end: end(rc),
                 over,
@@ -185,20 +144,19 @@
     }
 
     fn listed(&mut self, entry: &ListEntry) -> Listed {
-        Listed {
-            host: HostId(self.hosts.number(&entry.host)),
-            place: Place::of(&entry.host),
-            origin: self.origin.is_some() && entry.generation_hw == self.origin,
-            zone: ZoneId(entry.zone.as_deref().map_or(0, |zone| self.zones.number(zone))),
-            cell: CellId(entry.pod.unwrap_or(0)),
+        self.words.listed(&Entry {
+            host: &entry.host,
+            zone: entry.zone.as_deref(),
+            kind: entry.generation_hw.as_deref(),
+            cell: entry.pod,
             lifecycle: match entry.lifecycle {
                 State::Up => Lifecycle::Up,
                 State::Draining => Lifecycle::Draining,
                 State::Removed => Lifecycle::Gone,
             },
-            weight: entry.weight.unwrap_or(1.0),
+            weight: entry.weight,
             started: entry.last_start_ms.filter(|&ms| ms != 0.0).map(micros),
-        }
+        })
     }
 }
 
@@ -257,64 +215,3 @@
         Order::Watch => r#"{"type":"FOLLOW","want":true}"#.to_owned(),
     }
 }
-
-fn terms(seed: u64, info: &Info) -> Result<Terms, String> {
-    if info.categories.is_empty() {
-        return Err("no categories".to_owned());
-    }
-    let category = |category: &crate::wire::Category| {
-        let repeats = match (category.semantics.as_str(), category.window_ms.map(micros)) {
-            ("retryable", _) => Repeats::Redeliverable,
-            ("fragile", _) => Repeats::AtMostOnce,
-            ("dedup", Some(window)) if window > 0 => Repeats::Deduplicated {
-                group: match category.group.as_deref() {
-                    Some("zone") => Group::Zone,
-                    Some("cell") => Group::Cell,
-                    _ => Group::All,
-                },
-                window,
-            },
-            ("dedup", _) => return Err(format!("category {}: no window for repeats", category.name)),
-            (other, _) => return Err(format!("category {}: unknown kind {other}", category.name)),
-        };
-        Ok(CategoryTerms {
-            target_latency: micros(category.target_latency_ms),
-            ttl: micros(category.ttl_ms),
-            benefit: category.benefit.unwrap_or(1.0),
-            late_benefit: category.tardy_benefit.unwrap_or(0.0),
-            repeats,
-        })
-    };
-    Ok(Terms {
-        seed,
-        balancers: info.group_size.unwrap_or(1).max(1),
-        allowed: Allowed {
-            aside: info.domain.as_ref().and_then(|domain| domain.mode.as_deref()) == Some("aside"),
-            list_asked: info.discovery.as_deref() == Some("ask"),
-            weights_steady: !matches!(info.weights.as_deref(), Some("live" | "off") | None),
-            max_pushes: info.limits.max_pushes,
-            second_copies: info.limits.may_duplicate,
-            call_off: info.limits.cancel,
-        },
-        come_back: info
-            .limits
-            .max_retry_after_ms
-            .filter(|&ms| info.limits.retry_after && ms > 0.0)
-            .map(micros),
-        tick: micros(info.tick_ms.unwrap_or(1.0)),
-        excess_benefit: info.excess_benefit.unwrap_or(1.0),
-        cold: ColdTerms {
-            from: info.invariants.cold_from,
-            warm_within: micros(info.invariants.warm_within_ms),
-            fall_multiple: info.invariants.tip_multiple,
-            fall_window: micros(info.invariants.tip_after_ms),
-        },
-        categories: info.categories.iter().map(category).collect::<Result<_, _>>()?,
-        customers: info
-            .tenants
-            .iter()
-            .flatten()
-            .map(|tenant| CustomerTerms { quota_per_s: tenant.quota_per_s.unwrap_or(0.0) })
-            .collect(),
-    })
-}
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -40,7 +40,7 @@
 impl Hosting {
     fn batch(&mut self, line: &str) -> Result<String, String> {
         let batch: Batch = serde_json::from_str(line).map_err(|e| e.to_string())?;
-        let now = wire::micros(batch.time_ms);
+        let now = basaltwood_terms::micros(batch.time_ms);
         let mut replies = BTreeMap::new();
         for (nth, part) in batch.parts.into_iter().enumerate() {
             let who = part.who.unwrap_or(u64::MAX);
@@ -61,7 +61,7 @@
             Event::Manifest { table, elements } => {
                 self.lists.insert(table, elements);
             }
-            Event::Spawn { init_seed, info } => match Instance::start(init_seed, *info) {
+            Event::Spawn { init_seed, info } => match Instance::start(init_seed, &info) {
                 Ok(instance) => {
                     self.instances.insert(who, instance);
                 }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -3,15 +3,10 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use basaltwood::types::Micros;
+use basaltwood_terms::Info;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-/// Milliseconds with fractions to the nearest whole microsecond: the simulator counts in these.
-pub fn micros(ms: f64) -> Micros {
-    (ms * 1000.0).round() as Micros
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Batch<'a> {
@@ -158,89 +153,6 @@
     pub last_start_ms: Option<f64>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Info {
-    pub categories: Vec<Category>,
-    #[serde(default)]
-    pub dcs: Vec<String>,
-    #[serde(default)]
-    pub discovery: Option<String>,
-    #[serde(default)]
-    pub domain: Option<Domain>,
-    #[serde(default)]
-    pub excess_benefit: Option<f64>,
-    #[serde(default)]
-    pub group_size: Option<u32>,
-    pub invariants: Invariants,
-    pub limits: Limits,
-    #[serde(default)]
-    pub machine_types: Vec<String>,
-    #[serde(default)]
-    pub tenants: Option<Vec<Tenant>>,
-    #[serde(default)]
-    pub tick_ms: Option<f64>,
-    #[serde(default)]
-    pub weights: Option<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Category {
-    pub name: String,
-    pub target_latency_ms: f64,
-    pub ttl_ms: f64,
-    pub semantics: String,
-    #[serde(default)]
-    pub group: Option<String>,
-    #[serde(default)]
-    pub window_ms: Option<f64>,
-    #[serde(default)]
-    pub benefit: Option<f64>,
-    #[serde(default)]
-    pub tardy_benefit: Option<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Domain {
-    #[serde(default)]
-    pub mode: Option<String>,
-    #[serde(default)]
-    pub origin_kind: Option<i64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Invariants {
-    pub cold_from: f64,
-    pub warm_within_ms: f64,
-    pub tip_multiple: f64,
-    pub tip_after_ms: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Limits {
-    pub max_pushes: u32,
-    #[serde(default)]
-    pub may_duplicate: bool,
-    #[serde(default)]
-    pub cancel: bool,
-    #[serde(default)]
-    pub retry_after: bool,
-    #[serde(default)]
-    pub max_retry_after_ms: Option<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Tenant {
-    pub name: String,
-    #[serde(default)]
-    pub quota_per_s: Option<f64>,
-}
-
 pub fn broken(cause: &str) -> String {
     serde_json::json!({"type": "BROKEN", "bodyText": cause}).to_string()
 }
--- /dev/null
+++ b/balancer/src/clients.rs
@@ -0,0 +1,188 @@
+//! Clients: accepts their connections, reads their commands, writes answers in the order of the commands.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::budget::Permit;
+use crate::buffer::Buffer;
+use crate::ops::Desk;
+use crate::phases::Phase;
+use crate::resp;
+
+/// Commands of one connection that wait for their answers; more are left unread.
+const PIPELINE: usize = 64;
+/// A client that takes nothing of an answer for so long is cut off.
+const SLOW: Duration = Duration::from_secs(5);
+/// After our end is closed, the client's end is awaited so long: closing at once over bytes that were not
+/// read would reset the connection and could take the last answer with it.
+const LINGER: Duration = Duration::from_millis(500);
+/// Between looks for room where descriptors are short.
+const SHORT: Duration = Duration::from_millis(20);
+
+/// Accepts for ever; each connection runs by itself.
+pub async fn accept(desk: Rc<Desk>, listener: TcpListener, phase: watch::Receiver<Phase>) {
+    loop {
+        // Short of descriptors: connections that stand idle go first, and no new one is taken meanwhile.
+        let Some(permit) = desk.budget.take_for_client() else {
+            if !desk.servers.drop_idle() {
+                desk.budget.shed.notify_one();
+            }
+            let _ = timeout(SHORT, desk.budget.freed.notified()).await;
+            continue;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                desk.counters.clients.add();
+                spawn_local(serve(desk.clone(), stream, permit, phase.clone()));
+            }
+            Err(cause) => {
+                log::warn!("accept: {cause}");
+                desk.servers.drop_idle();
+                drop(permit);
+                sleep(SHORT).await;
+            }
+        }
+    }
+}
+
+/// An answer that is there, or that an op still owes.
+enum Answer {
+    There(Bytes),
+    Owed(oneshot::Receiver<Bytes>),
+}
+
+async fn serve(desk: Rc<Desk>, mut stream: TcpStream, permit: Permit, mut phase: watch::Receiver<Phase>) {
+    let _permit = permit;
+    let _ = stream.set_nodelay(true);
+    if talk(&desk, &mut stream, &mut phase).await && stream.shutdown().await.is_ok() {
+        let mut rest = [0; 512];
+        let _ = timeout(LINGER, async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} }).await;
+    }
+}
+
+/// Serves a connection; true where this side ends it between requests, false where the client has gone.
+async fn talk(desk: &Rc<Desk>, stream: &mut TcpStream, phase: &mut watch::Receiver<Phase>) -> bool {
+    let (mut reading, mut writing) = stream.split();
+    let mut buffer = Buffer::new(resp::MOST);
+    let mut held = desk.budget.hold();
+    let mut waiting: VecDeque<Answer> = VecDeque::new();
+    let mut sending = Bytes::new();
+    // No more is read: the client broke the protocol or asked to be let go.
+    let mut last = false;
+    loop {
+        while !last && waiting.len() < PIPELINE {
+            match resp::command(buffer.bytes()) {
+                Ok(Some((words, used))) => {
+                    buffer.consume(used);
+                    if !words.is_empty() {
+                        last = !command(desk, words, &mut waiting);
+                    }
+                }
+                Ok(None) => break,
+                Err(cause) => {
+                    desk.counters.malformed.add();
+                    waiting.push_back(Answer::There(resp::error(&format!("Protocol error: {cause}"))));
+                    last = true;
+                }
+            }
+        }
+        held.set(buffer.size() + sending.len());
+        if sending.is_empty() {
+            match waiting.pop_front() {
+                Some(Answer::There(text)) => sending = text,
+                Some(owed) => waiting.push_front(owed),
+                None => {}
+            }
+        }
+        let idle = waiting.is_empty() && sending.is_empty();
+        let draining = *phase.borrow_and_update() != Phase::Serving;
+        if idle && (last || (draining && buffer.is_empty())) {
+            return true;
+        }
+        let room = desk.budget.room_for_bytes();
+        let more = !last && waiting.len() < PIPELINE;
+        tokio::select! {
+            read = buffer.fill(&mut reading), if more && room => match read {
+                Ok(1..) => {}
+                _ => return false,
+            },
+            () = desk.budget.freed.notified(), if more && !room => {}
+            text = owed(&mut waiting), if sending.is_empty() => match text {
+                Some(text) => sending = text,
+                None => return false,
+            },
+            wrote = timeout(SLOW, writing.write(&sending)), if !sending.is_empty() => match wrote {
+                Ok(Ok(count)) if count > 0 => sending.advance(count),
+                Err(_) => {
+                    desk.counters.clients_slow.add();
+                    return false;
+                }
+                _ => return false,
+            },
+            _ = phase.changed(), if !draining => {}
+            () = desk.budget.shed.notified(), if idle && buffer.is_empty() => {
+                if !desk.budget.room_for_client() {
+                    desk.counters.clients_shed.add();
+                    return true;
+                }
+            }
+        }
+    }
+}
+
+/// The answer that the first op of a connection owes, once it is there.
+async fn owed(waiting: &mut VecDeque<Answer>) -> Option<Bytes> {
+    match waiting.front_mut() {
+        Some(Answer::Owed(answer)) => {
+            let text = answer.await.ok();
+            waiting.pop_front();
+            text
+        }
+        _ => std::future::pending().await,
+    }
+}
+
+/// Takes one command; whether the connection goes on after it.
+fn command(desk: &Rc<Desk>, words: Vec<Bytes>, waiting: &mut VecDeque<Answer>) -> bool {
+    let name = words[0].to_ascii_uppercase();
+    let text = match &name[..] {
+        b"CACHE.GET" | b"CACHE.SET" if desk.full() => {
+            desk.counters.nacked.add();
+            Bytes::from_static(b"-BUSY\r\n")
+        }
+        b"CACHE.GET" | b"CACHE.SET" => {
+            let size = words.iter().map(Bytes::len).sum();
+            match desk.read(words) {
+                Ok((request, ask)) => {
+                    let (answer, owed) = oneshot::channel();
+                    let mut held = desk.budget.hold();
+                    held.set(size);
+                    spawn_local(desk.clone().serve(request, ask, answer, held));
+                    waiting.push_back(Answer::Owed(owed));
+                    return true;
+                }
+                Err(cause) => {
+                    desk.counters.malformed.add();
+                    resp::error(&cause)
+                }
+            }
+        }
+        b"PING" if words.len() == 2 => resp::value(&words[1]),
+        b"PING" => Bytes::from_static(b"+PONG\r\n"),
+        b"CLIENT" | b"SELECT" | b"QUIT" => Bytes::from_static(b"+OK\r\n"),
+        _ => {
+            desk.counters.malformed.add();
+            resp::error("unknown command")
+        }
+    };
+    waiting.push_back(Answer::There(text));
+    &name[..] != b"QUIT"
+}
--- /dev/null
+++ b/balancer/src/clock.rs
@@ -0,0 +1,35 @@
+//! The one clock: whole microseconds since the start, monotonic. Unix times are mapped to it once.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use basaltwood::types::Micros;
+
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |unix| unix.as_micros() as Micros);
+        Clock { start: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    pub fn at(&self, time: Micros) -> tokio::time::Instant {
+        (self.start + span(time)).into()
+    }
+
+    /// A Unix time on this clock. The wall clock is read at the start only: were it read again after it was
+    /// set, the same start of a host would look like a new one.
+    pub fn of_unix(&self, unix: Micros) -> Micros {
+        unix - self.unix
+    }
+}
+
+pub fn span(span: Micros) -> Duration {
+    Duration::from_micros(u64::try_from(span).unwrap_or(0))
+}
--- /dev/null
+++ b/balancer/src/counters.rs
@@ -0,0 +1,62 @@
+//! Counts of what is taken in, sent and answered; printed on SIGUSR1 and at exit.
+
+use std::cell::Cell;
+use std::fmt;
+
+use basaltwood::types::End;
+
+macro_rules! counters {
+    ($($name:ident),* $(,)?) => {
+        #[derive(Default)]
+        pub struct Counters {
+            $(pub $name: Count,)*
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("counters:")?;
+                $(write!(f, concat!(" ", stringify!($name), "={}"), self.$name.0.get())?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+#[derive(Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    pub fn add(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+}
+
+counters! {
+    // In: clients and what they sent.
+    clients, clients_shed, clients_slow, ops, malformed,
+    // Out: what ops were answered with; `dropped` where the client had gone.
+    acked, nacked, dead_lettered, dropped,
+    // Pushes, and how they ended.
+    pushes, push_acked, push_missed, push_error, push_turned_away, push_timed_out, push_unreachable,
+    push_broken, push_called_off,
+    // Connections to hosts: opened, used again, found closed.
+    connections_opened, connections_reused, connections_stale,
+    // The list.
+    lists, list_failures, list_entries_refused,
+}
+
+impl Counters {
+    pub fn ended(&self, end: End) {
+        let count = match end {
+            End::Acked => &self.push_acked,
+            End::Miss => &self.push_missed,
+            End::Error => &self.push_error,
+            End::TurnedAway => &self.push_turned_away,
+            End::TimedOut => &self.push_timed_out,
+            End::Unreachable | End::Void => &self.push_unreachable,
+            End::Broken => &self.push_broken,
+            End::CalledOff => &self.push_called_off,
+        };
+        count.add();
+    }
+}
--- /dev/null
+++ b/balancer/src/http.rs
@@ -0,0 +1,127 @@
+//! HTTP/1.1 as it is spoken with the origin and with discovery: requests written, answers read. Pure.
+
+use std::ops::Range;
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+const MOST_HEAD: usize = 16 * 1024;
+const MOST_HEADERS: usize = 64;
+
+/// The head of an answer, and where its body stands.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    /// It says itself that what was asked never ran.
+    pub unprocessed: bool,
+    /// The connection may carry another request.
+    pub keep: bool,
+    pub body: Bytes,
+    /// How many bytes it all took.
+    pub used: usize,
+}
+
+/// A whole answer at the front; `None` while it is not whole. An answer whose end only the connection's end
+/// would tell is refused: it could not be known to be whole.
+pub fn answer(bytes: &[u8], most_body: usize) -> Result<Option<Answer>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let start = match head.parse(bytes).map_err(|cause| cause.to_string())? {
+        httparse::Status::Complete(start) => start,
+        httparse::Status::Partial if bytes.len() > MOST_HEAD => return Err("too long a head".to_owned()),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let status = head.code.ok_or("no status")?;
+    let mut lengths: Vec<usize> = Vec::new();
+    let (mut chunked, mut unprocessed) = (false, false);
+    let mut keep = head.version == Some(1);
+    for header in head.headers.iter() {
+        let text = std::str::from_utf8(header.value).unwrap_or("").trim();
+        let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+        if is("content-length") {
+            lengths.push(text.parse().map_err(|_| "no length".to_owned())?);
+        } else if is("transfer-encoding") {
+            chunked = text.eq_ignore_ascii_case("chunked");
+            if !chunked {
+                return Err(format!("transfer encoding {text}"));
+            }
+        } else if is("connection") {
+            keep &= !text.eq_ignore_ascii_case("close");
+        } else if is("x-unprocessed") {
+            unprocessed = text == "1";
+        }
+    }
+    let found = match lengths[..] {
+        _ if chunked => chunks(bytes, start, most_body)?,
+        [] if status == 204 || status == 304 => Some((Bytes::new(), start)),
+        [length, ..] if lengths.iter().all(|other| *other == length) => {
+            if length > most_body {
+                return Err("too long a body".to_owned());
+            }
+            let place = start..start + length;
+            bytes.get(place.clone()).map(|body| (Bytes::copy_from_slice(body), place.end))
+        }
+        _ => return Err("no one length".to_owned()),
+    };
+    Ok(found.map(|(body, used)| Answer { status, unprocessed, keep, body, used }))
+}
+
+fn chunks(bytes: &[u8], mut at: usize, most: usize) -> Result<Option<(Bytes, usize)>, String> {
+    let mut body = BytesMut::new();
+    loop {
+        let (length, chunk) = match httparse::parse_chunk_size(&bytes[at..]) {
+            Ok(httparse::Status::Complete((head, length))) => (length as usize, at + head),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err("no chunk".to_owned()),
+        };
+        if length > most - body.len() {
+            return Err("too long a body".to_owned());
+        }
+        let place: Range<usize> = chunk..chunk + length;
+        match bytes.get(place.end..place.end + 2) {
+            Some(b"\r\n") => body.put_slice(&bytes[place.clone()]),
+            Some(_) => return Err("a chunk without its end, or trailers".to_owned()),
+            None => return Ok(None),
+        }
+        at = place.end + 2;
+        if length == 0 {
+            return Ok(Some((body.freeze(), at)));
+        }
+    }
+}
+
+/// A request; the path's parts are to be escaped before.
+pub fn request(
+    method: &str,
+    path: &str,
+    host: &str,
+    headers: &[(&str, &[u8])],
+    body: Option<&[u8]>,
+) -> Bytes {
+    let mut out = BytesMut::with_capacity(256 + body.map_or(0, <[u8]>::len));
+    out.put_slice(format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n").as_bytes());
+    for (name, value) in headers {
+        out.put_slice(name.as_bytes());
+        out.put_slice(b": ");
+        out.put_slice(value);
+        out.put_slice(b"\r\n");
+    }
+    if let Some(body) = body {
+        out.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(body.unwrap_or_default());
+    out.freeze()
+}
+
+/// A key as a path: all but unreserved characters are escaped.
+pub fn escaped(key: &[u8]) -> String {
+    let mut path = String::with_capacity(key.len() + 1);
+    for &byte in key {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            path.push(char::from(byte));
+        } else {
+            path.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    path
+}
--- /dev/null
+++ b/balancer/src/list.rs
@@ -0,0 +1,186 @@
+//! The list of hosts: watched at discovery from start to exit, over HTTP/1.1. What is known at the start
+//! serves until discovery answers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use basaltwood::types::{Lifecycle, Micros};
+use basaltwood_terms::{micros, Entry};
+use serde::Deserialize;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::buffer::Buffer;
+use crate::http;
+use crate::ops::Desk;
+
+/// How long discovery may hold a call while nothing changes. Long, since what an answer that never comes
+/// would have told counts as told soon after that wait.
+const HOLD: Duration = Duration::from_secs(20);
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Between a failed call and the next: a watch that is not taken up within 200 ms begins anew.
+const PAUSE: Duration = Duration::from_millis(100);
+const MOST_BODY: usize = 4 * 1024 * 1024;
+/// Starts that lie further ahead than this are absurd.
+const AHEAD: Micros = 3_600_000_000;
+
+/// The list as discovery writes it. Entries are read one by one, so that an absurd one spoils no other.
+#[derive(Default, Deserialize)]
+pub struct Page {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    host_port: String,
+    #[serde(default)]
+    zone: Option<String>,
+    #[serde(default)]
+    machine_type: Option<String>,
+    #[serde(default)]
+    cell: Option<u32>,
+    lifecycle: String,
+    #[serde(default)]
+    weight: Option<f64>,
+    #[serde(default)]
+    started_at_ms: Option<f64>,
+}
+
+/// Tells the facade and the servers what a page says; its generation.
+pub fn take(desk: &Desk, page: Page, whole: bool) -> u64 {
+    let now = desk.clock.now();
+    let mut entries = Vec::with_capacity(page.instances.len());
+    for value in page.instances {
+        let text = value.to_string();
+        match entry(desk, value, now) {
+            Ok(listed) => entries.push(listed),
+            Err(cause) => {
+                desk.counters.list_entries_refused.add();
+                log::warn!("list entry {}: {cause}", text.chars().take(200).collect::<String>());
+            }
+        }
+    }
+    desk.counters.lists.add();
+    desk.facade.borrow_mut().list(now, whole, entries);
+    desk.ring();
+    page.generation
+}
+
+fn entry(desk: &Desk, value: serde_json::Value, now: Micros) -> Result<basaltwood::types::Listed, String> {
+    let instance: Instance = serde_json::from_value(value).map_err(|cause| cause.to_string())?;
+    let lifecycle = match instance.lifecycle.as_str() {
+        "active" => Lifecycle::Up,
+        "leaving" => Lifecycle::Draining,
+        "left" => Lifecycle::Gone,
+        other => return Err(format!("unknown lifecycle {other}")),
+    };
+    let address = instance.host_port.parse::<SocketAddr>().ok().filter(|address| address.port() > 0);
+    // A host that has left needs no address.
+    if address.is_none() && lifecycle != Lifecycle::Gone {
+        return Err(format!("{:?} is no address with a port", instance.host_port));
+    }
+    let started = match instance.started_at_ms {
+        Some(ms) if ms != 0.0 => {
+            let started =
+                Some(ms).filter(|ms| (0.0..1e15).contains(ms)).map(|ms| desk.clock.of_unix(micros(ms)));
+            Some(started.filter(|&started| started < now + AHEAD).ok_or("an absurd start")?)
+        }
+        _ => None,
+    };
+    let weight = instance.weight.filter(|weight| (1e-3..1e6).contains(weight));
+    let listed = desk.words.borrow_mut().listed(&Entry {
+        host: &instance.instance_id,
+        zone: instance.zone.as_deref(),
+        kind: instance.machine_type.as_deref(),
+        cell: instance.cell,
+        lifecycle,
+        weight,
+        started,
+    });
+    if let Some(address) = address {
+        desk.servers.place(listed.host, address, listed.origin);
+    }
+    if lifecycle != Lifecycle::Up {
+        desk.servers.leave(listed.host);
+    }
+    Ok(listed)
+}
+
+/// Watches for ever.
+pub async fn watch(desk: Rc<Desk>, discovery: SocketAddr, known: u64) {
+    let mut from = Some(known);
+    let mut connection = None;
+    let mut failing = false;
+    loop {
+        match call(&desk, &mut connection, discovery, from).await {
+            Ok(page) => {
+                if std::mem::take(&mut failing) {
+                    log::info!("discovery answers again");
+                }
+                let whole = page.reset || from.is_none();
+                from = Some(take(&desk, page, whole));
+            }
+            Err(cause) => {
+                connection = None;
+                desk.counters.list_failures.add();
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!("discovery: {cause}; the list stays as it is");
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+type Connection = (TcpStream, Buffer, crate::budget::Permit);
+
+async fn call(
+    desk: &Desk,
+    connection: &mut Option<Connection>,
+    discovery: SocketAddr,
+    from: Option<u64>,
+) -> Result<Page, String> {
+    if connection.is_none() {
+        let permit = desk.servers.permit().ok_or("no descriptor left")?;
+        let connect = timeout(PATIENCE, TcpStream::connect(discovery)).await;
+        let stream = connect.map_err(|_| "it does not come up")?.map_err(|cause| cause.to_string())?;
+        stream.set_nodelay(true).map_err(|cause| cause.to_string())?;
+        *connection = Some((stream, Buffer::new(MOST_BODY + 64 * 1024), permit));
+    }
+    let Some((stream, buffer, _)) = connection.as_mut() else { return Err("no connection".to_owned()) };
+    let path = match from {
+        Some(from) => format!("/v1/servers?from={from}&hold_ms={}", HOLD.as_millis()),
+        None => "/v1/servers".to_owned(),
+    };
+    let request = http::request("GET", &path, &discovery.to_string(), &[], None);
+    stream.write_all(&request).await.map_err(|cause| cause.to_string())?;
+    let answer = timeout(HOLD + PATIENCE, async {
+        loop {
+            match buffer.fill(stream).await {
+                Ok(0) => return Err("it closed the connection".to_owned()),
+                Ok(_) => {}
+                Err(cause) => return Err(cause.to_string()),
+            }
+            if let Some(answer) = http::answer(buffer.bytes(), MOST_BODY)? {
+                return Ok(answer);
+            }
+        }
+    });
+    let answer = answer.await.map_err(|_| "it is silent".to_owned())??;
+    buffer.consume(answer.used);
+    if !answer.keep {
+        *connection = None;
+    }
+    if answer.status != 200 {
+        return Err(format!("status {}", answer.status));
+    }
+    serde_json::from_slice(&answer.body).map_err(|cause| cause.to_string())
+}
--- /dev/null
+++ b/balancer/src/origin.rs
@@ -0,0 +1,35 @@
+//! The origin: where a value is fetched that a cache host lacks, and where writes go, over HTTP/1.1.
+
+use std::net::SocketAddr;
+
+use basaltwood::types::{End, HostId, Micros};
+
+use crate::http;
+use crate::ops::Request;
+use crate::resp::{MOST, MOST_VALUE};
+use crate::servers::{Outcome, Servers};
+
+/// One push of an op to the origin.
+pub async fn push(
+    servers: &Servers,
+    host: HostId,
+    address: SocketAddr,
+    request: &Request,
+    within: Micros,
+) -> Outcome {
+    let path = format!("/{}", http::escaped(&request.key));
+    let facts = request.facts(within);
+    let headers: [(&str, &[u8]); 2] = [("X-Correlation-Id", &request.id), ("X-Facts", &facts)];
+    let method = if request.value.is_some() { "PUT" } else { "GET" };
+    let text = http::request(method, &path, &address.to_string(), &headers, request.value.as_deref());
+    let read = |bytes: &[u8]| {
+        let Some(answer) = http::answer(bytes, MOST_VALUE)? else { return Ok(None) };
+        let outcome = match answer.status {
+            200 => (End::Acked, Some(answer.body)),
+            503 | 504 if answer.unprocessed => (End::TurnedAway, None),
+            _ => (End::Error, None),
+        };
+        Ok(Some((outcome, answer.used, answer.keep)))
+    };
+    servers.exchange(host, text, within, MOST, read).await
+}
--- /dev/null
+++ b/balancer/src/phases.rs
@@ -0,0 +1,135 @@
+//! The program's phases, from start to exit: named states of one object.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+use crate::budget::Budget;
+use crate::clients;
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::list;
+use crate::ops::Desk;
+use crate::servers::Servers;
+use crate::told::Told;
+
+/// Clients go on coming for a while after SIGTERM; so long they are taken in.
+const STILL_COMING: Duration = Duration::from_millis(600);
+/// Then what was taken is answered, for so long at most.
+const LAST_ANSWERS: Duration = Duration::from_millis(3_000);
+const SWEEP_IDLE: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Reads what it is told and begins to listen.
+    Starting,
+    Serving,
+    /// Told to end: takes what still comes, answers it, closes connections between requests.
+    Draining,
+    /// Nothing is owed any more.
+    Ended,
+}
+
+pub struct Phases {
+    phase: watch::Sender<Phase>,
+    desk: Rc<Desk>,
+    listener: TcpListener,
+    signals: Signals,
+}
+
+struct Signals {
+    end: Signal,
+    interrupt: Signal,
+    print: Signal,
+}
+
+impl Phases {
+    /// The phase `Starting`: the known list serves from the first op on.
+    pub fn start(told: Told) -> Result<Phases, String> {
+        let clock = Rc::new(Clock::start());
+        let counters = Rc::new(Counters::default());
+        let budget = Budget::new(told.sockets, told.memory);
+        let servers = Servers::new(told.bounds, budget.clone(), counters.clone(), clock.clone());
+        let desk = Rc::new(Desk::new(
+            &told.terms,
+            told.words,
+            told.bounds.most_held,
+            servers,
+            clock,
+            counters,
+            budget,
+        ));
+        let phase = watch::Sender::new(Phase::Starting);
+        let failed = |cause: std::io::Error| cause.to_string();
+        let signals = Signals {
+            end: signal(SignalKind::terminate()).map_err(failed)?,
+            interrupt: signal(SignalKind::interrupt()).map_err(failed)?,
+            print: signal(SignalKind::user_defined1()).map_err(failed)?,
+        };
+        let known = list::take(&desk, told.known, true);
+        let listener = listen(told.listen).map_err(|cause| format!("listen on {}: {cause}", told.listen))?;
+        spawn_local(list::watch(desk.clone(), told.discovery, known));
+        spawn_local(tick(desk.clone()));
+        spawn_local(sweep_idle(desk.clone()));
+        log::info!("{} listens on {}", told.name, told.listen);
+        Ok(Phases { phase, desk, listener, signals })
+    }
+
+    /// Goes through the phases that are left.
+    pub async fn run(self) {
+        let Phases { phase, desk, listener, mut signals } = self;
+        let enter = |now: Phase| {
+            phase.send_replace(now);
+            log::info!("{now:?}");
+        };
+        enter(Phase::Serving);
+        let accepting = spawn_local(clients::accept(desk.clone(), listener, phase.subscribe()));
+        loop {
+            tokio::select! {
+                _ = signals.end.recv() => break,
+                _ = signals.interrupt.recv() => break,
+                _ = signals.print.recv() => log::info!("{}", desk.counters),
+            }
+        }
+        enter(Phase::Draining);
+        sleep(STILL_COMING).await;
+        // This closes the listener too.
+        accepting.abort();
+        // Each connection holds a receiver for as long as it lives, and ends once it owes nothing.
+        let _ = timeout(LAST_ANSWERS, phase.closed()).await;
+        enter(Phase::Ended);
+        log::info!("{}", desk.counters);
+    }
+}
+
+fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A restart takes its address over at once.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
+
+/// Lets the facade's timers run.
+async fn tick(desk: Rc<Desk>) {
+    loop {
+        let due = desk.facade.borrow_mut().tick(desk.clock.now());
+        desk.ring();
+        match due {
+            Some(due) => sleep_until(desk.clock.at(due)).await,
+            None => sleep_until(Instant::now() + SWEEP_IDLE).await,
+        }
+    }
+}
+
+async fn sweep_idle(desk: Rc<Desk>) {
+    loop {
+        sleep(SWEEP_IDLE).await;
+        desk.servers.drop_old();
+    }
+}
--- /dev/null
+++ b/balancer/src/resp.rs
@@ -0,0 +1,151 @@
+//! RESP2 as it is read and written: commands from clients, replies from cache hosts. Pure; knows no ops.
+
+use std::ops::Range;
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// The largest value that may pass.
+pub const MOST_VALUE: usize = 64 * 1024;
+/// The largest command or reply.
+pub const MOST: usize = MOST_VALUE + 16 * 1024;
+const MOST_WORD: usize = 8 * 1024;
+const MOST_WORDS: i64 = 16;
+const MOST_LINE: usize = 1024;
+const MOST_DEPTH: u32 = 4;
+
+/// What stands before a line's end, and where the next line begins; `None` while there is no end yet.
+fn line(bytes: &[u8], from: usize) -> Result<Option<(&[u8], usize)>, &'static str> {
+    let rest = &bytes[from..];
+    match rest.iter().take(MOST_LINE).position(|&byte| byte == b'\n') {
+        Some(end) if end > 0 && rest[end - 1] == b'\r' => Ok(Some((&rest[..end - 1], from + end + 1))),
+        Some(_) => Err("a line without a carriage return"),
+        None if rest.len() >= MOST_LINE => Err("too long a line"),
+        None => Ok(None),
+    }
+}
+
+fn number(digits: &[u8]) -> Result<i64, &'static str> {
+    let text = std::str::from_utf8(digits).map_err(|_| "no number")?;
+    text.parse().map_err(|_| "no number")
+}
+
+/// One bulk string at `from`: where its bytes stand (`None` for null) and what follows.
+type Bulk = (Option<Range<usize>>, usize);
+
+fn bulk(bytes: &[u8], from: usize, most: usize) -> Result<Option<Bulk>, &'static str> {
+    let Some((head, start)) = line(bytes, from)? else { return Ok(None) };
+    if head.first() != Some(&b'$') {
+        return Err("no bulk string");
+    }
+    let length = number(&head[1..])?;
+    if length == -1 {
+        return Ok(Some((None, start)));
+    }
+    let length = usize::try_from(length).map_err(|_| "no length")?;
+    if length > most {
+        return Err("too long a bulk string");
+    }
+    let end = start + length;
+    match bytes.get(end..end + 2) {
+        Some(b"\r\n") => Ok(Some((Some(start..end), end + 2))),
+        Some(_) => Err("a bulk string without its end"),
+        None => Ok(None),
+    }
+}
+
+/// A whole command at the front: its words, and how many bytes it took. `None` while it is not whole.
+pub fn command(bytes: &[u8]) -> Result<Option<(Vec<Bytes>, usize)>, &'static str> {
+    let Some(first) = bytes.first() else { return Ok(None) };
+    if *first != b'*' {
+        // A person at a terminal may write a command as a plain line.
+        let Some((text, used)) = line(bytes, 0)? else { return Ok(None) };
+        let words = text.split(u8::is_ascii_whitespace).filter(|word| !word.is_empty());
+        return Ok(Some((words.map(Bytes::copy_from_slice).collect(), used)));
+    }
+    let Some((head, mut at)) = line(bytes, 0)? else { return Ok(None) };
+    let count = number(&head[1..])?;
+    if !(0..=MOST_WORDS).contains(&count) {
+        return Err("no such number of words");
+    }
+    let mut places = Vec::with_capacity(count as usize);
+    for nth in 0..count {
+        // Only the fifth word of a command is a value.
+        let Some((place, next)) = bulk(bytes, at, if nth == 4 { MOST_VALUE } else { MOST_WORD })? else {
+            return Ok(None);
+        };
+        places.push(place.ok_or("a null word")?);
+        at = next;
+    }
+    // One copy that the words share: the buffer itself stays whole, so that it can be compacted in place.
+    let whole = Bytes::copy_from_slice(&bytes[..at]);
+    Ok(Some((places.into_iter().map(|place| whole.slice(place)).collect(), at)))
+}
+
+/// What a cache host answered.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// An array that begins with a value.
+    Value(Range<usize>),
+    /// The same with null for the value.
+    Miss,
+    Busy,
+    Failed,
+}
+
+/// A whole reply at the front and how many bytes it took. `None` while it is not whole.
+pub fn reply(bytes: &[u8]) -> Result<Option<(Reply, usize)>, &'static str> {
+    let Some((head, start)) = line(bytes, 0)? else { return Ok(None) };
+    match head.first() {
+        Some(b'-') if head == b"-BUSY" || head.starts_with(b"-BUSY ") => Ok(Some((Reply::Busy, start))),
+        Some(b'-') => Ok(Some((Reply::Failed, start))),
+        Some(b'*') if number(&head[1..])? > 0 => {
+            let Some((value, _)) = bulk(bytes, start, MOST_VALUE)? else { return Ok(None) };
+            let end = skip(bytes, 0, 0)?;
+            Ok(end.map(|end| (value.map_or(Reply::Miss, Reply::Value), end)))
+        }
+        _ => Err("no reply to a command of ours"),
+    }
+}
+
+/// Where the element at `from` ends.
+fn skip(bytes: &[u8], from: usize, depth: u32) -> Result<Option<usize>, &'static str> {
+    let Some((head, start)) = line(bytes, from)? else { return Ok(None) };
+    match head.first() {
+        Some(b'+' | b'-' | b':') => Ok(Some(start)),
+        Some(b'$') => Ok(bulk(bytes, from, MOST_VALUE)?.map(|(_, end)| end)),
+        Some(b'*') if depth < MOST_DEPTH => {
+            let mut at = start;
+            for _ in 0..number(&head[1..])?.min(MOST as i64) {
+                let Some(next) = skip(bytes, at, depth + 1)? else { return Ok(None) };
+                at = next;
+            }
+            Ok(Some(at))
+        }
+        _ => Err("no element of a reply"),
+    }
+}
+
+/// A command of these words.
+pub fn written(words: &[&[u8]]) -> Bytes {
+    let length = words.iter().map(|word| word.len() + 16).sum::<usize>() + 16;
+    let mut out = BytesMut::with_capacity(length);
+    out.put_slice(format!("*{}\r\n", words.len()).as_bytes());
+    words.iter().for_each(|word| put_bulk(&mut out, word));
+    out.freeze()
+}
+
+pub fn value(value: &[u8]) -> Bytes {
+    let mut out = BytesMut::with_capacity(value.len() + 16);
+    put_bulk(&mut out, value);
+    out.freeze()
+}
+
+pub fn error(text: &str) -> Bytes {
+    Bytes::from(format!("-ERR {text}\r\n"))
+}
+
+fn put_bulk(out: &mut BytesMut, bytes: &[u8]) {
+    out.put_slice(format!("${}\r\n", bytes.len()).as_bytes());
+    out.put_slice(bytes);
+    out.put_slice(b"\r\n");
+}
--- /dev/null
+++ b/balancer/src/told.rs
@@ -0,0 +1,76 @@
+//! What a balancer is told at its start, from the file that PROXY_CONFIG names.
+
+use std::net::SocketAddr;
+
+use basaltwood::types::{Place, Terms};
+use basaltwood_terms::{Bounds, Info, Words};
+use serde::Deserialize;
+
+use crate::list::Page;
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    known: Page,
+    settings: Info,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { memory_mb: 192.0, sockets: 1024 }
+    }
+}
+
+pub struct Told {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub memory: usize,
+    pub sockets: usize,
+    pub known: Page,
+    pub terms: Terms,
+    pub words: Words,
+    pub bounds: Bounds,
+}
+
+impl Told {
+    pub fn read() -> Result<Told, String> {
+        let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_owned())?;
+        let text = std::fs::read_to_string(&path).map_err(|cause| format!("PROXY_CONFIG {path}: {cause}"))?;
+        Told::parse(&text).map_err(|cause| format!("PROXY_CONFIG {path}: {cause}"))
+    }
+
+    fn parse(text: &str) -> Result<Told, String> {
+        let file: File = serde_json::from_str(text).map_err(|cause| cause.to_string())?;
+        let address = |what: &str, text: &str| {
+            text.parse().map_err(|_| format!("{what} {text:?} is no address with a port"))
+        };
+        let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| Place::of(&file.seed).0);
+        if !(8.0..1e9).contains(&file.limits.memory_mb) || file.limits.sockets < 32 {
+            return Err("limits: at least 8 MB and 32 sockets are needed".to_owned());
+        }
+        Ok(Told {
+            listen: address("listen", &file.listen)?,
+            discovery: address("discovery", &file.discovery)?,
+            memory: (file.limits.memory_mb * 1024.0 * 1024.0) as usize,
+            sockets: file.limits.sockets,
+            known: file.known,
+            terms: file.settings.terms(seed)?,
+            words: Words::new(&file.settings),
+            bounds: file.settings.bounds(),
+            name: file.name,
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of a router for fleets of cache servers: `rules` decides, `types` is its interface,
-//! `histogram` measures. No clock, no I/O, no global state.
+//! `histogram` measures, `facade` puts it all in blocking style. No clock, no I/O, no global state.
 
+pub mod facade;
 pub mod histogram;
 pub mod rules;
 pub mod types;
--- /dev/null
+++ b/terms/src/lib.rs
@@ -0,0 +1,269 @@
+//! The settings object as operators hand it out, read into `Terms` and the words for ids: once, for the
+//! simulator's adapter and for the balancer on sockets. The raw object is not kept.
+
+use std::collections::HashMap;
+
+use basaltwood::types::*;
+use serde::Deserialize;
+
+/// Milliseconds with fractions to the nearest whole microsecond: the simulator counts in these.
+pub fn micros(ms: f64) -> Micros {
+    (ms * 1000.0).round() as Micros
+}
+
+/// Numbers texts in the order in which they are first met.
+#[derive(Default)]
+pub struct Names {
+    numbers: HashMap<String, u32>,
+    pub texts: Vec<String>,
+}
+
+impl Names {
+    pub fn number(&mut self, text: &str) -> u32 {
+        if let Some(&number) = self.numbers.get(text) {
+            return number;
+        }
+        let number = self.texts.len() as u32;
+        self.numbers.insert(text.to_owned(), number);
+        self.texts.push(text.to_owned());
+        number
+    }
+
+    pub fn known(&self, text: &str, what: &str) -> Result<u32, String> {
+        self.numbers.get(text).copied().ok_or_else(|| format!("unknown {what} {text}"))
+    }
+}
+
+fn names(texts: impl IntoIterator<Item = String>) -> Names {
+    let mut names = Names::default();
+    texts.into_iter().for_each(|text| {
+        names.number(&text);
+    });
+    names
+}
+
+/// The words of a deployment and the ids that the module knows them by.
+pub struct Words {
+    pub hosts: Names,
+    zones: Names,
+    categories: Names,
+    customers: Names,
+    origin: Option<String>,
+}
+
+/// A host as a list words it.
+pub struct Entry<'a> {
+    pub host: &'a str,
+    pub zone: Option<&'a str>,
+    pub kind: Option<&'a str>,
+    pub cell: Option<u32>,
+    pub lifecycle: Lifecycle,
+    pub weight: Option<f64>,
+    pub started: Option<Micros>,
+}
+
+impl Words {
+    pub fn new(info: &Info) -> Words {
+        let kind = info.domain.as_ref().and_then(|domain| domain.origin_kind).unwrap_or(-1);
+        Words {
+            hosts: Names::default(),
+            zones: names(info.dcs.iter().cloned()),
+            categories: names(info.categories.iter().map(|category| category.name.clone())),
+            customers: names(info.tenants.iter().flatten().map(|tenant| tenant.name.clone())),
+            origin: usize::try_from(kind).ok().and_then(|kind| info.machine_types.get(kind).cloned()),
+        }
+    }
+
+    pub fn category(&self, name: &str) -> Result<CategoryId, String> {
+        self.categories.known(name, "category").map(|number| CategoryId(number as u16))
+    }
+
+    pub fn customer(&self, name: &str) -> Option<CustomerId> {
+        self.customers.known(name, "customer").ok().map(|number| CustomerId(number as u16))
+    }
+
+    pub fn listed(&mut self, entry: &Entry) -> Listed {
+        Listed {
+            host: HostId(self.hosts.number(entry.host)),
+            place: Place::of(entry.host),
+            origin: self.origin.is_some() && entry.kind == self.origin.as_deref(),
+            zone: ZoneId(entry.zone.map_or(0, |zone| self.zones.number(zone))),
+            cell: CellId(entry.cell.unwrap_or(0)),
+            lifecycle: entry.lifecycle,
+            weight: entry.weight.unwrap_or(1.0),
+            started: entry.started,
+        }
+    }
+}
+
+/// What bounds a balancer's connections, where the settings say.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// A connection to a host that is not up by then will not come up.
+    pub connect_within: Micros,
+    /// Hosts close a connection that has stood idle for so long.
+    pub idle_for: Micros,
+    /// Ops open at a time.
+    pub most_held: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Info {
+    categories: Vec<Category>,
+    #[serde(default)]
+    dcs: Vec<String>,
+    #[serde(default)]
+    discovery: Option<String>,
+    #[serde(default)]
+    domain: Option<Domain>,
+    #[serde(default)]
+    excess_benefit: Option<f64>,
+    #[serde(default)]
+    group_size: Option<u32>,
+    invariants: Invariants,
+    limits: Limits,
+    #[serde(default)]
+    machine_types: Vec<String>,
+    #[serde(default)]
+    tenants: Option<Vec<Tenant>>,
+    #[serde(default)]
+    tick_ms: Option<f64>,
+    #[serde(default)]
+    weights: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Category {
+    name: String,
+    target_latency_ms: f64,
+    ttl_ms: f64,
+    semantics: String,
+    #[serde(default)]
+    group: Option<String>,
+    #[serde(default)]
+    window_ms: Option<f64>,
+    #[serde(default)]
+    benefit: Option<f64>,
+    #[serde(default)]
+    tardy_benefit: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Domain {
+    #[serde(default)]
+    mode: Option<String>,
+    #[serde(default)]
+    origin_kind: Option<i64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Invariants {
+    cold_from: f64,
+    warm_within_ms: f64,
+    tip_multiple: f64,
+    tip_after_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    max_pushes: u32,
+    #[serde(default)]
+    may_duplicate: bool,
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_ms: Option<f64>,
+    #[serde(default)]
+    connect_timeout_ms: Option<f64>,
+    #[serde(default)]
+    keepalive_ms: Option<f64>,
+    #[serde(default)]
+    most_held: Option<usize>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Tenant {
+    name: String,
+    #[serde(default)]
+    quota_per_s: Option<f64>,
+}
+
+impl Info {
+    pub fn bounds(&self) -> Bounds {
+        let given = |ms: Option<f64>, default: Micros| ms.filter(|&ms| ms > 0.0).map_or(default, micros);
+        Bounds {
+            connect_within: given(self.limits.connect_timeout_ms, 250_000),
+            idle_for: given(self.limits.keepalive_ms, 15_000_000),
+            most_held: self.limits.most_held.filter(|&most| most > 0).unwrap_or(20_000),
+        }
+    }
+
+    pub fn terms(&self, seed: u64) -> Result<Terms, String> {
+        if self.categories.is_empty() {
+            return Err("no categories".to_owned());
+        }
+        let category = |category: &Category| {
+            let repeats = match (category.semantics.as_str(), category.window_ms.map(micros)) {
+                ("retryable", _) => Repeats::Redeliverable,
+                ("fragile", _) => Repeats::AtMostOnce,
+                ("dedup", Some(window)) if window > 0 => Repeats::Deduplicated {
+                    group: match category.group.as_deref() {
+                        Some("zone") => Group::Zone,
+                        Some("cell") => Group::Cell,
+                        _ => Group::All,
+                    },
+                    window,
+                },
+                ("dedup", _) => return Err(format!("category {}: no window for repeats", category.name)),
+                (other, _) => return Err(format!("category {}: unknown kind {other}", category.name)),
+            };
+            Ok(CategoryTerms {
+                target_latency: micros(category.target_latency_ms),
+                ttl: micros(category.ttl_ms),
+                benefit: category.benefit.unwrap_or(1.0),
+                late_benefit: category.tardy_benefit.unwrap_or(0.0),
+                repeats,
+            })
+        };
+        Ok(Terms {
+            seed,
+            balancers: self.group_size.unwrap_or(1).max(1),
+            allowed: Allowed {
+                aside: self.domain.as_ref().and_then(|domain| domain.mode.as_deref()) == Some("aside"),
+                list_asked: self.discovery.as_deref() == Some("ask"),
+                weights_steady: !matches!(self.weights.as_deref(), Some("live" | "off") | None),
+                max_pushes: self.limits.max_pushes,
+                second_copies: self.limits.may_duplicate,
+                call_off: self.limits.cancel,
+            },
+            come_back: self
+                .limits
+                .max_retry_after_ms
+                .filter(|&ms| self.limits.retry_after && ms > 0.0)
+                .map(micros),
+            tick: micros(self.tick_ms.unwrap_or(1.0)),
+            excess_benefit: self.excess_benefit.unwrap_or(1.0),
+            cold: ColdTerms {
+                from: self.invariants.cold_from,
+                warm_within: micros(self.invariants.warm_within_ms),
+                fall_multiple: self.invariants.tip_multiple,
+                fall_window: micros(self.invariants.tip_after_ms),
+            },
+            categories: self.categories.iter().map(category).collect::<Result<_, _>>()?,
+            customers: self
+                .tenants
+                .iter()
+                .flatten()
+                .map(|tenant| CustomerTerms { quota_per_s: tenant.quota_per_s.unwrap_or(0.0) })
+                .collect(),
+        })
+    }
+}
