Slow clients are cut off, waiting answers count as memory, too long a command is answered

A failed call to discovery asks for the whole list next, so that a version it does not know cannot keep the list still.

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -9,17 +9,17 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::budget::Permit;
 use crate::buffer::Buffer;
-use crate::ops::Desk;
+use crate::ops::{Desk, Text};
 use crate::phases::Phase;
 use crate::resp;
 
 /// Commands of one connection that wait for their answers; more are left unread.
-const PIPELINE: usize = 64;
-/// A client that takes nothing of an answer for so long is cut off.
+const PIPELINE: usize = 32;
+/// A client that takes longer over one answer, or over writing one command, is cut off.
 const SLOW: Duration = Duration::from_secs(5);
 /// After our end is closed, the client's end is awaited so long: closing at once over bytes that were not
 /// read would reset the connection and could take the last answer with it.
@@ -56,7 +56,7 @@
 /// An answer that is there, or that an op still owes.
 enum Answer {
     There(Bytes),
-    Owed(oneshot::Receiver<Bytes>),
+    Owed(oneshot::Receiver<Text>),
 }
 
 async fn serve(desk: Rc<Desk>, mut stream: TcpStream, permit: Permit, mut phase: watch::Receiver<Phase>) {
@@ -75,6 +75,8 @@
     let mut held = desk.budget.hold();
     let mut waiting: VecDeque<Answer> = VecDeque::new();
     let mut sending = Bytes::new();
+    // By when the answer under way is to be taken, or the command begun to be whole.
+    let mut until: Option<Instant> = None;
     // No more is read: the client broke the protocol or asked to be let go.
     let mut last = false;
     loop {
@@ -86,28 +88,30 @@
                         last = !command(desk, words, &mut waiting);
                     }
                 }
-                Ok(None) => break,
-                Err(cause) => {
+                Ok(None) if !buffer.full() => break,
+                broken => {
+                    let cause = broken.err().unwrap_or("too long a command");
                     desk.counters.malformed.add();
                     waiting.push_back(Answer::There(resp::error(&format!("Protocol error: {cause}"))));
                     last = true;
                 }
             }
         }
-        held.set(buffer.size() + sending.len());
         if sending.is_empty() {
-            match waiting.pop_front() {
-                Some(Answer::There(text)) => sending = text,
-                Some(owed) => waiting.push_front(owed),
-                None => {}
+            if let Some(Answer::There(text)) = waiting.pop_front_if(|first| matches!(first, Answer::There(_)))
+            {
+                (sending, until) = (text, None);
             }
         }
+        held.set(buffer.size() + sending.len());
         let idle = waiting.is_empty() && sending.is_empty();
         let draining = *phase.borrow_and_update() != Phase::Serving;
         if idle && (last || (draining && buffer.is_empty())) {
             return true;
         }
         let room = desk.budget.room_for_bytes();
+        let at_it = !sending.is_empty() || (idle && room && !buffer.is_empty());
+        until = if at_it { until.or_else(|| Some(Instant::now() + SLOW)) } else { None };
         let more = !last && waiting.len() < PIPELINE;
         tokio::select! {
             read = buffer.fill(&mut reading), if more && room => match read {
@@ -116,17 +120,17 @@
             },
             () = desk.budget.freed.notified(), if more && !room => {}
             text = owed(&mut waiting), if sending.is_empty() => match text {
-                Some(text) => sending = text,
+                Some((text, _)) => (sending, until) = (text, None),
                 None => return false,
             },
-            wrote = timeout(SLOW, writing.write(&sending)), if !sending.is_empty() => match wrote {
-                Ok(Ok(count)) if count > 0 => sending.advance(count),
-                Err(_) => {
-                    desk.counters.clients_slow.add();
-                    return false;
-                }
+            wrote = writing.write(&sending), if !sending.is_empty() => match wrote {
+                Ok(count) if count > 0 => sending.advance(count),
                 _ => return false,
             },
+            () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => {
+                desk.counters.clients_slow.add();
+                return false;
+            }
             _ = phase.changed(), if !draining => {}
             () = desk.budget.shed.notified(), if idle && buffer.is_empty() => {
                 if !desk.budget.room_for_client() {
@@ -139,7 +143,7 @@
 }
 
 /// The answer that the first op of a connection owes, once it is there.
-async fn owed(waiting: &mut VecDeque<Answer>) -> Option<Bytes> {
+async fn owed(waiting: &mut VecDeque<Answer>) -> Option<Text> {
     match waiting.front_mut() {
         Some(Answer::Owed(answer)) => {
             let text = answer.await.ok();
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -129,7 +129,8 @@
                 from = Some(take(&desk, page, whole));
             }
             Err(cause) => {
-                connection = None;
+                // The next call asks for all: whatever went wrong, it may be that version which is not known.
+                (connection, from) = (None, None);
                 desk.counters.list_failures.add();
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!("discovery: {cause}; the list stays as it is");
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -21,6 +21,9 @@
 /// Longer waits than this are cut to it.
 const LONGEST: Micros = 3_600_000_000;
 
+/// A final answer as it goes to the client, and the memory that it takes until it is sent.
+pub type Text = (Bytes, Held);
+
 /// What a client asked, in its own bytes.
 pub struct Request {
     pub command: Bytes,
@@ -139,7 +142,7 @@
         self: Rc<Desk>,
         request: Request,
         ask: Ask,
-        answer: oneshot::Sender<Bytes>,
+        answer: oneshot::Sender<Text>,
         held: Held,
     ) {
         self.counters.ops.add();
@@ -178,7 +181,7 @@
     }
 }
 
-async fn gone(answer: &mut Option<oneshot::Sender<Bytes>>) {
+async fn gone(answer: &mut Option<oneshot::Sender<Text>>) {
     match answer {
         Some(answer) => answer.closed().await,
         None => std::future::pending().await,
@@ -191,7 +194,7 @@
     op: OpId,
     request: Rc<Request>,
     held: Option<Held>,
-    answer: Option<oneshot::Sender<Bytes>>,
+    answer: Option<oneshot::Sender<Text>>,
     tasks: JoinSet<(PushNo, Outcome)>,
     out: BTreeMap<PushNo, AbortHandle>,
     value: Option<Bytes>,
@@ -245,11 +248,11 @@
     }
 
     fn finish(&mut self, text: Bytes) {
-        if let Some(answer) = self.answer.take() {
+        if let (Some(answer), Some(mut held)) = (self.answer.take(), self.held.take()) {
+            held.set(text.len());
             // A client that has just gone needs none.
-            let _ = answer.send(text);
+            let _ = answer.send((text, held));
         }
-        self.held = None;
     }
 
     fn report(&self, push: PushNo, end: End) -> Vec<Decision> {
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -76,7 +76,7 @@
         spawn_local(list::watch(desk.clone(), told.discovery, known));
         spawn_local(tick(desk.clone()));
         spawn_local(sweep_idle(desk.clone()));
-        log::info!("{} listens on {}", told.name, told.listen);
+        log::info!("{} listens on {}", told.name, listener.local_addr().map_err(failed)?);
         Ok(Phases { phase, desk, listener, signals })
     }
 
