--- /dev/null
+++ b/balancer/tests/sockets.rs
@@ -0,0 +1,237 @@
+//! The program over sockets: it is started, spoken to, and watched from its stand-ins' side.
+
+#[path = "../../tests/common/mod.rs"]
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
+
+use common::*;
+use expect_test::expect;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
+/// Nothing listens there.
+const NOWHERE: &str = "127.0.0.1:1";
+
+fn nowhere() -> SocketAddr {
+    NOWHERE.parse().expect("an address")
+}
+
+/// The program with what it knows at its start, and a discovery that is never there.
+fn program(known: &[(&str, &Peer)]) -> Program {
+    let known: Vec<String> = known.iter().map(|(name, peer)| entry(name, peer.address, "active")).collect();
+    Program::start(BINARY, nowhere(), &known, 1024)
+}
+
+#[test]
+fn an_op_goes_on_as_it_came_and_its_answer_comes_back() {
+    let host = Peer::host(|asked| if asked.contains("lacked") { miss() } else { hit("value of 7f") });
+    let origin =
+        Peer::http(|asked| http_answer(200, if asked.starts_with("PUT") { "receipt" } else { "fetched" }));
+    let program = program(&[("a", &host), ("origin", &origin)]);
+    let mut client = program.client();
+    let mut trace = vec![client.asks(&["PING"]), client.asks(&["HELLO", "3"])];
+    trace.push(client.asks(&["CACHE.GET", "7f", "id1", "c=read,t=acme,d=480,size=3,new=x"]));
+    trace.push(client.asks(&["CACHE.GET", "lacked / key", "id2", "c=read,d=480"]));
+    trace.push(client.asks(&["CACHE.SET", "7f", "id3", "c=put,d=480,k=5c0f", "VALUE\r\n!"]));
+    trace.extend([host.next(), host.next(), origin.next(), origin.next()]);
+    expect![[r#"
+        +PONG
+        -ERR unknown command
+        value of 7f
+        fetched
+        receipt
+        CACHE.GET 7f id1 c=read,t=acme,d=..,size=3,new=x
+        CACHE.GET lacked / key id2 c=read,d=..
+        GET /lacked%20%2F%20key | X-Correlation-Id: id2 | X-Facts: c=read,d=..
+        PUT /7f | X-Correlation-Id: id3 | X-Facts: c=put,d=..,k=5c0f | VALUE
+        !"#]]
+    .assert_eq(&trace.join("\n").replace('\r', ""));
+}
+
+#[test]
+fn answers_keep_the_order_of_commands_and_a_client_that_goes_ends_its_pushes() {
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let host = Peer::host(move |asked| {
+        if asked.contains(" slow") {
+            let _ = released.lock().expect("a lock").recv();
+        }
+        if asked.contains(" never") {
+            Says::Nothing
+        } else {
+            hit(asked.split(' ').nth(2).unwrap_or(""))
+        }
+    });
+    let program = program(&[("a", &host)]);
+    let mut client = program.client();
+    client.get("slow", "id1", "c=read,d=1500");
+    client.get("k", "id2", "c=read,d=1500");
+    client.raw(b"PING\r\n");
+    let both = [host.next(), host.next()].concat();
+    assert!(both.contains("id1") && both.contains("id2"), "both were sent at once");
+    release.send(()).expect("it waits");
+    let mut trace = vec![client.answer(), client.answer(), client.answer()];
+    client.get("never", "id3", "c=read,d=1500");
+    trace.push(host.next());
+    drop(client);
+    // Two connections stand idle; the one with the push out is closed.
+    trace.push(host.next());
+    program.signal("USR1");
+    trace.push(counted(&program.logged("counters"), &["ops", "acked", "dropped", "push_called_off"]));
+    expect![[r#"
+        id1
+        id2
+        +PONG
+        CACHE.GET never id3 c=read,d=..
+        closed
+        ops=3 acked=2 dropped=1 push_called_off=1"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+/// The named counters of a line of them.
+fn counted(line: &str, names: &[&str]) -> String {
+    let of = |name: &&str| line.split(' ').find(|word| word.starts_with(&format!("{name}=")));
+    names.iter().filter_map(of).collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn bad_input_is_answered_and_takes_nothing_else_down() {
+    let host = Peer::host(|_| hit("v"));
+    let program = program(&[("a", &host)]);
+    let mut lines = Vec::new();
+    let mut client = program.client();
+    for words in [
+        &["CACHE.GET", "k"][..],
+        &["CACHE.GET", "k", "id", "c=read"],
+        &["CACHE.GET", "k", "id", "c=read,d=-5"],
+        &["CACHE.GET", "k", "id", "c=read,d=nan"],
+        &["CACHE.GET", "k", "id", "c=unheard-of,d=5"],
+        &["CACHE.GET", "k", "id", "d=5"],
+        &["CACHE.GET", "k", "id\r\nX-Evil: 1", "c=read,d=5"],
+        &["CACHE.SET", "k", "id", "c=put,d=5"],
+        &["CACHE.GET", "k", "id", "c=read,d=5", "value"],
+        &["FLUSHALL"],
+        &["CACHE.GET", "k", "id", "c=read,d=1e300"],
+    ] {
+        lines.push(client.asks(words));
+    }
+    let long = "x".repeat(65 * 1024);
+    let words = "$8000\r\n".to_owned() + &"x".repeat(8000) + "\r\n";
+    for bytes in [
+        "*x\r\n".to_owned(),
+        "*-1\r\n".to_owned(),
+        "*99999999999\r\n".to_owned(),
+        "*1\r\n$-1\r\n".to_owned(),
+        "*1\r\n$4\r\nPINGxx".to_owned(),
+        "PING\n".to_owned(),
+        format!(
+            "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$2\r\nid\r\n$9\r\nc=put,d=5\r\n${}\r\n{long}\r\n",
+            long.len()
+        ),
+        format!("*16\r\n{}", words.repeat(15)),
+        long.clone(),
+    ] {
+        let mut client = program.client();
+        client.raw(bytes.as_bytes());
+        lines.push(format!("{} then {}", client.answer(), client.answer()));
+    }
+    lines.push(program.client().asks(&["CACHE.GET", "k", "id", "c=read,d=480"]));
+    expect![[r#"
+        -ERR a key, an id and facts are needed
+        -ERR no d: the time to wait is missing
+        -ERR no d: the time to wait is missing
+        -ERR no d: the time to wait is missing
+        -ERR unknown category unheard-of
+        -ERR no c: the category is missing
+        -ERR a key and an id of plain characters are needed
+        -ERR wrong number of arguments
+        -ERR wrong number of arguments
+        -ERR unknown command
+        v
+        -ERR Protocol error: no number then closed
+        -ERR Protocol error: no such number of words then closed
+        -ERR Protocol error: no such number of words then closed
+        -ERR Protocol error: a null word then closed
+        -ERR Protocol error: a bulk string without its end then closed
+        -ERR Protocol error: a line without a carriage return then closed
+        -ERR Protocol error: too long a bulk string then closed
+        -ERR Protocol error: too long a command then closed
+        -ERR Protocol error: too long a line then closed
+        v"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn what_it_is_told_at_its_start_must_make_sense() {
+    let mut lines = Vec::new();
+    for text in [
+        "{nonsense",
+        "{}",
+        r#"{"name":"n","listen":"here","discovery":"127.0.0.1:1","seed":"1","known":{"generation":1},
+        "settings":{"categories":[],"invariants":{"coldFrom":1,"warmWithinMs":1,"tipMultiple":1,"tipAfterMs":1},"limits":{"maxPushes":1}}}"#,
+    ] {
+        let mut program = Program::told(BINARY, text);
+        let code = program.ended().code();
+        let log: Vec<String> = program.rest().iter().map(|line| after(line, ".json: ")).collect();
+        lines.push(format!("{code:?} {}", log.join(" / ")));
+    }
+    expect![[r#"
+        Some(1) key must be a string at line 1 column 2
+        Some(1) missing field `name` at line 1 column 2
+        Some(1) listen "here" is no address with a port"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+fn after(line: &str, mark: &str) -> String {
+    line.split_once(mark).map_or(line, |found| found.1).to_owned()
+}
+
+/// A key whose home of two hosts is the first.
+const HOME_A: &str = "k2";
+
+#[test]
+fn only_what_surely_never_ran_goes_on_where_repeats_are_harmful() {
+    let mut lines = Vec::new();
+    let rules: [(&str, fn(&str) -> Says); 6] = [
+        ("closes", |_| Says::Last(String::new())),
+        ("half an answer", |_| Says::Last("*3\r\n$9\r\nhalf".to_owned())),
+        ("error", |_| Says::Text("-ERR failed\r\n".to_owned())),
+        ("busy", |_| Says::Text("-BUSY\r\n".to_owned())),
+        ("no answer", |_| Says::Text("+OK\r\n".to_owned())),
+        ("silent", |_| Says::Nothing),
+    ];
+    for (name, rule) in rules {
+        for category in ["read", "once"] {
+            // Each from a new start, so that the first one's lesson does not sway the second.
+            let (a, b) = (Peer::host(rule), Peer::host(|_| hit("from b")));
+            let program = program(&[("a", &a), ("b", &b)]);
+            let mut client = program.client();
+            client.get(HOME_A, "id", &format!("c={category},d=600"));
+            assert!(a.next().contains("CACHE.GET"));
+            lines.push(format!("{name}, {category}: {}, another push {}", client.answer(), !b.quiet()));
+        }
+    }
+    let b = Peer::host(|_| hit("from b"));
+    let known = [entry("a", nowhere(), "active"), entry("b", b.address, "active")];
+    let refused = Program::start(BINARY, nowhere(), &known, 1024);
+    lines.push(format!(
+        "refused, once: {}",
+        refused.client().asks(&["CACHE.GET", HOME_A, "id", "c=once,d=600"])
+    ));
+    expect![[r#"
+        closes, read: from b, another push true
+        closes, once: -ERR dead-lettered, another push false
+        half an answer, read: from b, another push true
+        half an answer, once: -ERR dead-lettered, another push false
+        error, read: from b, another push true
+        error, once: -ERR dead-lettered, another push false
+        busy, read: from b, another push true
+        busy, once: from b, another push true
+        no answer, read: from b, another push true
+        no answer, once: -ERR dead-lettered, another push false
+        silent, read: -ERR dead-lettered, another push false
+        silent, once: -ERR dead-lettered, another push false
+        refused, once: from b"#]].assert_eq(&lines.join("\n"));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,17 @@
-//! Shared by the trace tests: a small fleet, events in, a printed trace of the orders out.
+//! Shared by all tests. For decisions: a small fleet, events in, a printed trace of the orders out. For
+//! sockets: the program started as operators start it, and stand-ins for what it speaks with.
+#![allow(dead_code)] // each test file uses its part
 
-use std::fmt::Write;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, BufReader, Read, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
 
 use basaltwood::rules::Balancer;
 use basaltwood::types::*;
@@ -159,3 +170,307 @@
     }
     text
 }
+
+/// How long an event may take to come before a test fails.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// What a stand-in does with a request.
+pub enum Says {
+    Text(String),
+    /// The last on this connection.
+    Last(String),
+    Nothing,
+}
+
+/// Something the balancer speaks with: it tells the test what it was asked and answers by a rule.
+pub struct Peer {
+    pub address: SocketAddr,
+    seen: Receiver<String>,
+}
+
+type Rule = Arc<dyn Fn(&str) -> Says + Send + Sync>;
+type Reader = fn(&mut BufReader<TcpStream>) -> io::Result<String>;
+
+impl Peer {
+    pub fn host(rule: impl Fn(&str) -> Says + Send + Sync + 'static) -> Peer {
+        Peer::start(read_command, Arc::new(rule))
+    }
+
+    pub fn http(rule: impl Fn(&str) -> Says + Send + Sync + 'static) -> Peer {
+        Peer::start(read_http, Arc::new(rule))
+    }
+
+    fn start(read: Reader, rule: Rule) -> Peer {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, seen) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (tell, rule) = (tell.clone(), rule.clone());
+                thread::spawn(move || attend(stream, read, &rule, &tell));
+            }
+        });
+        Peer { address, seen }
+    }
+
+    /// The next request, or `closed` where the balancer closed a connection.
+    pub fn next(&self) -> String {
+        self.seen.recv_timeout(PATIENCE).expect("nothing came")
+    }
+
+    pub fn quiet(&self) -> bool {
+        self.seen.try_recv().is_err()
+    }
+}
+
+fn attend(stream: TcpStream, read: Reader, rule: &Rule, tell: &Sender<String>) {
+    let mut writing = stream.try_clone().expect("a second handle");
+    let mut reading = BufReader::new(stream);
+    while let Ok(asked) = read(&mut reading) {
+        let _ = tell.send(asked.clone());
+        let (text, last) = match rule(&asked) {
+            Says::Text(text) => (text, false),
+            Says::Last(text) => (text, true),
+            Says::Nothing => continue,
+        };
+        if writing.write_all(text.as_bytes()).is_err() || last {
+            return;
+        }
+    }
+    let _ = tell.send("closed".to_owned());
+}
+
+fn read_line(from: &mut impl BufRead) -> io::Result<String> {
+    let mut line = String::new();
+    match from.read_line(&mut line)? {
+        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+        _ => Ok(line.trim_end().to_owned()),
+    }
+}
+
+fn read_exact(from: &mut impl BufRead, count: usize) -> io::Result<String> {
+    let mut bytes = vec![0; count];
+    from.read_exact(&mut bytes)?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// A command's words with a space between, the time to wait as `d=..`: it differs from run to run.
+fn read_command(from: &mut BufReader<TcpStream>) -> io::Result<String> {
+    let head = read_line(from)?;
+    let count: usize = head[1..].parse().expect("an array");
+    let words: Vec<String> = (0..count).map(|_| read_bulk(from)).collect::<io::Result<_>>()?;
+    Ok(without_wait(&words.join(" ")))
+}
+
+fn read_bulk(from: &mut impl BufRead) -> io::Result<String> {
+    let head = read_line(from)?;
+    let length = head[1..].parse::<usize>().expect("a bulk string");
+    let mut text = read_exact(from, length + 2)?;
+    text.truncate(length);
+    Ok(text)
+}
+
+fn without_wait(text: &str) -> String {
+    match text.split_once(",d=") {
+        Some((before, after)) => {
+            let rest = after.trim_start_matches(|digit: char| digit.is_ascii_digit());
+            format!("{before},d=..{rest}")
+        }
+        None => text.to_owned(),
+    }
+}
+
+fn read_http(from: &mut BufReader<TcpStream>) -> io::Result<String> {
+    let mut text = read_line(from)?.replace(" HTTP/1.1", "");
+    let mut length = 0;
+    loop {
+        let line = read_line(from)?;
+        if line.is_empty() {
+            break;
+        }
+        if let Some(count) = line.strip_prefix("Content-Length: ") {
+            length = count.parse().expect("a length");
+        }
+        if line.starts_with("X-") {
+            let _ = write!(text, " | {}", without_wait(&line));
+        }
+    }
+    let body = read_exact(from, length)?;
+    Ok(if body.is_empty() { text } else { format!("{text} | {body}") })
+}
+
+/// A cache host's answer with a value.
+pub fn hit(value: &str) -> Says {
+    Says::Text(format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len()))
+}
+
+pub fn miss() -> Says {
+    Says::Text("*3\r\n$-1\r\n$-1\r\n$-1\r\n".to_owned())
+}
+
+pub fn http_answer(status: u32, body: &str) -> Says {
+    Says::Text(format!("HTTP/1.1 {status} so\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+/// An entry of the list, as discovery writes it.
+pub fn entry(name: &str, address: SocketAddr, lifecycle: &str) -> String {
+    let kind = if name == "origin" { "origin" } else { "box" };
+    format!(
+        r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"a","machineType":"{kind}","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
+    )
+}
+
+/// Discovery: holds a watch until the test tells something new.
+pub struct Discovery {
+    pub peer: Peer,
+    state: Arc<(Mutex<(u64, String)>, Condvar)>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let state = Arc::new((Mutex::new((1, String::new())), Condvar::new()));
+        let shared = state.clone();
+        let peer = Peer::http(move |asked| {
+            let number = |text: &str| text.split('&').next().and_then(|text| text.parse::<u64>().ok());
+            let from = asked.split_once("from=").and_then(|found| number(found.1)).unwrap_or(0);
+            let held = shared.1.wait_while(shared.0.lock().expect("a lock"), |now| now.0 <= from);
+            let (generation, entries) = held.expect("a lock").clone();
+            let body = format!(r#"{{"generation":{generation},"reset":true,"instances":[{entries}]}}"#);
+            http_answer(200, &body)
+        });
+        Discovery { peer, state }
+    }
+
+    pub fn tell(&self, entries: &[String]) {
+        let mut state = self.state.0.lock().expect("a lock");
+        *state = (state.0 + 1, entries.join(","));
+        self.state.1.notify_all();
+    }
+}
+
+const SETTINGS: &str = r#"{"categories":[
+    {"name":"read","targetLatencyMs":800.0,"ttlMs":2000.0,"semantics":"retryable","benefit":5.0},
+    {"name":"put","targetLatencyMs":800.0,"ttlMs":2000.0,"semantics":"dedup","group":"all","windowMs":5000.0,"benefit":8.0},
+    {"name":"once","targetLatencyMs":800.0,"ttlMs":2000.0,"semantics":"fragile","benefit":8.0}],
+    "domain":{"mode":"aside","originKind":1},"machineTypes":["box","origin"],"dcs":["a"],"groupSize":2,
+    "invariants":{"coldFrom":0.2,"warmWithinMs":9000.0,"tipMultiple":3.0,"tipAfterMs":3000.0},
+    "limits":{"maxPushes":4,"mayDuplicate":true,"cancel":true,"retryAfter":true,"maxRetryAfterMs":2000.0,
+              "connectTimeoutMs":250.0,"keepaliveMs":15000.0},"unheardOf":{"x":1}}"#;
+
+/// The program, started as operators start it and killed when dropped.
+pub struct Program {
+    child: Child,
+    log: Receiver<String>,
+    pub address: String,
+    told: PathBuf,
+}
+
+impl Program {
+    /// Starts it and waits until it serves.
+    pub fn start(binary: &str, discovery: SocketAddr, known: &[String], sockets: u32) -> Program {
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+            "known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{SETTINGS}}}"#,
+            known.join(",")
+        );
+        let mut program = Program::told(binary, &text);
+        let line = program.logged("listens on");
+        program.address = line.rsplit(' ').next().expect("an address").to_owned();
+        program.logged("Serving");
+        program
+    }
+
+    pub fn told(binary: &str, text: &str) -> Program {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("basaltwood-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let told = std::env::temp_dir().join(name);
+        std::fs::write(&told, text).expect("a file");
+        let mut command = Command::new(binary);
+        command.env("PROXY_CONFIG", &told).env("RUST_LOG", "info").stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let (tell, log) = channel();
+        thread::spawn(move || lines.map_while(Result::ok).all(|line| tell.send(line).is_ok()));
+        Program { child, log, address: String::new(), told }
+    }
+
+    /// The next line of the log that holds this.
+    pub fn logged(&self, what: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no line with {what}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    /// All that is left of the log once the program has ended.
+    pub fn rest(&self) -> Vec<String> {
+        self.log.iter().collect()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("sh").args(["-c", "kill -$0 $1", name, &id]).status();
+        assert!(sent.expect("a shell").success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(&self.address).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { reading: BufReader::new(stream.try_clone().expect("a second handle")), writing: stream }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.told);
+    }
+}
+
+pub struct Client {
+    reading: BufReader<TcpStream>,
+    pub writing: TcpStream,
+}
+
+impl Client {
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.writing.write_all(bytes).expect("it is taken");
+    }
+
+    pub fn send(&mut self, words: &[&str]) {
+        let mut text = format!("*{}\r\n", words.len());
+        for word in words {
+            let _ = write!(text, "${}\r\n{word}\r\n", word.len());
+        }
+        self.raw(text.as_bytes());
+    }
+
+    pub fn get(&mut self, key: &str, id: &str, facts: &str) {
+        self.send(&["CACHE.GET", key, id, facts]);
+    }
+
+    /// One answer: a value as it is, anything else as its line, `closed` at the end.
+    pub fn answer(&mut self) -> String {
+        let Ok(first) = self.reading.fill_buf().map(|bytes| bytes.first().copied()) else {
+            return "closed".to_owned();
+        };
+        match first {
+            Some(b'$') => read_bulk(&mut self.reading),
+            _ => read_line(&mut self.reading),
+        }
+        .unwrap_or("closed".to_owned())
+    }
+
+    pub fn asks(&mut self, words: &[&str]) -> String {
+        self.send(words);
+        self.answer()
+    }
+}
