SIGTERM does not send a client away unheard; tests for list, drain, origin, descriptors

A connection accepted after SIGTERM was closed before its first command: seen on reading, shown by the test of the drain. A phase Closing now follows Draining. Shedding for want of descriptors had the same fault, shown by its test.

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -79,6 +79,9 @@
     let mut until: Option<Instant> = None;
     // No more is read: the client broke the protocol or asked to be let go.
     let mut last = false;
+    // It has sent a command, or had time enough to: one that has just come must not be sent away unheard.
+    let mut settled = false;
+    let came = Instant::now();
     loop {
         while !last && waiting.len() < PIPELINE {
             match resp::command(buffer.bytes()) {
@@ -86,6 +89,7 @@
                     buffer.consume(used);
                     if !words.is_empty() {
                         last = !command(desk, words, &mut waiting);
+                        settled = true;
                     }
                 }
                 Ok(None) if !buffer.full() => break,
@@ -105,8 +109,12 @@
         }
         held.set(buffer.size() + sending.len());
         let idle = waiting.is_empty() && sending.is_empty();
-        let draining = *phase.borrow_and_update() != Phase::Serving;
-        if idle && (last || (draining && buffer.is_empty())) {
+        let ends = match *phase.borrow_and_update() {
+            Phase::Starting | Phase::Serving => false,
+            Phase::Draining => settled,
+            Phase::Closing | Phase::Ended => true,
+        };
+        if idle && (last || (ends && buffer.is_empty())) {
             return true;
         }
         let room = desk.budget.room_for_bytes();
@@ -129,10 +137,12 @@
             },
             () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => {
                 desk.counters.clients_slow.add();
+                log::info!("a client was too slow and is cut off");
                 return false;
             }
-            _ = phase.changed(), if !draining => {}
-            () = desk.budget.shed.notified(), if idle && buffer.is_empty() => {
+            _ = phase.changed() => {}
+            () = sleep_until(came + SLOW), if !settled => settled = true,
+            () = desk.budget.shed.notified(), if settled && idle && buffer.is_empty() => {
                 if !desk.budget.room_for_client() {
                     desk.counters.clients_shed.add();
                     return true;
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -29,8 +29,10 @@
     /// Reads what it is told and begins to listen.
     Starting,
     Serving,
-    /// Told to end: takes what still comes, answers it, closes connections between requests.
+    /// Told to end: takes what still comes, answers it, closes connections once they were of use.
     Draining,
+    /// Nothing new is taken; connections are closed as soon as they are owed nothing.
+    Closing,
     /// Nothing is owed any more.
     Ended,
 }
@@ -100,6 +102,7 @@
         sleep(STILL_COMING).await;
         // This closes the listener too.
         accepting.abort();
+        enter(Phase::Closing);
         // Each connection holds a receiver for as long as it lives, and ends once it owes nothing.
         let _ = timeout(LAST_ANSWERS, phase.closed()).await;
         enter(Phase::Ended);
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -194,7 +194,8 @@
 #[test]
 fn only_what_surely_never_ran_goes_on_where_repeats_are_harmful() {
     let mut lines = Vec::new();
-    let rules: [(&str, fn(&str) -> Says); 6] = [
+    type Rule = fn(&str) -> Says;
+    let rules: [(&str, Rule); 6] = [
         ("closes", |_| Says::Last(String::new())),
         ("half an answer", |_| Says::Last("*3\r\n$9\r\nhalf".to_owned())),
         ("error", |_| Says::Text("-ERR failed\r\n".to_owned())),
@@ -233,5 +234,208 @@
         no answer, once: -ERR dead-lettered, another push false
         silent, read: -ERR dead-lettered, another push false
         silent, once: -ERR dead-lettered, another push false
-        refused, once: from b"#]].assert_eq(&lines.join("\n"));
+        refused, once: from b"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn a_host_that_closed_an_idle_connection_costs_no_op() {
+    // It answers once on each connection and then closes it, saying nothing.
+    let host = Peer::host(|_| Says::Last("*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n".to_owned()));
+    let program = program(&[("a", &host)]);
+    let mut client = program.client();
+    let mut trace = Vec::new();
+    for nth in 0..3 {
+        let id = format!("id{nth}");
+        trace.push(client.asks(&["CACHE.GET", "k", &id, "c=once,d=600"]));
+        assert_eq!([host.next(), host.next()].last().map(String::as_str), Some("closed"));
+    }
+    program.signal("USR1");
+    let line = program.logged("counters");
+    trace.push(counted(&line, &["push_acked", "push_broken", "connections_opened", "connections_reused"]));
+    expect![[r#"
+        v
+        v
+        v
+        push_acked=3 push_broken=0 connections_opened=3 connections_reused=0"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn an_answer_of_the_origin_counts_only_whole() {
+    let head = |status: &str, rest: &str| format!("HTTP/1.1 {status}\r\n{rest}");
+    let answers = [
+        head("200 OK", "Content-Length: 2\r\n\r\nok"),
+        head("200 OK", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n1\r\n!\r\n0\r\n\r\n"),
+        head("200 OK", "Content-Length: 9\r\n\r\nhalf"),
+        head("200 OK", "\r\nwhere does it end"),
+        head("200 OK", "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok!"),
+        head("200 OK", "Content-Length: 99999999\r\n\r\n"),
+        head("200 OK", "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"),
+        "nonsense\r\n\r\n".to_owned(),
+        head("500 no", "Content-Length: 0\r\n\r\n"),
+        head("503 no", "X-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"),
+        head("503 no", "Content-Length: 0\r\n\r\n"),
+    ];
+    let mut lines = Vec::new();
+    for answer in answers {
+        let host = Peer::host(|_| miss());
+        let text = answer.clone();
+        let origin = Peer::http(move |_| Says::Last(text.clone()));
+        let program = program(&[("a", &host), ("origin", &origin)]);
+        let got = program.client().asks(&["CACHE.SET", "k", "id", "c=once,d=600", "v"]);
+        lines.push(format!("{} | {got}", answer.replace("\r\n", " ")));
+    }
+    expect![[r#"
+        HTTP/1.1 200 OK Content-Length: 2  ok | ok
+        HTTP/1.1 200 OK Transfer-Encoding: chunked  2 ok 1 ! 0   | ok!
+        HTTP/1.1 200 OK Content-Length: 9  half | -ERR dead-lettered
+        HTTP/1.1 200 OK  where does it end | -ERR dead-lettered
+        HTTP/1.1 200 OK Content-Length: 2 Content-Length: 3  ok! | -ERR dead-lettered
+        HTTP/1.1 200 OK Content-Length: 99999999   | -ERR dead-lettered
+        HTTP/1.1 200 OK Transfer-Encoding: chunked  ffffffffffffffff  | -ERR dead-lettered
+        nonsense   | -ERR dead-lettered
+        HTTP/1.1 500 no Content-Length: 0   | -ERR dead-lettered
+        HTTP/1.1 503 no X-Unprocessed: 1 Content-Length: 0   | -ERR dead-lettered
+        HTTP/1.1 503 no Content-Length: 0   | -ERR dead-lettered"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn the_list_is_watched_from_what_is_known_and_an_absurd_entry_spoils_no_other() {
+    let (a, b) = (Peer::host(|_| hit("from a")), Peer::host(|_| hit("from b")));
+    let discovery = Discovery::start();
+    let known = [entry("a", a.address, "active")];
+    let program = Program::start(BINARY, discovery.peer.address, &known, 1024);
+    let mut client = program.client();
+    let mut ask = |id: &str| client.asks(&["CACHE.GET", HOME_A, id, "c=read,d=600"]);
+    // Discovery is silent so far.
+    let mut trace = vec![discovery.peer.next(), ask("id1")];
+    let absurd = [r#"{"instanceId":"c","hostPort":"::","lifecycle":"active"}"#, "7", r#"{"instanceId":[]}"#];
+    let mut entries = vec![entry("a", a.address, "leaving"), entry("b", b.address, "active")];
+    entries.extend(absurd.map(str::to_owned));
+    discovery.tell(&entries);
+    trace.push(discovery.peer.next());
+    for _ in absurd {
+        trace.push(after(&program.logged("list entry"), "list] "));
+    }
+    trace.push(ask("id2"));
+    // The draining host's idle connection was closed.
+    trace.extend([a.next(), a.next(), b.next()]);
+    discovery.tell(&[entry("a", a.address, "active"), entry("b", b.address, "left")]);
+    trace.extend([discovery.peer.next(), ask("id3")]);
+    expect![[r#"
+        GET /v1/servers?from=1&hold_ms=20000
+        from a
+        GET /v1/servers?from=2&hold_ms=20000
+        list entry {"hostPort":"::","instanceId":"c","lifecycle":"active"}: "::" is no address with a port
+        list entry 7: invalid type: integer `7`, expected struct Instance
+        list entry {"instanceId":[]}: invalid type: sequence, expected a string
+        from b
+        CACHE.GET k2 id1 c=read,d=..
+        closed
+        CACHE.GET k2 id2 c=read,d=..
+        GET /v1/servers?from=3&hold_ms=20000
+        from a"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn a_discovery_that_fails_is_asked_for_the_whole_list() {
+    let host = Peer::host(|_| hit("v"));
+    let list =
+        format!(r#"{{"generation":9,"reset":true,"instances":[{}]}}"#, entry("a", host.address, "active"));
+    let discovery = Peer::http(move |asked| match asked {
+        "GET /v1/servers" => http_answer(200, &list),
+        asked if asked.contains("from=9") => Says::Nothing,
+        _ => http_answer(500, ""),
+    });
+    let program = Program::start(BINARY, discovery.address, &[], 1024);
+    let mut trace = vec![discovery.next(), discovery.next(), discovery.next(), discovery.next()];
+    trace.push(program.client().asks(&["CACHE.GET", "k", "id", "c=once,d=600"]));
+    expect![[r#"
+        GET /v1/servers?from=1&hold_ms=20000
+        closed
+        GET /v1/servers
+        GET /v1/servers?from=9&hold_ms=20000
+        v"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn told_to_end_it_answers_what_it_took_and_what_still_comes() {
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let host = Peer::host(move |asked| {
+        if asked.contains("slow") {
+            let _ = released.lock().expect("a lock").recv();
+        }
+        hit("v")
+    });
+    let mut program = program(&[("a", &host)]);
+    let (mut idle, mut slow) = (program.client(), program.client());
+    let mut trace = vec![idle.asks(&["PING"])];
+    slow.get("slow", "id1", "c=read,d=1500");
+    host.next();
+    program.signal("TERM");
+    program.logged("Draining");
+    let mut late = program.client();
+    trace.push(format!("idle: {}", idle.answer()));
+    trace.push(format!("late: {}", late.asks(&["CACHE.GET", "k", "id2", "c=read,d=600"])));
+    trace.push(format!("late: {}", late.answer()));
+    release.send(()).expect("it waits");
+    trace.push(format!("slow: {}", slow.answer()));
+    trace.push(format!("slow: {}", slow.answer()));
+    trace.push(format!("{:?}", program.ended().code()));
+    let log = program.rest();
+    let phases = log.iter().filter_map(|line| line.split_once("phases] ")).map(|found| found.1);
+    trace.extend(phases.map(|line| {
+        if line.contains('=') {
+            counted(line, &["ops", "acked"])
+        } else {
+            line.to_owned()
+        }
+    }));
+    expect![[r#"
+        +PONG
+        idle: closed
+        late: v
+        late: closed
+        slow: v
+        slow: closed
+        Some(0)
+        Closing
+        Ended
+        ops=2 acked=2"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn short_of_descriptors_idle_connections_make_room() {
+    let host = Peer::host(|_| hit("v"));
+    let known = [entry("a", host.address, "active")];
+    let program = Program::start(BINARY, nowhere(), &known, 40);
+    // More than it can hold; each is served all the same, at the cost of one that stands idle.
+    let mut clients: Vec<Client> = Vec::new();
+    for nth in 0..40 {
+        let mut client = program.client();
+        assert_eq!(client.asks(&["CACHE.GET", "k", &format!("id{nth}"), "c=once,d=600"]), "v");
+        clients.push(client);
+    }
+    assert_eq!(clients[0].answer(), "closed");
+}
+
+#[test]
+fn a_client_that_takes_no_answers_is_cut_off() {
+    let host = Peer::host(|_| hit(&"v".repeat(60_000)));
+    let program = program(&[("a", &host)]);
+    let mut slow = program.client();
+    let word =
+        |nth: u32| format!("*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$5\r\n{nth:05}\r\n$13\r\nc=read,d=1500\r\n");
+    let commands: String = (0..2_000).map(word).collect();
+    slow.writing.set_nonblocking(true).expect("a flag");
+    // What it does not take it is not sent either: the balancer stops reading.
+    let _ = std::io::Write::write(&mut slow.writing, commands.as_bytes());
+    assert_eq!(program.client().asks(&["PING"]), "+PONG");
+    program.logged("too slow");
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)] // each test file uses its part
 
 use std::fmt::Write as _;
-use std::io::{self, BufRead, BufReader, Read, Write as _};
+use std::io::{self, BufRead, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -213,7 +213,7 @@
         Peer { address, seen }
     }
 
-    /// The next request, or `closed` where the balancer closed a connection.
+    /// The next request, or `closed` once a connection is at its end.
     pub fn next(&self) -> String {
         self.seen.recv_timeout(PATIENCE).expect("nothing came")
     }
@@ -234,9 +234,10 @@
             Says::Nothing => continue,
         };
         if writing.write_all(text.as_bytes()).is_err() || last {
-            return;
+            break;
         }
     }
+    drop((reading, writing));
     let _ = tell.send("closed".to_owned());
 }
 
--- /dev/null
+++ b/tests/facade.rs
@@ -0,0 +1,97 @@
+//! The facade, as traces: what it answers, what lies in other ops' mailboxes, and that an op ends once.
+
+mod common;
+
+use basaltwood::facade::{Ask, Decision, Facade};
+use basaltwood::types::*;
+use common::*;
+use expect_test::expect;
+
+fn facade(hosts: u32) -> Facade {
+    let mut facade = Facade::new(&terms());
+    facade.list(0, true, (0..hosts).map(listed).collect());
+    facade
+}
+
+fn ask(category: CategoryId, key: &str) -> Ask {
+    let key = Some(Place::of(key));
+    Ask { category, customer: None, key, write: false, again: false, ttl_at: 2_000 * MS }
+}
+
+fn words(decisions: &[Decision]) -> String {
+    let word = |decision: &Decision| match decision {
+        Decision::Push { push, host, timeout } => {
+            format!("push {} to h{} for {}", push.0, host.0, timeout / MS)
+        }
+        Decision::CallOff(push) => format!("call off {}", push.0),
+        Decision::Ack(push) => format!("ack with {}", push.0),
+        Decision::Nack { come_back } => format!("nack, back in {}", come_back.map_or(0, |span| span / MS)),
+        Decision::DeadLetter => "dead letter".to_owned(),
+    };
+    if decisions.is_empty() {
+        "nothing".to_owned()
+    } else {
+        decisions.iter().map(word).collect::<Vec<_>>().join("; ")
+    }
+}
+
+#[test]
+fn an_op_ends_once_whatever_is_reported_after() {
+    let mut facade = facade(3);
+    let (op, first) = facade.pick(0, ask(READ, "k"));
+    let mut trace = vec![words(&first)];
+    trace.push(words(&facade.report(MS, op, PushNo(0), End::Unreachable)));
+    trace.push(words(&facade.report(2 * MS, op, PushNo(0), End::Acked)));
+    trace.push(words(&facade.report(3 * MS, op, PushNo(7), End::Acked)));
+    trace.push(words(&facade.report(4 * MS, op, PushNo(1), End::Acked)));
+    trace.push(words(&facade.report(5 * MS, op, PushNo(1), End::Acked)));
+    trace.push(words(&facade.dropped(6 * MS, op)));
+    trace.push(words(&Facade::new(&terms()).pick(0, ask(READ, "k")).1));
+    expect![[r#"
+        push 0 to h2 for 798
+        push 1 to h0 for 797
+        nothing
+        nothing
+        ack with 1
+        nothing
+        nothing
+        nack, back in 400"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn an_op_whose_client_has_gone_calls_its_pushes_off() {
+    let mut facade = facade(3);
+    let (op, _) = facade.pick(0, ask(ONCE, "k"));
+    let mut trace = vec![words(&facade.dropped(MS, op)), words(&facade.dropped(MS, op))];
+    trace.push(words(&facade.report(2 * MS, op, PushNo(0), End::CalledOff)));
+    expect![[r#"
+        call off 0
+        nothing
+        nothing"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn what_a_timer_decides_lies_in_the_mailboxes_of_the_ops() {
+    let mut facade = facade(3);
+    let ops: Vec<OpId> = (0..3).map(|_| facade.pick(0, ask(READ, "k")).0).collect();
+    assert_eq!(facade.rung(), vec![]);
+    let mut due = facade.tick(0);
+    let mut rung = Vec::new();
+    // The home does not answer; sooner or later that is held against it.
+    while let Some(now) = due.filter(|&now| now < 700 * MS && rung.is_empty()) {
+        due = facade.tick(now);
+        rung = facade.rung();
+    }
+    let mut trace = vec![format!("rung for {} of {}", rung.len(), ops.len())];
+    trace.extend(ops.iter().map(|&op| words(&facade.mail(op))));
+    trace.push(words(&facade.mail(ops[0])));
+    expect![[r#"
+        rung for 3 of 3
+        push 1 to h0 for 448
+        push 1 to h0 for 448
+        push 1 to h0 for 448
+        nothing"#]]
+    .assert_eq(&trace.join("\n"));
+}
