--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -118,7 +118,11 @@
         let permit = self.permit()?;
         let address = self.hosts.borrow().get(&host)?.address;
         let until = until.min(Instant::now() + span(self.bounds.connect_within));
-        let stream = timeout_at(until, TcpStream::connect(address)).await.ok()?.ok()?;
+        let connect = timeout_at(until, TcpStream::connect(address)).await;
+        let stream = connect
+            .unwrap_or_else(|late| Err(late.into()))
+            .inspect_err(|cause| log::debug!("host {} at {address} does not come up: {cause}", host.0))
+            .ok()?;
         stream.set_nodelay(true).ok()?;
         self.counters.connections_opened.add();
         Some(Link { stream, buffer: Buffer::new(most), idle_since: 0, _permit: permit })
