Clients may hold half the descriptors; final answers leave the op in no protocol's form

CPU was ruled out (0.03 s in the worst second), so was memory. Cause, in budget.rs: a quarter stayed free for hosts on top of what hosts already held, and 24 descriptors were set aside where 11 are used; clients waited in the listener's queue meanwhile. And clients.rs slept 20 ms after a host's idle connection had made room already. Now clients hold half at most, counted apart.

Also: ops.rs answers with Acked, Nacked or DeadLettered and clients.rs words that, so that a second protocol can; the bound on ops held is the facade's; a push whose op was answered while its connection came up is not written.

--- a/balancer/src/budget.rs
+++ b/balancer/src/budget.rs
@@ -5,13 +5,15 @@
 
 use tokio::sync::Notify;
 
-/// Descriptors that are no connections: standard streams, the runtime's, signals, the listener.
-const OWN: usize = 24;
+/// Descriptors that are no connections: standard streams, the runtime's, signals, the listener. 11 were seen.
+const OWN: usize = 16;
 
 pub struct Budget {
     free: Cell<usize>,
-    /// Clients leave so many to hosts, origin and list.
-    kept_from_clients: usize,
+    clients: Cell<usize>,
+    /// Every op needs a connection to a host beside its client's. What hosts use counts into their half: were
+    /// it kept free on top of that, clients would wait unheard while descriptors lie idle.
+    most_clients: usize,
     bytes: Cell<usize>,
     most_bytes: usize,
     /// Something came back.
@@ -21,12 +23,17 @@
 }
 
 /// One descriptor, given back when dropped.
-pub struct Permit(Rc<Budget>);
+pub struct Permit {
+    budget: Rc<Budget>,
+    client: bool,
+}
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.free.set(self.0.free.get() + 1);
-        self.0.freed.notify_waiters();
+        let budget = &self.budget;
+        budget.free.set(budget.free.get() + 1);
+        budget.clients.set(budget.clients.get() - usize::from(self.client));
+        budget.freed.notify_waiters();
     }
 }
 
@@ -55,7 +62,8 @@
         let connections = descriptors.saturating_sub(OWN).max(4);
         Rc::new(Budget {
             free: Cell::new(connections),
-            kept_from_clients: connections / 4,
+            clients: Cell::new(0),
+            most_clients: connections / 2,
             bytes: Cell::new(0),
             // Values wait twice, as a request and as an answer, and hosts' buffers come on top.
             most_bytes: memory / 4,
@@ -65,19 +73,26 @@
     }
 
     pub fn take(self: &Rc<Budget>) -> Option<Permit> {
-        let free = self.free.get();
-        (free > 0).then(|| {
-            self.free.set(free - 1);
-            Permit(self.clone())
-        })
+        self.permit(false)
     }
 
     pub fn take_for_client(self: &Rc<Budget>) -> Option<Permit> {
-        self.room_for_client().then(|| self.take()).flatten()
+        self.room_for_client().then(|| self.permit(true)).flatten()
+    }
+
+    fn permit(self: &Rc<Budget>, client: bool) -> Option<Permit> {
+        let free = self.free.get().checked_sub(1)?;
+        self.free.set(free);
+        self.clients.set(self.clients.get() + usize::from(client));
+        Some(Permit { budget: self.clone(), client })
     }
 
     pub fn room_for_client(&self) -> bool {
-        self.free.get() > self.kept_from_clients
+        self.free.get() > 0 && !self.clients_full()
+    }
+
+    pub fn clients_full(&self) -> bool {
+        self.clients.get() >= self.most_clients
     }
 
     pub fn hold(self: &Rc<Budget>) -> Held {
--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -1,9 +1,12 @@
 //! Clients: accepts their connections, reads their commands, writes answers in the order of the commands.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltwood::facade::Ask;
+use basaltwood::types::{Micros, Place};
 use bytes::{Buf, Bytes};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -13,7 +16,7 @@
 
 use crate::budget::Permit;
 use crate::buffer::Buffer;
-use crate::ops::{Desk, Text};
+use crate::ops::{Answer, Desk, Final, Request};
 use crate::phases::Phase;
 use crate::resp;
 
@@ -24,6 +27,8 @@
 /// After our end is closed, the client's end is awaited so long: closing at once over bytes that were not
 /// read would reset the connection and could take the last answer with it.
 const LINGER: Duration = Duration::from_millis(500);
+/// Longer waits of a client than this are cut to it.
+const LONGEST: Micros = 3_600_000_000;
 /// Between looks for room where descriptors are short.
 const SHORT: Duration = Duration::from_millis(20);
 
@@ -32,9 +37,10 @@
     loop {
         // Short of descriptors: connections that stand idle go first, and no new one is taken meanwhile.
         let Some(permit) = desk.budget.take_for_client() else {
-            if !desk.servers.drop_idle() {
-                desk.budget.shed.notify_one();
+            if !desk.budget.clients_full() && desk.servers.drop_idle() {
+                continue;
             }
+            desk.budget.shed.notify_one();
             let _ = timeout(SHORT, desk.budget.freed.notified()).await;
             continue;
         };
@@ -54,9 +60,9 @@
 }
 
 /// An answer that is there, or that an op still owes.
-enum Answer {
+enum Waiting {
     There(Bytes),
-    Owed(oneshot::Receiver<Text>),
+    Owed(oneshot::Receiver<Final>),
 }
 
 async fn serve(desk: Rc<Desk>, mut stream: TcpStream, permit: Permit, mut phase: watch::Receiver<Phase>) {
@@ -73,7 +79,7 @@
     let (mut reading, mut writing) = stream.split();
     let mut buffer = Buffer::new(resp::MOST);
     let mut held = desk.budget.hold();
-    let mut waiting: VecDeque<Answer> = VecDeque::new();
+    let mut waiting: VecDeque<Waiting> = VecDeque::new();
     let mut sending = Bytes::new();
     // By when the answer under way is to be taken, or the command begun to be whole.
     let mut until: Option<Instant> = None;
@@ -96,13 +102,14 @@
                 broken => {
                     let cause = broken.err().unwrap_or("too long a command");
                     desk.counters.malformed.add();
-                    waiting.push_back(Answer::There(resp::error(&format!("Protocol error: {cause}"))));
+                    waiting.push_back(Waiting::There(resp::error(&format!("Protocol error: {cause}"))));
                     last = true;
                 }
             }
         }
         if sending.is_empty() {
-            if let Some(Answer::There(text)) = waiting.pop_front_if(|first| matches!(first, Answer::There(_)))
+            if let Some(Waiting::There(text)) =
+                waiting.pop_front_if(|first| matches!(first, Waiting::There(_)))
             {
                 (sending, until) = (text, None);
             }
@@ -128,7 +135,7 @@
             },
             () = desk.budget.freed.notified(), if more && !room => {}
             text = owed(&mut waiting), if sending.is_empty() => match text {
-                Some((text, _)) => (sending, until) = (text, None),
+                Some(text) => (sending, until) = (text, None),
                 None => return false,
             },
             wrote = writing.write(&sending), if !sending.is_empty() => match wrote {
@@ -153,34 +160,30 @@
 }
 
 /// The answer that the first op of a connection owes, once it is there.
-async fn owed(waiting: &mut VecDeque<Answer>) -> Option<Text> {
+async fn owed(waiting: &mut VecDeque<Waiting>) -> Option<Bytes> {
     match waiting.front_mut() {
-        Some(Answer::Owed(answer)) => {
-            let text = answer.await.ok();
+        Some(Waiting::Owed(owed)) => {
+            let last = owed.await.ok();
             waiting.pop_front();
-            text
+            last.map(|(answer, _)| written(answer))
         }
         _ => std::future::pending().await,
     }
 }
 
 /// Takes one command; whether the connection goes on after it.
-fn command(desk: &Rc<Desk>, words: Vec<Bytes>, waiting: &mut VecDeque<Answer>) -> bool {
+fn command(desk: &Rc<Desk>, words: Vec<Bytes>, waiting: &mut VecDeque<Waiting>) -> bool {
     let name = words[0].to_ascii_uppercase();
     let text = match &name[..] {
-        b"CACHE.GET" | b"CACHE.SET" if desk.full() => {
-            desk.counters.nacked.add();
-            Bytes::from_static(b"-BUSY\r\n")
-        }
         b"CACHE.GET" | b"CACHE.SET" => {
             let size = words.iter().map(Bytes::len).sum();
-            match desk.read(words) {
+            match op(desk, words) {
                 Ok((request, ask)) => {
                     let (answer, owed) = oneshot::channel();
                     let mut held = desk.budget.hold();
                     held.set(size);
                     spawn_local(desk.clone().serve(request, ask, answer, held));
-                    waiting.push_back(Answer::Owed(owed));
+                    waiting.push_back(Waiting::Owed(owed));
                     return true;
                 }
                 Err(cause) => {
@@ -197,6 +200,52 @@
             resp::error("unknown command")
         }
     };
-    waiting.push_back(Answer::There(text));
+    waiting.push_back(Waiting::There(text));
     &name[..] != b"QUIT"
 }
+
+/// Reads a command's words into a request and what the facade is asked.
+fn op(desk: &Desk, words: Vec<Bytes>) -> Result<(Request, Ask), String> {
+    let mut words = words.into_iter();
+    let (Some(command), Some(key), Some(id), Some(facts)) =
+        (words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err("a key, an id and facts are needed".to_owned());
+    };
+    let value = words.next();
+    let write = command.eq_ignore_ascii_case(b"CACHE.SET");
+    if value.is_some() != write || words.next().is_some() {
+        return Err("wrong number of arguments".to_owned());
+    }
+    // They go on in HTTP's headers too, where an end of line would begin another header.
+    let plain = |text: &Bytes| !text.is_empty() && !text.iter().any(u8::is_ascii_control);
+    if key.is_empty() || !plain(&id) || !plain(&facts) {
+        return Err("a key, an id and facts without control characters are needed".to_owned());
+    }
+    let text = String::from_utf8_lossy(&facts);
+    let fact = |name: &str| text.split(',').find_map(|fact| fact.strip_prefix(name)?.strip_prefix('='));
+    let category = fact("c").ok_or("no c: the category is missing")?;
+    let wait = fact("d").and_then(|wait| wait.parse::<f64>().ok()).filter(|wait| *wait >= 0.0);
+    let wait = wait.ok_or("no d: the time to wait is missing")?;
+    let known = desk.words.borrow();
+    let ask = Ask {
+        category: known.category(category)?,
+        customer: fact("t").and_then(|name| known.customer(name)),
+        key: Some(Place::of(&String::from_utf8_lossy(&key))),
+        write,
+        again: fact("r") == Some("1"),
+        ttl_at: desk.clock.now() + ((wait * 1000.0) as Micros).min(LONGEST),
+    };
+    drop(text);
+    Ok((Request { command, key, id, facts, value, over: Cell::new(false) }, ask))
+}
+
+/// A final answer in the protocol's words.
+fn written(answer: Answer) -> Bytes {
+    match answer {
+        Answer::Acked(value) => resp::value(&value),
+        Answer::Nacked { come_back: Some(span) } => Bytes::from(format!("-BUSY {}\r\n", span / 1000)),
+        Answer::Nacked { come_back: None } => Bytes::from_static(b"-BUSY\r\n"),
+        Answer::DeadLettered => resp::error("dead-lettered"),
+    }
+}
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -1,7 +1,7 @@
 //! One op from its arrival to its final answer: carries out what the facade decides, and reports.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use basaltwood::facade::{Ask, Decision, Facade};
@@ -15,22 +15,28 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::origin;
-use crate::resp;
 use crate::servers::{Outcome, Servers};
 
-/// Longer waits than this are cut to it.
-const LONGEST: Micros = 3_600_000_000;
+/// The final answer to an op, in no protocol's form.
+pub enum Answer {
+    Acked(Bytes),
+    Nacked { come_back: Option<Micros> },
+    DeadLettered,
+}
 
-/// A final answer as it goes to the client, and the memory that it takes until it is sent.
-pub type Text = (Bytes, Held);
+/// A final answer and the memory that it takes until it is sent.
+pub type Final = (Answer, Held);
 
 /// What a client asked, in its own bytes.
 pub struct Request {
     pub command: Bytes,
     pub key: Bytes,
     pub id: Bytes,
-    facts: Bytes,
+    /// Names and values: the category, how long the client waits, and more.
+    pub facts: Bytes,
     pub value: Option<Bytes>,
+    /// The op has its final answer, or nobody waits for one: nothing more may be sent.
+    pub over: Cell<bool>,
 }
 
 impl Request {
@@ -58,7 +64,6 @@
     pub counters: Rc<Counters>,
     pub budget: Rc<Budget>,
     bells: RefCell<BTreeMap<OpId, Rc<Notify>>>,
-    most_held: usize,
 }
 
 impl Desk {
@@ -72,14 +77,13 @@
         budget: Rc<Budget>,
     ) -> Desk {
         Desk {
-            facade: RefCell::new(Facade::new(terms)),
+            facade: RefCell::new(Facade::new(terms, most_held)),
             words: RefCell::new(words),
             servers,
             clock,
             counters,
             budget,
             bells: RefCell::default(),
-            most_held,
         }
     }
 
@@ -92,57 +96,12 @@
         }
     }
 
-    /// Open ops are bounded: past that they are refused, which is harmless as nothing was sent.
-    pub fn full(&self) -> bool {
-        self.bells.borrow().len() >= self.most_held
-    }
-
-    /// Reads a command's words into a request and what the facade is asked.
-    pub fn read(&self, words: Vec<Bytes>) -> Result<(Request, Ask), String> {
-        let mut words = words.into_iter();
-        let (Some(command), Some(key), Some(id), Some(facts)) =
-            (words.next(), words.next(), words.next(), words.next())
-        else {
-            return Err("a key, an id and facts are needed".to_owned());
-        };
-        let value = words.next();
-        let write = command.eq_ignore_ascii_case(b"CACHE.SET");
-        if value.is_some() != write || words.next().is_some() {
-            return Err("wrong number of arguments".to_owned());
-        }
-        // They go on in HTTP's headers too, where an end of line would begin another header.
-        let plain = |text: &Bytes| {
-            std::str::from_utf8(text)
-                .ok()
-                .filter(|_| text.iter().all(u8::is_ascii_graphic))
-                .map(str::to_owned)
-        };
-        if key.is_empty() || id.is_empty() || plain(&id).is_none() {
-            return Err("a key and an id of plain characters are needed".to_owned());
-        }
-        let text = plain(&facts).ok_or("facts of plain characters are needed")?;
-        let fact = |name: &str| text.split(',').find_map(|fact| fact.strip_prefix(name)?.strip_prefix('='));
-        let category = fact("c").ok_or("no c: the category is missing")?;
-        let wait = fact("d").and_then(|wait| wait.parse::<f64>().ok()).filter(|wait| *wait >= 0.0);
-        let wait = wait.ok_or("no d: the time to wait is missing")?;
-        let known = self.words.borrow();
-        let ask = Ask {
-            category: known.category(category)?,
-            customer: fact("t").and_then(|name| known.customer(name)),
-            key: Some(Place::of(&String::from_utf8_lossy(&key))),
-            write,
-            again: fact("r") == Some("1"),
-            ttl_at: self.clock.now() + ((wait * 1000.0) as Micros).min(LONGEST),
-        };
-        Ok((Request { command, key, id, facts, value }, ask))
-    }
-
     /// Serves one op. The client is gone once the other end of `answer` is dropped.
     pub async fn serve(
         self: Rc<Desk>,
         request: Request,
         ask: Ask,
-        answer: oneshot::Sender<Text>,
+        answer: oneshot::Sender<Final>,
         held: Held,
     ) {
         self.counters.ops.add();
@@ -172,6 +131,7 @@
                 () = bell.notified() => self.facade.borrow_mut().mail(op),
                 () = gone(&mut under_way.answer) => {
                     under_way.answer = None;
+                    under_way.request.over.set(true);
                     self.counters.dropped.add();
                     self.facade.borrow_mut().dropped(self.clock.now(), op)
                 }
@@ -181,7 +141,7 @@
     }
 }
 
-async fn gone(answer: &mut Option<oneshot::Sender<Text>>) {
+async fn gone(answer: &mut Option<oneshot::Sender<Final>>) {
     match answer {
         Some(answer) => answer.closed().await,
         None => std::future::pending().await,
@@ -194,7 +154,7 @@
     op: OpId,
     request: Rc<Request>,
     held: Option<Held>,
-    answer: Option<oneshot::Sender<Text>>,
+    answer: Option<oneshot::Sender<Final>>,
     tasks: JoinSet<(PushNo, Outcome)>,
     out: BTreeMap<PushNo, AbortHandle>,
     value: Option<Bytes>,
@@ -203,7 +163,7 @@
 impl UnderWay {
     fn carry_out(&mut self, decisions: Vec<Decision>) {
         let counters = self.desk.counters.clone();
-        let mut decisions: std::collections::VecDeque<Decision> = decisions.into();
+        let mut decisions: VecDeque<Decision> = decisions.into();
         while let Some(decision) = decisions.pop_front() {
             match decision {
                 Decision::Push { push, host, timeout } => {
@@ -230,28 +190,26 @@
                 Decision::Ack(_) => {
                     counters.acked.add();
                     let value = self.value.take().unwrap_or_default();
-                    self.finish(resp::value(&value));
+                    self.finish(Answer::Acked(value));
                 }
                 Decision::Nack { come_back } => {
                     counters.nacked.add();
-                    self.finish(match come_back {
-                        Some(span) => Bytes::from(format!("-BUSY {}\r\n", span / 1000)),
-                        None => Bytes::from_static(b"-BUSY\r\n"),
-                    });
+                    self.finish(Answer::Nacked { come_back });
                 }
                 Decision::DeadLetter => {
                     counters.dead_lettered.add();
-                    self.finish(resp::error("dead-lettered"));
+                    self.finish(Answer::DeadLettered);
                 }
             }
         }
     }
 
-    fn finish(&mut self, text: Bytes) {
+    fn finish(&mut self, last: Answer) {
+        self.request.over.set(true);
         if let (Some(answer), Some(mut held)) = (self.answer.take(), self.held.take()) {
-            held.set(text.len());
+            held.set(if let Answer::Acked(value) = &last { value.len() } else { 0 });
             // A client that has just gone needs none.
-            let _ = answer.send((text, held));
+            let _ = answer.send((last, held));
         }
     }
 
@@ -260,8 +218,12 @@
     }
 
     fn ended(&mut self, ended: Option<Result<(PushNo, Outcome), tokio::task::JoinError>>) -> Vec<Decision> {
-        // One that was called off has been reported already.
-        let Some(Ok((push, (end, value)))) = ended else { return Vec::new() };
+        let (push, (end, value)) = match ended {
+            Some(Ok(ended)) => ended,
+            Some(Err(cause)) if cause.is_panic() => std::panic::resume_unwind(cause.into_panic()),
+            // One that was called off has been reported already.
+            _ => return Vec::new(),
+        };
         if self.out.remove(&push).is_none() {
             return Vec::new();
         }
--- a/balancer/src/origin.rs
+++ b/balancer/src/origin.rs
@@ -6,7 +6,7 @@
 
 use crate::http;
 use crate::ops::Request;
-use crate::resp::{MOST, MOST_VALUE};
+use crate::resp::MOST_VALUE;
 use crate::servers::{Outcome, Servers};
 
 /// One push of an op to the origin.
@@ -31,5 +31,5 @@
         };
         Ok(Some((outcome, answer.used, answer.keep)))
     };
-    servers.exchange(host, text, within, MOST, read).await
+    servers.exchange(host, request, text, within, read).await
 }
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -19,7 +19,7 @@
 use crate::clock::{span, Clock};
 use crate::counters::Counters;
 use crate::ops::Request;
-use crate::resp::{self, Reply};
+use crate::resp::{self, Reply, MOST};
 
 /// The part of a host's idle time after which a connection is not used again.
 const FRESH: f64 = 0.8;
@@ -104,7 +104,7 @@
     }
 
     /// An idle connection that is still up, or a new one. A push that gets none never ran.
-    async fn link(&self, host: HostId, until: Instant, most: usize) -> Option<Link> {
+    async fn link(&self, host: HostId, until: Instant) -> Option<Link> {
         while let Some(link) = self.hosts.borrow_mut().get_mut(&host)?.idle.pop() {
             // Whatever can be read now, its end above all, means that it can't carry a push.
             let up =
@@ -125,7 +125,7 @@
             .ok()?;
         stream.set_nodelay(true).ok()?;
         self.counters.connections_opened.add();
-        Some(Link { stream, buffer: Buffer::new(most), idle_since: 0, _permit: permit })
+        Some(Link { stream, buffer: Buffer::new(MOST), idle_since: 0, _permit: permit })
     }
 
     /// Sends one request and reads one answer. `read` takes a whole answer from the front of the buffer:
@@ -133,19 +133,23 @@
     pub async fn exchange(
         &self,
         host: HostId,
-        request: Bytes,
+        request: &Request,
+        text: Bytes,
         within: Micros,
-        most: usize,
         read: impl Fn(&[u8]) -> Result<Option<(Outcome, usize, bool)>, String>,
     ) -> Outcome {
         let until = Instant::now() + span(within);
-        let Some(mut link) = self.link(host, until, most).await else { return (End::Unreachable, None) };
+        let Some(mut link) = self.link(host, until).await else { return (End::Unreachable, None) };
+        // Where pushes are not called off, the op may have been answered while the connection came up.
+        if request.over.get() {
+            return (End::Unreachable, None);
+        }
         // The host begins with the last byte: until that is written the push never ran.
-        match timeout_at(until, link.stream.write_all(&request)).await {
+        match timeout_at(until, link.stream.write_all(&text)).await {
             Ok(Ok(())) => {}
             _ => return (End::Unreachable, None),
         }
-        drop(request);
+        drop(text);
         loop {
             match timeout_at(until, link.buffer.fill(&mut link.stream)).await {
                 Err(_) => return (End::TimedOut, None),
@@ -162,7 +166,7 @@
                     return outcome;
                 }
                 Err(cause) => {
-                    log::warn!("host {}: {cause}", host.0);
+                    log::debug!("host {}: {cause}", host.0);
                     return (End::Error, None);
                 }
             }
@@ -192,6 +196,6 @@
             };
             Ok(Some((outcome, used, true)))
         };
-        self.exchange(host, resp::written(&words), within, resp::MOST, read).await
+        self.exchange(host, request, resp::written(&words), within, read).await
     }
 }
--- a/balancer/src/told.rs
+++ b/balancer/src/told.rs
@@ -16,6 +16,7 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
+    #[serde(default)]
     known: Page,
     settings: Info,
 }
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -145,7 +145,7 @@
         -ERR no d: the time to wait is missing
         -ERR unknown category unheard-of
         -ERR no c: the category is missing
-        -ERR a key and an id of plain characters are needed
+        -ERR a key, an id and facts without control characters are needed
         -ERR wrong number of arguments
         -ERR wrong number of arguments
         -ERR unknown command
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -50,6 +50,8 @@
 pub struct Facade {
     balancer: Balancer,
     tickets: BTreeMap<OpId, Ticket>,
+    /// Ops held at a time; more are nacked unseen, which is harmless.
+    most: usize,
     next: u32,
     rung: BTreeSet<OpId>,
     timers: Vec<(Micros, Wake)>,
@@ -57,10 +59,11 @@
 }
 
 impl Facade {
-    pub fn new(terms: &Terms) -> Facade {
+    pub fn new(terms: &Terms, most: usize) -> Facade {
         Facade {
             balancer: Balancer::new(terms),
             tickets: BTreeMap::new(),
+            most,
             next: 0,
             rung: BTreeSet::new(),
             timers: Vec::new(),
@@ -76,6 +79,9 @@
     pub fn pick(&mut self, now: Micros, ask: Ask) -> (OpId, Vec<Decision>) {
         let op = OpId(self.next);
         self.next = self.next.wrapping_add(1);
+        if self.tickets.len() >= self.most {
+            return (op, vec![Decision::Nack { come_back: None }]);
+        }
         self.tickets.insert(op, Ticket::default());
         let Ask { category, customer, key, write, again, ttl_at } = ask;
         self.hear(now, Heard::Op { op, category, customer, key, write, again, ttl_at });
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -8,7 +8,7 @@
 use expect_test::expect;
 
 fn facade(hosts: u32) -> Facade {
-    let mut facade = Facade::new(&terms());
+    let mut facade = Facade::new(&terms(), 8);
     facade.list(0, true, (0..hosts).map(listed).collect());
     facade
 }
@@ -46,7 +46,7 @@
     trace.push(words(&facade.report(4 * MS, op, PushNo(1), End::Acked)));
     trace.push(words(&facade.report(5 * MS, op, PushNo(1), End::Acked)));
     trace.push(words(&facade.dropped(6 * MS, op)));
-    trace.push(words(&Facade::new(&terms()).pick(0, ask(READ, "k")).1));
+    trace.push(words(&Facade::new(&terms(), 8).pick(0, ask(READ, "k")).1));
     expect![[r#"
         push 0 to h2 for 798
         push 1 to h0 for 797
@@ -95,3 +95,19 @@
         nothing"#]]
     .assert_eq(&trace.join("\n"));
 }
+
+#[test]
+fn no_more_ops_are_held_than_may_be() {
+    let mut facade = Facade::new(&terms(), 2);
+    facade.list(0, true, vec![listed(0)]);
+    let picked: Vec<_> = (0..3).map(|_| facade.pick(0, ask(READ, "k"))).collect();
+    let mut trace: Vec<String> = picked.iter().map(|(_, decisions)| words(decisions)).collect();
+    trace.push(words(&facade.report(MS, picked[0].0, PushNo(0), End::Acked)));
+    trace.push(words(&facade.pick(MS, ask(READ, "k")).1));
+    expect![[r#"
+        push 0 to h0 for 798
+        push 0 to h0 for 798
+        nack, back in 0
+        ack with 0
+        push 0 to h0 for 798"#]].assert_eq(&trace.join("\n"));
+}
