--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
-use std::sync::Mutex;
+use std::sync::{Arc, Barrier, Mutex};
 
 use common::*;
 use expect_test::expect;
@@ -425,6 +425,29 @@
     assert_eq!(clients[0].answer(), "closed");
 }
 
+#[test]
+fn what_hosts_hold_is_not_kept_free_for_them_once_more() {
+    // No host answers before all ops are out, which takes two descriptors for each.
+    const OPS: usize = 14;
+    let all_out = Arc::new(Barrier::new(OPS));
+    let host = |_| {
+        let all_out = all_out.clone();
+        Peer::host(move |_| {
+            all_out.wait();
+            hit("v")
+        })
+    };
+    let hosts: Vec<Peer> = (0..6).map(host).collect();
+    let known = hosts.iter().enumerate().map(|(nth, host)| entry(&format!("h{nth}"), host.address, "active"));
+    let program = Program::start(BINARY, nowhere(), &known.collect::<Vec<_>>(), 48);
+    let mut clients: Vec<Client> = (0..OPS).map(|_| program.client()).collect();
+    for (nth, client) in clients.iter_mut().enumerate() {
+        client.get(&format!("k{nth}"), &format!("id{nth}"), "c=once,d=1500");
+    }
+    let answers: Vec<String> = clients.iter_mut().map(Client::answer).collect();
+    assert_eq!(answers, ["v"; OPS]);
+}
+
 #[test]
 fn a_client_that_takes_no_answers_is_cut_off() {
     let host = Peer::host(|_| hit(&"v".repeat(60_000)));
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -109,5 +109,6 @@
         push 0 to h0 for 798
         nack, back in 0
         ack with 0
-        push 0 to h0 for 798"#]].assert_eq(&trace.join("\n"));
+        push 0 to h0 for 798"#]]
+    .assert_eq(&trace.join("\n"));
 }
