--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -3,6 +3,7 @@
 #[path = "../../tests/common/mod.rs"]
 mod common;
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Barrier, Mutex};
@@ -449,16 +450,19 @@
 }
 
 #[test]
-fn a_client_that_takes_no_answers_is_cut_off() {
+fn clients_that_take_no_answers_are_cut_off_and_hold_little_memory() {
     let host = Peer::host(|_| hit(&"v".repeat(60_000)));
     let program = program(&[("a", &host)]);
-    let mut slow = program.client();
     let word =
         |nth: u32| format!("*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$5\r\n{nth:05}\r\n$13\r\nc=read,d=1500\r\n");
     let commands: String = (0..2_000).map(word).collect();
-    slow.writing.set_nonblocking(true).expect("a flag");
-    // What it does not take it is not sent either: the balancer stops reading.
-    let _ = std::io::Write::write(&mut slow.writing, commands.as_bytes());
+    let slow: Vec<Client> = (0..4).map(|_| program.client()).collect();
+    for client in &slow {
+        // What it does not take it is not sent either: the balancer stops reading.
+        client.writing.set_nonblocking(true).expect("a flag");
+        let _ = (&client.writing).write(commands.as_bytes());
+    }
     assert_eq!(program.client().asks(&["PING"]), "+PONG");
     program.logged("too slow");
+    assert!(program.memory() < 32, "{} MB of 192", program.memory());
 }
