After silence of discovery the watch goes on from its version; nonsense asks for the whole list

In an outage a balancer that asks for the whole list could be held to drains that it was never told. list.rs asked so after any failure.

--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -128,9 +128,15 @@
                 let whole = page.reset || from.is_none();
                 from = Some(take(&desk, page, whole));
             }
-            Err(cause) => {
-                // The next call asks for all: whatever went wrong, it may be that version which is not known.
-                (connection, from) = (None, None);
+            Err(trouble) => {
+                connection = None;
+                let cause = match trouble {
+                    Trouble::Silent(cause) => cause,
+                    Trouble::Senseless(cause) => {
+                        from = None;
+                        cause
+                    }
+                };
                 desk.counters.list_failures.add();
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!("discovery: {cause}; the list stays as it is");
@@ -141,6 +147,13 @@
     }
 }
 
+enum Trouble {
+    /// No answer came. The version that is known still holds, and the watch goes on from it.
+    Silent(String),
+    /// An answer came that is of no use: perhaps that version is not known there. All is asked for next.
+    Senseless(String),
+}
+
 type Connection = (TcpStream, Buffer, crate::budget::Permit);
 
 async fn call(
@@ -148,40 +161,42 @@
     connection: &mut Option<Connection>,
     discovery: SocketAddr,
     from: Option<u64>,
-) -> Result<Page, String> {
+) -> Result<Page, Trouble> {
+    let silent = |cause: std::io::Error| Trouble::Silent(cause.to_string());
+    let mute = |what: &str| Trouble::Silent(what.to_owned());
     if connection.is_none() {
-        let permit = desk.servers.permit().ok_or("no descriptor left")?;
+        let permit = desk.servers.permit().ok_or_else(|| mute("no descriptor left"))?;
         let connect = timeout(PATIENCE, TcpStream::connect(discovery)).await;
-        let stream = connect.map_err(|_| "it does not come up")?.map_err(|cause| cause.to_string())?;
-        stream.set_nodelay(true).map_err(|cause| cause.to_string())?;
+        let stream = connect.map_err(|_| mute("it does not come up"))?.map_err(silent)?;
+        stream.set_nodelay(true).map_err(silent)?;
         *connection = Some((stream, Buffer::new(MOST_BODY + 64 * 1024), permit));
     }
-    let Some((stream, buffer, _)) = connection.as_mut() else { return Err("no connection".to_owned()) };
+    let Some((stream, buffer, _)) = connection.as_mut() else { return Err(mute("no connection")) };
     let path = match from {
         Some(from) => format!("/v1/servers?from={from}&hold_ms={}", HOLD.as_millis()),
         None => "/v1/servers".to_owned(),
     };
     let request = http::request("GET", &path, &discovery.to_string(), &[], None);
-    stream.write_all(&request).await.map_err(|cause| cause.to_string())?;
+    stream.write_all(&request).await.map_err(silent)?;
     let answer = timeout(HOLD + PATIENCE, async {
         loop {
             match buffer.fill(stream).await {
-                Ok(0) => return Err("it closed the connection".to_owned()),
+                Ok(0) => return Err(mute("it closed the connection")),
                 Ok(_) => {}
-                Err(cause) => return Err(cause.to_string()),
+                Err(cause) => return Err(silent(cause)),
             }
-            if let Some(answer) = http::answer(buffer.bytes(), MOST_BODY)? {
+            if let Some(answer) = http::answer(buffer.bytes(), MOST_BODY).map_err(Trouble::Senseless)? {
                 return Ok(answer);
             }
         }
     });
-    let answer = answer.await.map_err(|_| "it is silent".to_owned())??;
+    let answer = answer.await.map_err(|_| mute("it is silent"))??;
     buffer.consume(answer.used);
     if !answer.keep {
         *connection = None;
     }
     if answer.status != 200 {
-        return Err(format!("status {}", answer.status));
+        return Err(Trouble::Senseless(format!("status {}", answer.status)));
     }
-    serde_json::from_slice(&answer.body).map_err(|cause| cause.to_string())
+    serde_json::from_slice(&answer.body).map_err(|cause| Trouble::Senseless(cause.to_string()))
 }
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -342,19 +342,23 @@
 }
 
 #[test]
-fn a_discovery_that_fails_is_asked_for_the_whole_list() {
+fn after_silence_the_watch_goes_on_and_after_nonsense_the_whole_list_is_asked_for() {
     let host = Peer::host(|_| hit("v"));
     let list =
         format!(r#"{{"generation":9,"reset":true,"instances":[{}]}}"#, entry("a", host.address, "active"));
+    let calls = Mutex::new(0);
     let discovery = Peer::http(move |asked| match asked {
+        _ if std::mem::replace(&mut *calls.lock().expect("a lock"), 1) == 0 => Says::Last(String::new()),
         "GET /v1/servers" => http_answer(200, &list),
         asked if asked.contains("from=9") => Says::Nothing,
         _ => http_answer(500, ""),
     });
     let program = Program::start(BINARY, discovery.address, &[], 1024);
-    let mut trace = vec![discovery.next(), discovery.next(), discovery.next(), discovery.next()];
+    let mut trace: Vec<String> = (0..6).map(|_| discovery.next()).collect();
     trace.push(program.client().asks(&["CACHE.GET", "k", "id", "c=once,d=600"]));
     expect![[r#"
+        GET /v1/servers?from=1&hold_ms=20000
+        closed
         GET /v1/servers?from=1&hold_ms=20000
         closed
         GET /v1/servers
