Discovery that holds no call keeps the balancer from nothing; counters print in every phase

Found on reading: a discovery that answers each watch at once would have been asked without a pause, on the one core that serves ops. Calls lie 20 ms apart now, well within the 200 ms that keep a watch. A silent whole-list call is given up after 2 s instead of 21.

--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::buffer::Buffer;
 use crate::http;
@@ -19,7 +19,10 @@
 /// How long discovery may hold a call while nothing changes. Long, since what an answer that never comes
 /// would have told counts as told soon after that wait.
 const HOLD: Duration = Duration::from_secs(20);
-const PATIENCE: Duration = Duration::from_secs(1);
+/// How long an answer may take beyond that.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// From one call to the next at least: a discovery that holds nothing must not keep the balancer busy.
+const APART: Duration = Duration::from_millis(20);
 /// Between a failed call and the next: a watch that is not taken up within 200 ms begins anew.
 const PAUSE: Duration = Duration::from_millis(100);
 const MOST_BODY: usize = 4 * 1024 * 1024;
@@ -120,6 +123,7 @@
     let mut connection = None;
     let mut failing = false;
     loop {
+        let next = Instant::now() + APART;
         match call(&desk, &mut connection, discovery, from).await {
             Ok(page) => {
                 if std::mem::take(&mut failing) {
@@ -127,6 +131,7 @@
                 }
                 let whole = page.reset || from.is_none();
                 from = Some(take(&desk, page, whole));
+                sleep_until(next).await;
             }
             Err(trouble) => {
                 connection = None;
@@ -178,7 +183,8 @@
     };
     let request = http::request("GET", &path, &discovery.to_string(), &[], None);
     stream.write_all(&request).await.map_err(silent)?;
-    let answer = timeout(HOLD + PATIENCE, async {
+    let patience = PATIENCE + from.map_or(Duration::ZERO, |_| HOLD);
+    let answer = timeout(patience, async {
         loop {
             match buffer.fill(stream).await {
                 Ok(0) => return Err(mute("it closed the connection")),
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -91,12 +91,10 @@
         };
         enter(Phase::Serving);
         let accepting = spawn_local(clients::accept(desk.clone(), listener, phase.subscribe()));
-        loop {
-            tokio::select! {
-                _ = signals.end.recv() => break,
-                _ = signals.interrupt.recv() => break,
-                _ = signals.print.recv() => log::info!("{}", desk.counters),
-            }
+        spawn_local(print(desk.clone(), signals.print));
+        tokio::select! {
+            _ = signals.end.recv() => {}
+            _ = signals.interrupt.recv() => {}
         }
         enter(Phase::Draining);
         sleep(STILL_COMING).await;
@@ -118,6 +116,13 @@
     socket.listen(1024)
 }
 
+/// Prints the counters whenever it is asked to.
+async fn print(desk: Rc<Desk>, mut asked: Signal) {
+    while asked.recv().await.is_some() {
+        log::info!("{}", desk.counters);
+    }
+}
+
 /// Lets the facade's timers run.
 async fn tick(desk: Rc<Desk>) {
     loop {
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Barrier, Mutex};
+use std::time::{Duration, Instant};
 
 use common::*;
 use expect_test::expect;
@@ -368,6 +369,16 @@
     .assert_eq(&trace.join("\n"));
 }
 
+#[test]
+fn a_discovery_that_holds_nothing_does_not_keep_it_busy() {
+    let discovery = Peer::http(|_| http_answer(200, r#"{"generation":9,"reset":false,"instances":[]}"#));
+    let began = Instant::now();
+    let program = Program::start(BINARY, discovery.address, &[], 1024);
+    (0..11).for_each(|_| drop(discovery.next()));
+    assert!(began.elapsed() >= Duration::from_millis(150), "ten calls in {:?}", began.elapsed());
+    assert_eq!(program.client().asks(&["PING"]), "+PONG");
+}
+
 #[test]
 fn told_to_end_it_answers_what_it_took_and_what_still_comes() {
     let (release, released) = channel::<()>();
