--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -171,6 +171,9 @@
     for text in [
         "{nonsense",
         "{}",
+        r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"categories":[
+        {"name":"read","targetLatencyMs":1e300,"ttlMs":-1,"semantics":"retryable"}],"limits":{"maxPushes":1},
+        "invariants":{"coldFrom":1,"warmWithinMs":1,"tipMultiple":1,"tipAfterMs":1}}}"#,
         r#"{"name":"n","listen":"here","discovery":"127.0.0.1:1","seed":"1","known":{"generation":1},
         "settings":{"categories":[],"invariants":{"coldFrom":1,"warmWithinMs":1,"tipMultiple":1,"tipAfterMs":1},"limits":{"maxPushes":1}}}"#,
     ] {
@@ -182,6 +185,7 @@
     expect![[r#"
         Some(1) key must be a string at line 1 column 2
         Some(1) missing field `name` at line 1 column 2
+        Some(1) read: 1e300 ms is no span of time
         Some(1) listen "here" is no address with a port"#]]
     .assert_eq(&lines.join("\n"));
 }
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -196,9 +196,19 @@
     quota_per_s: Option<f64>,
 }
 
+/// A span of time that makes sense: from nothing to months.
+fn span(what: &str, ms: f64) -> Result<Micros, String> {
+    if (0.0..1e10).contains(&ms) {
+        Ok(micros(ms))
+    } else {
+        Err(format!("{what}: {ms:?} ms is no span of time"))
+    }
+}
+
 impl Info {
     pub fn bounds(&self) -> Bounds {
-        let given = |ms: Option<f64>, default: Micros| ms.filter(|&ms| ms > 0.0).map_or(default, micros);
+        let given =
+            |ms: Option<f64>, default: Micros| ms.filter(|&ms| ms > 0.0 && ms < 1e10).map_or(default, micros);
         Bounds {
             connect_within: given(self.limits.connect_timeout_ms, 250_000),
             idle_for: given(self.limits.keepalive_ms, 15_000_000),
@@ -211,7 +221,9 @@
             return Err("no categories".to_owned());
         }
         let category = |category: &Category| {
-            let repeats = match (category.semantics.as_str(), category.window_ms.map(micros)) {
+            let name = &category.name;
+            let window = category.window_ms.map(|ms| span(name, ms)).transpose()?;
+            let repeats = match (category.semantics.as_str(), window) {
                 ("retryable", _) => Repeats::Redeliverable,
                 ("fragile", _) => Repeats::AtMostOnce,
                 ("dedup", Some(window)) if window > 0 => Repeats::Deduplicated {
@@ -222,12 +234,12 @@
                     },
                     window,
                 },
-                ("dedup", _) => return Err(format!("category {}: no window for repeats", category.name)),
-                (other, _) => return Err(format!("category {}: unknown kind {other}", category.name)),
+                ("dedup", _) => return Err(format!("category {name}: no window for repeats")),
+                (other, _) => return Err(format!("category {name}: unknown kind {other}")),
             };
             Ok(CategoryTerms {
-                target_latency: micros(category.target_latency_ms),
-                ttl: micros(category.ttl_ms),
+                target_latency: span(name, category.target_latency_ms)?,
+                ttl: span(name, category.ttl_ms)?,
                 benefit: category.benefit.unwrap_or(1.0),
                 late_benefit: category.tardy_benefit.unwrap_or(0.0),
                 repeats,
@@ -248,14 +260,15 @@
                 .limits
                 .max_retry_after_ms
                 .filter(|&ms| self.limits.retry_after && ms > 0.0)
-                .map(micros),
-            tick: micros(self.tick_ms.unwrap_or(1.0)),
+                .map(|ms| span("maxRetryAfterMs", ms))
+                .transpose()?,
+            tick: span("tickMs", self.tick_ms.unwrap_or(1.0))?,
             excess_benefit: self.excess_benefit.unwrap_or(1.0),
             cold: ColdTerms {
                 from: self.invariants.cold_from,
-                warm_within: micros(self.invariants.warm_within_ms),
+                warm_within: span("warmWithinMs", self.invariants.warm_within_ms)?,
                 fall_multiple: self.invariants.tip_multiple,
-                fall_window: micros(self.invariants.tip_after_ms),
+                fall_window: span("tipAfterMs", self.invariants.tip_after_ms)?,
             },
             categories: self.categories.iter().map(category).collect::<Result<_, _>>()?,
             customers: self
