--- a/balancer/src/clock.rs
+++ b/balancer/src/clock.rs
@@ -33,3 +33,17 @@
 pub fn span(span: Micros) -> Duration {
     Duration::from_micros(u64::try_from(span).unwrap_or(0))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_unix_time_stands_where_the_clock_stood_then() {
+        let clock = Clock::start();
+        let unix =
+            SystemTime::now().duration_since(UNIX_EPOCH).expect("it is past 1970").as_micros() as Micros;
+        let apart = |ahead: Micros| (clock.of_unix(unix + ahead) - clock.now() - ahead).abs();
+        assert!(apart(0) < 1_000_000 && apart(-3_600_000_000) < 1_000_000);
+    }
+}
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -268,6 +268,16 @@
     .assert_eq(&trace.join("\n"));
 }
 
+#[test]
+fn an_idle_connection_is_closed_before_the_host_would() {
+    let host = Peer::host(|_| hit("v"));
+    let known = [entry("a", host.address, "active")];
+    let settings = SETTINGS.replace(r#""keepaliveMs":15000.0"#, r#""keepaliveMs":900.0"#);
+    let program = Program::start_by(BINARY, nowhere(), &known, 1024, &settings);
+    assert_eq!(program.client().asks(&["CACHE.GET", "k", "id", "c=read,d=600"]), "v");
+    assert_eq!([host.next(), host.next()], ["CACHE.GET k id c=read,d=..", "closed"]);
+}
+
 #[test]
 fn an_answer_of_the_origin_counts_only_whole() {
     let head = |status: &str, rest: &str| format!("HTTP/1.1 {status}\r\n{rest}");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -350,7 +350,7 @@
     }
 }
 
-const SETTINGS: &str = r#"{"categories":[
+pub const SETTINGS: &str = r#"{"categories":[
     {"name":"read","targetLatencyMs":800.0,"ttlMs":2000.0,"semantics":"retryable","benefit":5.0},
     {"name":"put","targetLatencyMs":800.0,"ttlMs":2000.0,"semantics":"dedup","group":"all","windowMs":5000.0,"benefit":8.0},
     {"name":"once","targetLatencyMs":800.0,"ttlMs":2000.0,"semantics":"fragile","benefit":8.0}],
@@ -370,10 +370,21 @@
 impl Program {
     /// Starts it and waits until it serves.
     pub fn start(binary: &str, discovery: SocketAddr, known: &[String], sockets: u32) -> Program {
+        Program::start_by(binary, discovery, known, sockets, SETTINGS)
+    }
+
+    /// The same by other settings.
+    pub fn start_by(
+        binary: &str,
+        discovery: SocketAddr,
+        known: &[String],
+        sockets: u32,
+        settings: &str,
+    ) -> Program {
         let text = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
-            "known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{SETTINGS}}}"#,
+            "known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{settings}}}"#,
             known.join(",")
         );
         let mut program = Program::told(binary, &text);
