--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -22,6 +22,8 @@
 
 /// Commands of one connection that wait for their answers; more are left unread.
 const PIPELINE: usize = 32;
+/// The same while an answer is not taken: one that does not read must not fill the memory of all.
+const BEHIND: usize = 4;
 /// A client that takes longer over one answer, or over writing one command, is cut off.
 const SLOW: Duration = Duration::from_secs(5);
 /// After our end is closed, the client's end is awaited so long: closing at once over bytes that were not
@@ -89,7 +91,7 @@
     let mut settled = false;
     let came = Instant::now();
     loop {
-        while !last && waiting.len() < PIPELINE {
+        while !last && waiting.len() < most(&sending) {
             match resp::command(buffer.bytes()) {
                 Ok(Some((words, used))) => {
                     buffer.consume(used);
@@ -127,7 +129,7 @@
         let room = desk.budget.room_for_bytes();
         let at_it = !sending.is_empty() || (idle && room && !buffer.is_empty());
         until = if at_it { until.or_else(|| Some(Instant::now() + SLOW)) } else { None };
-        let more = !last && waiting.len() < PIPELINE;
+        let more = !last && waiting.len() < most(&sending);
         tokio::select! {
             read = buffer.fill(&mut reading), if more && room => match read {
                 Ok(1..) => {}
@@ -159,6 +161,15 @@
     }
 }
 
+/// How many commands may wait while this is being sent.
+fn most(sending: &Bytes) -> usize {
+    if sending.is_empty() {
+        PIPELINE
+    } else {
+        BEHIND
+    }
+}
+
 /// The answer that the first op of a connection owes, once it is there.
 async fn owed(waiting: &mut VecDeque<Waiting>) -> Option<Bytes> {
     match waiting.front_mut() {
