--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -24,7 +24,8 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
-            log::error!("{cause}");
+            // Whatever the log's level: the one line that tells why it ends.
+            eprintln!("basaltwood-balancer: {cause}");
             ExitCode::FAILURE
         }
     }
@@ -37,7 +38,5 @@
         .build()
         .map_err(|cause| format!("the runtime: {cause}"))?;
     let local = tokio::task::LocalSet::new();
-    local
-        .block_on(&runtime, async { Phases::start(told).map(Phases::run) })
-        .map(|run| local.block_on(&runtime, run))
+    local.block_on(&runtime, async { Phases::start(told)?.run().await })
 }
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -6,7 +6,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::budget::Budget;
@@ -42,6 +42,8 @@
     desk: Rc<Desk>,
     listener: TcpListener,
     signals: Signals,
+    /// What runs from start to exit. None of it ends by itself but by a fault of its own.
+    parts: JoinSet<()>,
 }
 
 struct Signals {
@@ -75,27 +77,30 @@
         };
         let known = list::take(&desk, told.known, true);
         let listener = listen(told.listen).map_err(|cause| format!("listen on {}: {cause}", told.listen))?;
-        spawn_local(list::watch(desk.clone(), told.discovery, known));
-        spawn_local(tick(desk.clone()));
-        spawn_local(sweep_idle(desk.clone()));
+        let mut parts = JoinSet::new();
+        parts.spawn_local(list::watch(desk.clone(), told.discovery, known));
+        parts.spawn_local(tick(desk.clone()));
+        parts.spawn_local(sweep_idle(desk.clone()));
         log::info!("{} listens on {}", told.name, listener.local_addr().map_err(failed)?);
-        Ok(Phases { phase, desk, listener, signals })
+        Ok(Phases { phase, desk, listener, signals, parts })
     }
 
     /// Goes through the phases that are left.
-    pub async fn run(self) {
-        let Phases { phase, desk, listener, mut signals } = self;
+    pub async fn run(self) -> Result<(), String> {
+        let Phases { phase, desk, listener, mut signals, mut parts } = self;
         let enter = |now: Phase| {
             phase.send_replace(now);
             log::info!("{now:?}");
         };
         enter(Phase::Serving);
-        let accepting = spawn_local(clients::accept(desk.clone(), listener, phase.subscribe()));
-        spawn_local(print(desk.clone(), signals.print));
-        tokio::select! {
-            _ = signals.end.recv() => {}
-            _ = signals.interrupt.recv() => {}
-        }
+        let accepting = parts.spawn_local(clients::accept(desk.clone(), listener, phase.subscribe()));
+        parts.spawn_local(print(desk.clone(), signals.print));
+        let outcome = tokio::select! {
+            _ = signals.end.recv() => Ok(()),
+            _ = signals.interrupt.recv() => Ok(()),
+            // Without its timers or its list a balancer would limp on unnoticed.
+            _ = parts.join_next() => Err("a part of the balancer failed; it ends".to_owned()),
+        };
         enter(Phase::Draining);
         sleep(STILL_COMING).await;
         // This closes the listener too.
@@ -105,6 +110,7 @@
         let _ = timeout(LAST_ANSWERS, phase.closed()).await;
         enter(Phase::Ended);
         log::info!("{}", desk.counters);
+        outcome
     }
 }
 
