A closed connection is awaited for 0.2 s, so that a planned end comes before the kill

An op answered at its TTL of 3 s, taken late, left 0.1 s to the kill with half a second of waiting for the client's end.

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -28,7 +28,7 @@
 const SLOW: Duration = Duration::from_secs(5);
 /// After our end is closed, the client's end is awaited so long: closing at once over bytes that were not
 /// read would reset the connection and could take the last answer with it.
-const LINGER: Duration = Duration::from_millis(500);
+const LINGER: Duration = Duration::from_millis(200);
 /// Longer waits of a client than this are cut to it.
 const LONGEST: Micros = 3_600_000_000;
 /// Between looks for room where descriptors are short.
