The list's connection is opened where hosts' are; entries are printed only when refused

Read once more, no change of behaviour but for the wording of two log lines: list.rs took a permit, connected and set the stream up in a copy of what servers.rs does, with a branch that could not be reached; it printed every entry of every list in case one was refused. The timer's idle wait is a plain sleep, and two tests share their gate.

--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -5,16 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltwood::types::{Lifecycle, Micros};
+use basaltwood::types::{Lifecycle, Listed, Micros};
 use basaltwood_terms::{micros, Entry};
 use serde::Deserialize;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use crate::buffer::Buffer;
 use crate::http;
 use crate::ops::Desk;
+use crate::servers::Link;
 
 /// How long discovery may hold a call while nothing changes. Long, since what an answer that never comes
 /// would have told counts as told soon after that wait.
@@ -62,12 +61,11 @@
     let now = desk.clock.now();
     let mut entries = Vec::with_capacity(page.instances.len());
     for value in page.instances {
-        let text = value.to_string();
-        match entry(desk, value, now) {
+        match entry(desk, &value, now) {
             Ok(listed) => entries.push(listed),
             Err(cause) => {
                 desk.counters.list_entries_refused.add();
-                log::warn!("list entry {}: {cause}", text.chars().take(200).collect::<String>());
+                log::warn!("list entry {}: {cause}", value.to_string().chars().take(200).collect::<String>());
             }
         }
     }
@@ -77,8 +75,8 @@
     page.generation
 }
 
-fn entry(desk: &Desk, value: serde_json::Value, now: Micros) -> Result<basaltwood::types::Listed, String> {
-    let instance: Instance = serde_json::from_value(value).map_err(|cause| cause.to_string())?;
+fn entry(desk: &Desk, value: &serde_json::Value, now: Micros) -> Result<Listed, String> {
+    let instance = Instance::deserialize(value).map_err(|cause| cause.to_string())?;
     let lifecycle = match instance.lifecycle.as_str() {
         "active" => Lifecycle::Up,
         "leaving" => Lifecycle::Draining,
@@ -159,24 +157,21 @@
     Senseless(String),
 }
 
-type Connection = (TcpStream, Buffer, crate::budget::Permit);
-
 async fn call(
     desk: &Desk,
-    connection: &mut Option<Connection>,
+    connection: &mut Option<Link>,
     discovery: SocketAddr,
     from: Option<u64>,
 ) -> Result<Page, Trouble> {
     let silent = |cause: std::io::Error| Trouble::Silent(cause.to_string());
     let mute = |what: &str| Trouble::Silent(what.to_owned());
-    if connection.is_none() {
-        let permit = desk.servers.permit().ok_or_else(|| mute("no descriptor left"))?;
-        let connect = timeout(PATIENCE, TcpStream::connect(discovery)).await;
-        let stream = connect.map_err(|_| mute("it does not come up"))?.map_err(silent)?;
-        stream.set_nodelay(true).map_err(silent)?;
-        *connection = Some((stream, Buffer::new(MOST_BODY + 64 * 1024), permit));
-    }
-    let Some((stream, buffer, _)) = connection.as_mut() else { return Err(mute("no connection")) };
+    let Link { stream, buffer, .. } = match connection {
+        Some(open) => open,
+        None => {
+            let opening = desk.servers.open(discovery, Instant::now() + PATIENCE, MOST_BODY + 64 * 1024);
+            connection.insert(opening.await.map_err(silent)?)
+        }
+    };
     let path = match from {
         Some(from) => format!("/v1/servers?from={from}&hold_ms={}", HOLD.as_millis()),
         None => "/v1/servers".to_owned(),
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::budget::Budget;
 use crate::clients;
@@ -136,7 +136,7 @@
         desk.ring();
         match due {
             Some(due) => sleep_until(desk.clock.at(due)).await,
-            None => sleep_until(Instant::now() + SWEEP_IDLE).await,
+            None => sleep(SWEEP_IDLE).await,
         }
     }
 }
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -3,7 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -24,10 +24,10 @@
 /// The part of a host's idle time after which a connection is not used again.
 const FRESH: f64 = 0.8;
 
-/// A connection to a host. Dropping it closes it.
+/// A connection that this balancer opened. Dropping it closes it.
 pub struct Link {
-    stream: TcpStream,
-    buffer: Buffer,
+    pub stream: TcpStream,
+    pub buffer: Buffer,
     idle_since: Micros,
     _permit: Permit,
 }
@@ -99,10 +99,18 @@
     }
 
     /// A descriptor for a connection, at the cost of an idle one where there is no other.
-    pub fn permit(&self) -> Option<Permit> {
+    fn permit(&self) -> Option<Permit> {
         self.budget.take().or_else(|| self.drop_idle().then(|| self.budget.take()).flatten())
     }
 
+    /// A new connection, up by then; `most` bytes may stand in its buffer.
+    pub async fn open(&self, address: SocketAddr, until: Instant, most: usize) -> io::Result<Link> {
+        let permit = self.permit().ok_or_else(|| io::Error::other("no descriptor left"))?;
+        let stream = timeout_at(until, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        Ok(Link { stream, buffer: Buffer::new(most), idle_since: 0, _permit: permit })
+    }
+
     /// An idle connection that is still up, or a new one. A push that gets none never ran.
     async fn link(&self, host: HostId, until: Instant) -> Option<Link> {
         while let Some(link) = self.hosts.borrow_mut().get_mut(&host)?.idle.pop() {
@@ -115,17 +123,18 @@
             }
             self.counters.connections_stale.add();
         }
-        let permit = self.permit()?;
         let address = self.hosts.borrow().get(&host)?.address;
         let until = until.min(Instant::now() + span(self.bounds.connect_within));
-        let connect = timeout_at(until, TcpStream::connect(address)).await;
-        let stream = connect
-            .unwrap_or_else(|late| Err(late.into()))
-            .inspect_err(|cause| log::debug!("host {} at {address} does not come up: {cause}", host.0))
-            .ok()?;
-        stream.set_nodelay(true).ok()?;
-        self.counters.connections_opened.add();
-        Some(Link { stream, buffer: Buffer::new(MOST), idle_since: 0, _permit: permit })
+        match self.open(address, until, MOST).await {
+            Ok(link) => {
+                self.counters.connections_opened.add();
+                Some(link)
+            }
+            Err(cause) => {
+                log::debug!("host {} at {address} does not come up: {cause}", host.0);
+                None
+            }
+        }
     }
 
     /// Sends one request and reads one answer. `read` takes a whole answer from the front of the buffer:
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -5,7 +5,7 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Barrier, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,10 +14,20 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
 /// Nothing listens there.
-const NOWHERE: &str = "127.0.0.1:1";
-
 fn nowhere() -> SocketAddr {
-    NOWHERE.parse().expect("an address")
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// Holds a stand-in back at what is asked for the key `slow`, until the test releases it.
+fn gate() -> (Sender<()>, impl Fn(&str) + Send + Sync) {
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let wait = move |asked: &str| {
+        if asked.contains(" slow") {
+            let _ = released.lock().expect("a lock").recv();
+        }
+    };
+    (release, wait)
 }
 
 /// The program with what it knows at its start, and a discovery that is never there.
@@ -54,12 +64,9 @@
 
 #[test]
 fn answers_keep_the_order_of_commands_and_a_client_that_goes_ends_its_pushes() {
-    let (release, released) = channel::<()>();
-    let released = Mutex::new(released);
+    let (release, wait) = gate();
     let host = Peer::host(move |asked| {
-        if asked.contains(" slow") {
-            let _ = released.lock().expect("a lock").recv();
-        }
+        wait(asked);
         if asked.contains(" never") {
             Says::Nothing
         } else {
@@ -395,12 +402,9 @@
 
 #[test]
 fn told_to_end_it_answers_what_it_took_and_what_still_comes() {
-    let (release, released) = channel::<()>();
-    let released = Mutex::new(released);
+    let (release, wait) = gate();
     let host = Peer::host(move |asked| {
-        if asked.contains("slow") {
-            let _ = released.lock().expect("a lock").recv();
-        }
+        wait(asked);
         hit("v")
     });
     let mut program = program(&[("a", &host)]);
