wire: RESP2 and HTTP move out of the balancer, which becomes a library with a thin main

New there, for the side of hosts, origin and clients: replies written, answers to clients read, HTTP requests read. Two circles are broken on the way: Phase and Request/Outcome stand in files of their own (clients and phases; ops, origin and servers).

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -6,6 +6,9 @@
 
 use basaltwood::facade::Ask;
 use basaltwood::types::{Micros, Place};
+use basaltwood_wire::buffer::Buffer;
+use basaltwood_wire::facts::fact;
+use basaltwood_wire::resp;
 use bytes::{Buf, Bytes};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -14,10 +17,10 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::budget::Permit;
-use crate::buffer::Buffer;
-use crate::ops::{Answer, Desk, Final, Request};
-use crate::phases::Phase;
-use crate::resp;
+use crate::ops::{Answer, Desk, Final};
+use crate::phase::Phase;
+use crate::read;
+use crate::request::Request;
 
 /// Commands of one connection that wait for their answers; more are left unread.
 const PIPELINE: usize = 32;
@@ -175,7 +178,7 @@
         let room = desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
         tokio::select! {
             biased;
-            read = buffer.fill(&mut reading), if more && room => match read {
+            read = read(&mut reading, &mut buffer), if more && room => match read {
                 Ok(1..) => {}
                 _ => return Close::Now,
             },
@@ -290,17 +293,17 @@
         return Err("a key, an id and facts without control characters are needed".to_owned());
     }
     let text = String::from_utf8_lossy(&facts);
-    let fact = |name: &str| text.split(',').find_map(|fact| fact.strip_prefix(name)?.strip_prefix('='));
-    let category = fact("c").ok_or("no c: the category is missing")?;
-    let wait = fact("d").and_then(|wait| wait.parse::<f64>().ok()).filter(|wait| LONGEST.contains(wait));
+    let category = fact(&text, "c").ok_or("no c: the category is missing")?;
+    let wait =
+        fact(&text, "d").and_then(|wait| wait.parse::<f64>().ok()).filter(|wait| LONGEST.contains(wait));
     let wait = wait.ok_or("no d: the time to wait is missing or absurd")?;
     let known = desk.words.borrow();
     let ask = Ask {
         category: known.category(category)?,
-        customer: fact("t").and_then(|name| known.customer(name)),
+        customer: fact(&text, "t").and_then(|name| known.customer(name)),
         key: Some(Place::of(&String::from_utf8_lossy(&key))),
         write,
-        again: fact("r") == Some("1"),
+        again: fact(&text, "r") == Some("1"),
         ttl_at: desk.clock.now() + (wait * 1000.0) as Micros,
     };
     drop(text);
--- /dev/null
+++ b/balancer/src/lib.rs
@@ -0,0 +1,41 @@
+//! The balancer on sockets: clients, cache hosts, origin and discovery around basaltwood's decisions. A program reads
+//! what it is [`Told`] and calls [`run`], which serves until a signal ends it. This crate decides nothing about ops.
+
+mod budget;
+mod clients;
+mod clock;
+mod counters;
+mod list;
+mod ops;
+mod origin;
+mod phase;
+mod phases;
+mod request;
+mod servers;
+mod told;
+
+use std::io;
+
+use basaltwood_wire::buffer::Buffer;
+use phases::Phases;
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+pub use told::Told;
+
+/// Serves until it is told to end (SIGTERM, SIGINT), on a runtime of its own in this thread.
+///
+/// # Errors
+/// One line where it can't listen, or where a part of it failed.
+pub fn run(told: Told) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|cause| format!("the runtime: {cause}"))?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async { Phases::start(told)?.run().await })
+}
+
+/// Reads once into a connection's buffer; 0 at the end of the stream. Nothing is lost where this is cut off.
+async fn read(from: &mut (impl AsyncRead + Unpin), buffer: &mut Buffer) -> io::Result<usize> {
+    from.read_buf(buffer.room()?).await
+}
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -7,13 +7,14 @@
 
 use basaltwood::types::{Lifecycle, Listed, Micros};
 use basaltwood_terms::{micros, Entry};
+use basaltwood_wire::http;
 use serde::Deserialize;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use crate::http;
 use crate::ops::Desk;
+use crate::read;
 use crate::servers::Link;
 
 /// How long discovery may hold a call while nothing changes. Long, since what an answer that never comes
@@ -208,7 +209,7 @@
     let patience = PATIENCE + from.map_or(Duration::ZERO, |_| HOLD);
     let answer = timeout(patience, async {
         loop {
-            match buffer.fill(stream).await {
+            match read(stream, buffer).await {
                 Ok(0) => return Err(mute("it closed the connection")),
                 Ok(_) => {}
                 Err(cause) => return Err(silent(cause)),
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -7,15 +7,16 @@
 use basaltwood::facade::{Ask, Decision, Facade};
 use basaltwood::types::*;
 use basaltwood_terms::Words;
-use bytes::{BufMut, Bytes, BytesMut};
-use tokio::sync::{oneshot, watch, Notify};
+use bytes::Bytes;
+use tokio::sync::{oneshot, Notify};
 use tokio::task::{AbortHandle, JoinSet};
 
 use crate::budget::{Budget, Held};
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::origin;
-use crate::servers::{Outcome, Servers};
+use crate::request::{Outcome, Request};
+use crate::servers::Servers;
 
 /// The final answer to an op, in no protocol's form.
 pub enum Answer {
@@ -27,40 +28,6 @@
 /// A final answer and the memory that it takes until it is sent.
 pub type Final = (Answer, Held);
 
-/// What a client asked, in its own bytes.
-pub struct Request {
-    pub command: Bytes,
-    pub key: Bytes,
-    pub id: Bytes,
-    /// Names and values: the category, how long the client waits, and more.
-    pub facts: Bytes,
-    pub value: Option<Bytes>,
-    /// The op has its final answer, or nobody waits for one: nothing more may be sent.
-    pub over: watch::Sender<bool>,
-}
-
-impl Request {
-    /// Waits until the op is over.
-    pub async fn ended(&self) {
-        // The sender is our own, so this can't fail.
-        let _ = self.over.subscribe().wait_for(|over| *over).await;
-    }
-
-    /// The names and values as they came, but for how long this push may wait.
-    pub fn facts(&self, within: Micros) -> Bytes {
-        let mut out = BytesMut::with_capacity(self.facts.len() + 8);
-        for (nth, fact) in self.facts.split(|&byte| byte == b',').enumerate() {
-            out.put_slice(if nth > 0 { b"," } else { b"" });
-            if fact.starts_with(b"d=") {
-                out.put_slice(format!("d={}", (within / 1000).max(1)).as_bytes());
-            } else {
-                out.put_slice(fact);
-            }
-        }
-        out.freeze()
-    }
-}
-
 /// All that serving an op takes, shared by every connection.
 pub struct Desk {
     pub facade: RefCell<Facade>,
--- a/balancer/src/origin.rs
+++ b/balancer/src/origin.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use basaltwood::types::{End, HostId, Micros};
+use basaltwood_wire::http;
+use basaltwood_wire::resp::MOST_VALUE;
 
-use crate::http;
-use crate::ops::Request;
-use crate::resp::MOST_VALUE;
-use crate::servers::{Outcome, Servers};
+use crate::request::{Outcome, Request};
+use crate::servers::Servers;
 
 /// One push of an op to the origin.
 pub async fn push(
--- /dev/null
+++ b/balancer/src/phase.rs
@@ -0,0 +1,14 @@
+//! Where the program is between start and exit.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Reads what it is told and begins to listen.
+    Starting,
+    Serving,
+    /// Told to end: takes what still comes, answers it, closes connections once they were of use.
+    Draining,
+    /// Nothing new is taken; connections are closed as soon as they are owed nothing.
+    Closing,
+    /// Nothing is owed any more.
+    Ended,
+}
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -16,6 +16,7 @@
 use crate::counters::Counters;
 use crate::list;
 use crate::ops::Desk;
+use crate::phase::Phase;
 use crate::servers::Servers;
 use crate::told::Told;
 
@@ -26,19 +27,6 @@
 const LAST_ANSWERS: Duration = Duration::from_millis(3_000);
 const SWEEP_IDLE: Duration = Duration::from_millis(500);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Reads what it is told and begins to listen.
-    Starting,
-    Serving,
-    /// Told to end: takes what still comes, answers it, closes connections once they were of use.
-    Draining,
-    /// Nothing new is taken; connections are closed as soon as they are owed nothing.
-    Closing,
-    /// Nothing is owed any more.
-    Ended,
-}
-
 pub struct Phases {
     phase: watch::Sender<Phase>,
     desk: Rc<Desk>,
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -9,17 +9,18 @@
 
 use basaltwood::types::{End, HostId, Micros};
 use basaltwood_terms::Bounds;
+use basaltwood_wire::buffer::Buffer;
+use basaltwood_wire::resp::{self, Reply, MOST};
 use bytes::Bytes;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
 use crate::budget::{Budget, Permit};
-use crate::buffer::Buffer;
 use crate::clock::{span, Clock};
 use crate::counters::Counters;
-use crate::ops::Request;
-use crate::resp::{self, Reply, MOST};
+use crate::read;
+use crate::request::{Outcome, Request};
 
 /// The part of a host's idle time after which a connection is not used again.
 const FRESH: f64 = 0.8;
@@ -32,9 +33,6 @@
     _permit: Permit,
 }
 
-/// How a push ended, and the value where it brought one.
-pub type Outcome = (End, Option<Bytes>);
-
 pub struct Servers {
     hosts: RefCell<BTreeMap<HostId, Place>>,
     bounds: Bounds,
@@ -150,7 +148,7 @@
         }
     }
 
-    /// Sends one request and reads one answer. `read` takes a whole answer from the front of the buffer:
+    /// Sends one request and reads one answer. `whole` takes a whole answer from the front of the buffer:
     /// the outcome, how many bytes it took, and whether the connection may carry another.
     pub async fn exchange(
         &self,
@@ -158,7 +156,7 @@
         request: &Request,
         text: Bytes,
         within: Micros,
-        read: impl Fn(&[u8]) -> Result<Option<(Outcome, usize, bool)>, String>,
+        whole: impl Fn(&[u8]) -> Result<Option<(Outcome, usize, bool)>, String>,
     ) -> Outcome {
         let until = Instant::now() + span(within);
         // The host begins with the last byte: until that is written the push never ran. An op that is over
@@ -181,12 +179,12 @@
         };
         drop(text);
         loop {
-            match timeout_at(until, link.buffer.fill(&mut link.stream)).await {
+            match timeout_at(until, read(&mut link.stream, &mut link.buffer)).await {
                 Err(_) => return (End::TimedOut, None),
                 Ok(Ok(0) | Err(_)) => return (End::Broken, None),
                 Ok(Ok(_)) => {}
             }
-            match read(link.buffer.bytes()) {
+            match whole(link.buffer.bytes()) {
                 Ok(None) => {}
                 Ok(Some((outcome, used, keep))) => {
                     link.buffer.consume(used);
@@ -216,7 +214,7 @@
         let facts = request.facts(within);
         let mut words: Vec<&[u8]> = vec![&request.command, &request.key, &request.id, &facts];
         words.extend(request.value.as_deref());
-        let read = |bytes: &[u8]| {
+        let whole = |bytes: &[u8]| {
             let Some((reply, used, keep)) = resp::reply(bytes)? else { return Ok(None) };
             let outcome = match reply {
                 Reply::Value(place) => (End::Acked, Some(Bytes::copy_from_slice(&bytes[place]))),
@@ -226,6 +224,6 @@
             };
             Ok(Some((outcome, used, keep)))
         };
-        self.exchange(host, request, resp::written(&words), within, read).await
+        self.exchange(host, request, resp::written(&words), within, whole).await
     }
 }
--- a/balancer/src/buffer.rs
+++ b/wire/src/buffer.rs
@@ -3,7 +3,6 @@
 use std::io;
 
 use bytes::{Buf, BytesMut};
-use tokio::io::{AsyncRead, AsyncReadExt};
 
 const STEP: usize = 4 * 1024;
 /// A buffer that stands empty keeps no more than this.
@@ -36,14 +35,17 @@
         self.bytes.len() >= self.most
     }
 
-    /// Reads once; 0 at the end of the stream. Nothing is lost where this is cut off.
-    pub async fn fill(&mut self, from: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
+    /// Where the next bytes are read to, with room for some. Nothing is lost where a read is cut off.
+    ///
+    /// # Errors
+    /// `InvalidData` where it holds as much as may come at a time.
+    pub fn room(&mut self) -> io::Result<&mut BytesMut> {
         if self.full() {
             return Err(io::Error::new(io::ErrorKind::InvalidData, "more than may come at a time"));
         }
         // Nothing else holds a part of these bytes, so this moves them to the front before it grows.
         self.bytes.reserve(STEP);
-        from.read_buf(&mut self.bytes).await
+        Ok(&mut self.bytes)
     }
 
     pub fn consume(&mut self, count: usize) {
--- a/balancer/src/http.rs
+++ b/wire/src/http.rs
@@ -103,6 +103,84 @@
     }
 }
 
+/// A request as a server reads it.
+#[derive(Debug)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    /// Names in lower case.
+    pub headers: Vec<(String, String)>,
+    pub body: Bytes,
+    /// How many bytes it all took.
+    pub used: usize,
+}
+
+impl Request {
+    /// The value of a header, its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|header| header.0 == name).map(|header| header.1.as_str())
+    }
+}
+
+/// A whole request at the front; `None` while it is not whole. Only bodies whose length is told are read.
+pub fn asked(bytes: &[u8], most_body: usize) -> Result<Option<Request>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let start = match head.parse(bytes).map_err(|cause| cause.to_string())? {
+        httparse::Status::Complete(start) => start,
+        httparse::Status::Partial if bytes.len() > MOST_HEAD => return Err("too long a head".to_owned()),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let headers: Vec<(String, String)> = head
+        .headers
+        .iter()
+        .map(|header| {
+            (header.name.to_ascii_lowercase(), String::from_utf8_lossy(header.value).trim().to_owned())
+        })
+        .collect();
+    let length = headers.iter().find(|header| header.0 == "content-length").map_or("0", |header| &header.1);
+    let length: usize = length.parse().map_err(|_| "no length".to_owned())?;
+    if length > most_body {
+        return Err("too long a body".to_owned());
+    }
+    let Some(body) = bytes.get(start..start + length).map(Bytes::copy_from_slice) else { return Ok(None) };
+    let (method, path) = (head.method.unwrap_or("").to_owned(), head.path.unwrap_or("").to_owned());
+    Ok(Some(Request { method, path, headers, body, used: start + length }))
+}
+
+/// An answer as a server writes it, its body's length told.
+pub fn answered(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Bytes {
+    let mut out = BytesMut::with_capacity(128 + body.len());
+    out.put_slice(format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n", body.len()).as_bytes());
+    for (name, value) in headers {
+        out.put_slice(format!("{name}: {value}\r\n").as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(body);
+    out.freeze()
+}
+
+/// The bytes that an escaped path stands for, without its first slash; what is no escape stays as it is.
+pub fn unescaped(path: &str) -> Vec<u8> {
+    let bytes = path.strip_prefix('/').unwrap_or(path).as_bytes();
+    let mut out = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while let Some(&byte) = bytes.get(at) {
+        let code = bytes.get(at + 1..at + 3).and_then(|code| std::str::from_utf8(code).ok());
+        match code.and_then(|code| u8::from_str_radix(code, 16).ok()).filter(|_| byte == b'%') {
+            Some(code) => {
+                out.push(code);
+                at += 3;
+            }
+            None => {
+                out.push(byte);
+                at += 1;
+            }
+        }
+    }
+    out
+}
+
 /// A request; the path's parts are to be escaped before.
 pub fn request(
     method: &str,
--- a/balancer/src/resp.rs
+++ b/wire/src/resp.rs
@@ -151,6 +151,49 @@
     }
 }
 
+/// A cache host's reply with a value or, with `None`, a miss; nothing on how it went, no load report.
+pub fn stored(value: Option<&[u8]>) -> Bytes {
+    let mut out = BytesMut::with_capacity(value.map_or(0, <[u8]>::len) + 32);
+    out.put_slice(b"*3\r\n");
+    match value {
+        Some(value) => put_bulk(&mut out, value),
+        None => out.put_slice(b"$-1\r\n"),
+    }
+    out.put_slice(b"$-1\r\n$-1\r\n");
+    out.freeze()
+}
+
+/// What a balancer answered to an op.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    Value(Range<usize>),
+    /// Turned away, with the milliseconds after which to come again where it said so.
+    Busy(Option<u64>),
+    /// An error line, or anything else that is whole and no value.
+    Failed,
+}
+
+/// A balancer's whole answer at the front, and how many bytes it took; `None` while it is not whole.
+pub fn answer(bytes: &[u8]) -> Result<Option<(Answer, usize)>, &'static str> {
+    match bytes.first() {
+        None => Ok(None),
+        Some(b'$') => {
+            let Some((value, end)) = bulk(bytes, 0, MOST_VALUE)? else { return Ok(None) };
+            Ok(Some((value.map_or(Answer::Failed, Answer::Value), end)))
+        }
+        Some(b'+' | b'-' | b':') => {
+            let Some((head, end)) = line(bytes, 0)? else { return Ok(None) };
+            let answer = match head.strip_prefix(b"-BUSY") {
+                Some([]) => Answer::Busy(None),
+                Some([b' ', ms @ ..]) => Answer::Busy(number(ms).ok().and_then(|ms| ms.try_into().ok())),
+                _ => Answer::Failed,
+            };
+            Ok(Some((answer, end)))
+        }
+        Some(_) => Err("no answer to a command of ours"),
+    }
+}
+
 /// A command of these words.
 pub fn written(words: &[&[u8]]) -> Bytes {
     let length = words.iter().map(|word| word.len() + 16).sum::<usize>() + 16;
