lab: an emulated fleet, open-loop load and an audit of the four rules, first slice

The package lab brings a world up on loopback (cache hosts that store, origin, discovery, a script of faults), starts balancers as programs, plays planned arrivals as an open loop, notes all that crosses the sockets and audits it.

--- /dev/null
+++ b/lab/src/figures.rs
@@ -0,0 +1,242 @@
+//! What a run comes to: figures over the whole and by second, from the generator's records and the ledger. Pure.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::audit::Breach;
+use crate::balancers::Use;
+use crate::ledger::{Event, HostNo, What};
+use crate::load::player::{End, Record};
+use crate::script::Experiment;
+use crate::time::{Micros, MS, SECOND};
+use crate::world::faults::Span;
+
+/// An op that left later than this was late by the generator's fault.
+pub const LATE: Micros = 2 * MS;
+/// More than this part of them voids a run.
+pub const LATE_PART: f64 = 0.01;
+/// So late a thread of the world may be at most.
+pub const WORLD_LATE: Micros = 250 * MS;
+
+/// Times in milliseconds by percentile.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Latency {
+    pub count: u64,
+    pub p50: f64,
+    pub p90: f64,
+    pub p99: f64,
+    pub p999: f64,
+    pub p9999: f64,
+    pub most: f64,
+    /// (percentile, milliseconds), for a plot.
+    pub curve: Vec<(f64, f64)>,
+}
+
+impl Latency {
+    pub fn of(times: impl Iterator<Item = Micros>) -> Latency {
+        // Microseconds to three digits: an hour fits.
+        let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3) else {
+            return Latency::default();
+        };
+        times.for_each(|time| histogram.saturating_record(time.max(1) as u64));
+        let at = |percentile: f64| histogram.value_at_percentile(percentile) as f64 / 1e3;
+        let mut curve = Vec::new();
+        // As many points for each further nine.
+        let mut left: f64 = 1.0;
+        while left > 1e-5 {
+            curve.push((100.0 * (1.0 - left), at(100.0 * (1.0 - left))));
+            left *= 0.8;
+        }
+        Latency {
+            count: histogram.len(),
+            p50: at(50.0),
+            p90: at(90.0),
+            p99: at(99.0),
+            p999: at(99.9),
+            p9999: at(99.99),
+            most: histogram.max() as f64 / 1e3,
+            curve,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HostFigures {
+    pub pushed: u64,
+    pub ran: u64,
+    pub missed: u64,
+    pub turned: u64,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Second {
+    pub ops: u64,
+    /// Benefit within target latency over benefit asked for.
+    pub benefit: f64,
+    pub nacked: u64,
+    pub failed: u64,
+    pub p50: f64,
+    pub p99: f64,
+    pub most: f64,
+}
+
+/// A run's figures. A later reader passes over what it does not know.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Figures {
+    pub ops: u64,
+    /// Benefit earned over benefit asked for: 1 is all within target latency.
+    pub benefit: f64,
+    pub served: u64,
+    pub in_target: u64,
+    pub nacked: u64,
+    pub failed: u64,
+    /// Ended with the balancer's connection, or without an answer, or with another op's value.
+    pub lost: u64,
+    pub left: u64,
+    pub unreached: u64,
+    pub tries: u64,
+    /// Of ops that were served, from when they were due.
+    pub latency: Latency,
+    /// Of all ops, however they ended.
+    pub until_end: Latency,
+    pub over_1s: u64,
+    /// By how much ops left later than they were due, in milliseconds.
+    pub late_p99_ms: f64,
+    pub late_most_ms: f64,
+    pub late_part: f64,
+    pub generator_us_per_op: f64,
+    pub world_late_ms: f64,
+    pub pushes_per_op: f64,
+    pub origin_pushes: u64,
+    pub hosts: BTreeMap<String, HostFigures>,
+    pub balancers: Vec<Use>,
+    pub cpu_us_per_op: f64,
+    pub seconds: Vec<Second>,
+}
+
+/// One run: an arm with a seed.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Run {
+    pub experiment: String,
+    pub arm: String,
+    pub seed: u64,
+    /// Why it counts for nothing, where it does.
+    pub void: Option<String>,
+    pub figures: Figures,
+    pub breaches: Vec<Breach>,
+    /// Faults: what, from and to, in seconds.
+    pub faults: Vec<(String, f64, f64)>,
+}
+
+impl Run {
+    pub fn in_breach(&self) -> bool {
+        !self.breaches.is_empty()
+    }
+}
+
+/// What an op earned, and what it asked for.
+pub fn earned(record: &Record, experiment: &Experiment) -> (f64, f64) {
+    let category = &experiment.categories[usize::from(record.category)];
+    let part = match record.end {
+        End::Served if record.took() <= category.target() => 1.0,
+        End::Served if record.took() <= category.ttl() => category.late_benefit,
+        _ => 0.0,
+    };
+    (part * category.benefit, category.benefit)
+}
+
+pub fn figures(
+    experiment: &Experiment,
+    records: &[Record],
+    events: &[Event],
+    generator_cpu_s: f64,
+) -> Figures {
+    let mut figures = Figures { ops: records.len() as u64, ..Figures::default() };
+    let ops = records.len().max(1) as f64;
+    let mut seconds: BTreeMap<i64, Vec<&Record>> = BTreeMap::new();
+    let (mut got, mut asked) = (0.0, 0.0);
+    for record in records {
+        seconds.entry(record.due / SECOND).or_default().push(record);
+        let (gained, worth) = earned(record, experiment);
+        (got, asked) = (got + gained, asked + worth);
+        figures.tries += u64::from(record.tries);
+        figures.over_1s += u64::from(record.took() > SECOND);
+        let category = &experiment.categories[usize::from(record.category)];
+        let count = match record.end {
+            End::Served => &mut figures.served,
+            End::Nacked => &mut figures.nacked,
+            End::Failed => &mut figures.failed,
+            End::Foreign | End::Lost | End::Unanswered => &mut figures.lost,
+            End::Left => &mut figures.left,
+            End::Unreached => &mut figures.unreached,
+        };
+        *count += 1;
+        figures.in_target += u64::from(record.end == End::Served && record.took() <= category.target());
+    }
+    figures.benefit = if asked > 0.0 { got / asked } else { 0.0 };
+    let served = records.iter().filter(|record| record.end == End::Served);
+    figures.latency = Latency::of(served.map(Record::took));
+    figures.until_end = Latency::of(records.iter().map(Record::took));
+    let late = Latency::of(records.iter().map(|record| record.left - record.due));
+    (figures.late_p99_ms, figures.late_most_ms) = (late.p99, late.most);
+    let late = records.iter().filter(|record| record.left - record.due > LATE).count();
+    figures.late_part = late as f64 / ops;
+    figures.generator_us_per_op = generator_cpu_s * 1e6 / ops;
+    let mut hosts: BTreeMap<HostNo, HostFigures> = BTreeMap::new();
+    let mut pushes = 0_u64;
+    for event in events {
+        match event.what {
+            What::Pushed { host, .. } => {
+                hosts.entry(host).or_default().pushed += 1;
+                pushes += 1;
+            }
+            What::Ran { host, .. } => hosts.entry(host).or_default().ran += 1,
+            What::Missed { host, .. } => hosts.entry(host).or_default().missed += 1,
+            What::Turned { host, .. } => hosts.entry(host).or_default().turned += 1,
+            _ => {}
+        }
+    }
+    figures.pushes_per_op = pushes as f64 / ops;
+    figures.origin_pushes = hosts.get(&HostNo::ORIGIN).map_or(0, |host| host.pushed);
+    figures.hosts = hosts.into_iter().map(|(no, figures)| (no.to_string(), figures)).collect();
+    let last = seconds.keys().next_back().copied().unwrap_or(0);
+    figures.seconds =
+        (0..=last).map(|nth| second(seconds.get(&nth).map_or(&[][..], Vec::as_slice), experiment)).collect();
+    figures
+}
+
+fn second(records: &[&Record], experiment: &Experiment) -> Second {
+    let sums = records.iter().map(|record| earned(record, experiment));
+    let (got, asked) = sums.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    let count = |end: End| records.iter().filter(|record| record.end == end).count() as u64;
+    let latency = Latency::of(records.iter().map(|record| record.took()));
+    Second {
+        ops: records.len() as u64,
+        benefit: if asked > 0.0 { got / asked } else { 1.0 },
+        nacked: count(End::Nacked),
+        failed: records.len() as u64 - count(End::Served) - count(End::Nacked) - count(End::Left),
+        p50: latency.p50,
+        p99: latency.p99,
+        most: latency.most,
+    }
+}
+
+/// Why a run counts for nothing: the lab itself was too slow.
+pub fn void(figures: &Figures) -> Option<String> {
+    if figures.late_part > LATE_PART {
+        return Some(format!(
+            "the generator was late: {:.1}% of the ops by more than {} ms (p99 {:.1} ms)",
+            100.0 * figures.late_part,
+            LATE / MS,
+            figures.late_p99_ms
+        ));
+    }
+    (figures.world_late_ms > WORLD_LATE as f64 / 1e3)
+        .then(|| format!("the emulated fleet stood still for {:.0} ms", figures.world_late_ms))
+}
+
+pub fn shaded(spans: &[Span]) -> Vec<(String, f64, f64)> {
+    spans.iter().map(|span| (span.title(), span.from as f64 / 1e6, span.to as f64 / 1e6)).collect()
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,21 @@
+//! A world of our own, in which a balancer can be started, loaded, hurt and judged: an emulated fleet with its origin and
+//! discovery ([`world`]), an open-loop load generator ([`load`]), a script of faults ([`script`]), a ledger of all that
+//! crossed the sockets ([`ledger`]) and the audit of the four rules over it ([`audit`]).
+//!
+//! [`play::play`] plays one arm of an experiment with one seed. The lab starts balancers as programs and speaks to them
+//! over sockets; it never uses their insides, and it decides nothing for them. Everything stays on loopback addresses
+//! (127.0.0.0/8), and a run ends by itself.
+
+pub mod audit;
+pub mod balancers;
+pub mod compare;
+pub mod figures;
+pub mod ledger;
+pub mod load;
+pub mod play;
+pub mod report;
+pub mod router;
+pub mod script;
+pub mod settings;
+pub mod time;
+pub mod world;
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,478 @@
+//! The lab as a program. Exit codes: 0 all is well, 1 it could not be done, 2 bad input, 3 a rule was broken, 4 a run was
+//! void, 130 interrupted.
+
+use std::fs::File;
+use std::io::{BufReader, BufWriter, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use basaltwood_lab::compare;
+use basaltwood_lab::figures::{self, Run};
+use basaltwood_lab::ledger::Ledger;
+use basaltwood_lab::load::{plan::Plan, player, trace};
+use basaltwood_lab::play::{self, play, Tick, INTERRUPTED, STOP};
+use basaltwood_lab::report;
+use basaltwood_lab::router::{self, Misdeed};
+use basaltwood_lab::script::{Arm, Baseline, Experiment};
+use basaltwood_lab::settings;
+use basaltwood_lab::time::{Clock, MS};
+use basaltwood_lab::world::World;
+use clap::{Parser, Subcommand};
+
+const DEMO: &str = include_str!("../experiments/demo.toml");
+const FAILED: u8 = 1;
+const BAD_INPUT: u8 = 2;
+const BROKEN: u8 = 3;
+const VOID: u8 = 4;
+const ENDED: u8 = 130;
+
+/// A world for balancers: emulated hosts, open-loop load, faults, and an audit of what crossed the sockets.
+///
+/// Start with `basaltwood-lab demo`. Exit codes: 0 well, 1 could not be done, 2 bad input, 3 rules broken, 4 void
+/// (the lab itself was too slow), 130 interrupted.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Example: basaltwood-lab run lab/experiments/hang.toml --arm today --arm random"
+)]
+struct Line {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// A small fleet, two balancers and load; one host hangs in the middle. Needs nothing but the built programs.
+    Demo {
+        /// Where results go.
+        #[arg(long, default_value = "lab-results")]
+        out: PathBuf,
+    },
+    /// Plays an experiment: every arm with every seed, in turn.
+    #[command(after_help = "Example: basaltwood-lab run lab/experiments/surge.toml --seeds 1,2,3")]
+    Run {
+        file: PathBuf,
+        /// Only these arms of the file; `random`, `least-in-flight` and `plain-ring` are always there.
+        #[arg(long)]
+        arm: Vec<String>,
+        /// A further arm: NAME=PROGRAM, such as an older build.
+        #[arg(long, value_name = "NAME=PROGRAM")]
+        program: Vec<String>,
+        /// Seeds instead of the file's.
+        #[arg(long, value_delimiter = ',')]
+        seeds: Vec<u64>,
+        #[arg(long, default_value = "lab-results")]
+        out: PathBuf,
+        /// One JSON line a run on standard output instead of words.
+        #[arg(long)]
+        json: bool,
+        /// Keeps what was asked as a trace beside the result.
+        #[arg(long)]
+        keep_trace: bool,
+    },
+    /// Brings a world up without load or balancers, and writes the PROXY_CONFIG files to use.
+    #[command(after_help = "Then: PROXY_CONFIG=up/balancer-0.json basaltwood-balancer")]
+    Up {
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value = "up")]
+        out: PathBuf,
+        /// Ends by itself after so many seconds; otherwise with Ctrl-C.
+        #[arg(long = "for")]
+        seconds: Option<f64>,
+    },
+    /// Plays an experiment's load against balancers that run already.
+    Load {
+        file: PathBuf,
+        #[arg(long, required = true, value_name = "ADDRESS")]
+        to: Vec<std::net::SocketAddr>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Says of each figure whether the difference between two arms is above noise.
+    #[command(after_help = "Example: basaltwood-lab compare lab-results/hang:today lab-results/hang:random")]
+    Compare {
+        /// A result's folder, with :ARM where it holds several.
+        a: String,
+        b: String,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Writes a result's page anew.
+    Report { folder: PathBuf },
+    /// Recorded arrivals.
+    Trace {
+        #[command(subcommand)]
+        verb: TraceVerb,
+    },
+    /// A baseline in a balancer's place, told by PROXY_CONFIG.
+    #[command(hide = true)]
+    Router {
+        kind: Baseline,
+        #[arg(long)]
+        misdeed: Option<Misdeed>,
+    },
+}
+
+#[derive(Subcommand)]
+enum TraceVerb {
+    /// Writes an experiment's arrivals as a trace.
+    Export {
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Makes a trace from a CSV file with the columns time_s, category, key and perhaps customer and size.
+    Import {
+        csv: PathBuf,
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Reads a trace for an experiment and says what is in it, or the first line that is of no use.
+    Check {
+        trace: PathBuf,
+        #[arg(long)]
+        experiment: PathBuf,
+    },
+}
+
+/// What went wrong, and how the program ends.
+struct Trouble(u8, String);
+
+fn bad(cause: String) -> Trouble {
+    Trouble(BAD_INPUT, cause)
+}
+
+fn failed(cause: String) -> Trouble {
+    if cause == INTERRUPTED {
+        Trouble(ENDED, cause)
+    } else {
+        Trouble(FAILED, cause)
+    }
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let line = Line::parse();
+    if !matches!(line.verb, Verb::Router { .. }) {
+        heed_signals();
+    }
+    match carry_out(line.verb) {
+        Ok(code) => ExitCode::from(code),
+        Err(Trouble(code, cause)) => {
+            eprintln!("basaltwood-lab: {cause}");
+            ExitCode::from(code)
+        }
+    }
+}
+
+/// Ctrl-C and SIGTERM end what was started, and only that.
+fn heed_signals() {
+    std::thread::spawn(|| {
+        let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
+        runtime.block_on(async {
+            use tokio::signal::unix::{signal, SignalKind};
+            let (Ok(mut ends), Ok(mut stops)) =
+                (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+            else {
+                return;
+            };
+            tokio::select! {
+                _ = ends.recv() => {}
+                _ = stops.recv() => {}
+            }
+            STOP.store(true, Ordering::Relaxed);
+        });
+    });
+}
+
+fn carry_out(verb: Verb) -> Result<u8, Trouble> {
+    match verb {
+        Verb::Demo { out } => {
+            let mut experiment = Experiment::parse(DEMO).map_err(failed)?;
+            println!("{}\n", experiment.about);
+            experiment.arms = vec![Arm { name: "today".to_owned(), program: None, baseline: None }];
+            let runs = run(&experiment, DEMO, &out, false, false)?;
+            Ok(code(&runs))
+        }
+        Verb::Run { file, arm, program, seeds, out, json, keep_trace } => {
+            let mut experiment = Experiment::read(&file).map_err(bad)?;
+            if !seeds.is_empty() {
+                experiment.seeds = seeds;
+            }
+            experiment.arms = arms(&experiment, &arm, &program).map_err(bad)?;
+            let text = std::fs::read_to_string(&file).unwrap_or_default();
+            let runs = run(&experiment, &text, &out, json, keep_trace)?;
+            Ok(code(&runs))
+        }
+        Verb::Up { file, seed, out, seconds } => up(&file, seed, &out, seconds),
+        Verb::Load { file, to, seed, json } => load(&file, &to, seed, json),
+        Verb::Compare { a, b, json } => {
+            let (of_a, of_b) = (side(&a)?, side(&b)?);
+            let (pairs, rows) =
+                compare::compare(&of_a.iter().collect::<Vec<_>>(), &of_b.iter().collect::<Vec<_>>())
+                    .map_err(bad)?;
+            if json {
+                println!("{}", serde_json::json!({"pairs": pairs, "rows": rows}));
+            } else {
+                print!("{}", compare::written(&rows, pairs));
+            }
+            Ok(0)
+        }
+        Verb::Report { folder } => {
+            let runs = compare::read(&folder).map_err(bad)?;
+            let name = runs.first().map_or("nothing", |run| &run.experiment).to_owned();
+            write(&folder.join("report.html"), &report::html(&name, "", &runs))?;
+            println!("{}", folder.join("report.html").display());
+            Ok(0)
+        }
+        Verb::Trace { verb } => traces(verb),
+        Verb::Router { kind, misdeed } => router::serve(kind, misdeed).map(|()| 0).map_err(failed),
+    }
+}
+
+/// The arms to play: those asked for, or the file's, or the balancer beside this program.
+fn arms(experiment: &Experiment, asked: &[String], programs: &[String]) -> Result<Vec<Arm>, String> {
+    let today = Arm { name: "today".to_owned(), program: None, baseline: None };
+    let mut known = experiment.arms.clone();
+    if known.is_empty() {
+        known.push(today.clone());
+    }
+    let mut arms = Vec::new();
+    for name in asked {
+        let baseline = Baseline::ALL.into_iter().find(|baseline| baseline.name() == name);
+        let found = known.iter().find(|arm| arm.name == *name).cloned();
+        let found = found.or_else(|| (name == "today").then(|| today.clone()));
+        let found = found.or_else(|| {
+            baseline.map(|baseline| Arm { name: name.clone(), program: None, baseline: Some(baseline) })
+        });
+        arms.push(found.ok_or_else(|| {
+            let names: Vec<&str> = known.iter().map(|arm| arm.name.as_str()).collect();
+            format!("no arm {name}: there are {} and the baselines", names.join(", "))
+        })?);
+    }
+    for program in programs {
+        let (name, path) =
+            program.split_once('=').ok_or(format!("--program {program}: write NAME=PROGRAM"))?;
+        arms.push(Arm { name: name.to_owned(), program: Some(PathBuf::from(path)), baseline: None });
+    }
+    if asked.is_empty() {
+        arms.splice(0..0, known);
+    }
+    Ok(arms)
+}
+
+fn code(runs: &[Run]) -> u8 {
+    if runs.iter().any(|run| run.in_breach() && run.void.is_none()) {
+        BROKEN
+    } else if runs.iter().any(|run| run.void.is_some()) {
+        VOID
+    } else {
+        0
+    }
+}
+
+/// Plays every arm with every seed, and writes the result's folder as it goes.
+fn run(
+    experiment: &Experiment,
+    text: &str,
+    out: &Path,
+    json: bool,
+    keep_trace: bool,
+) -> Result<Vec<Run>, Trouble> {
+    let folder = fresh(out, &experiment.name)?;
+    write(&folder.join("experiment.toml"), text)?;
+    let lines = File::create(folder.join("runs.jsonl"));
+    let mut lines = lines.map_err(|cause| failed(format!("{}: {cause}", folder.display())))?;
+    let mut runs = Vec::new();
+    let all = experiment.arms.len() * experiment.seeds.len();
+    for (nth, &seed) in experiment.seeds.iter().enumerate() {
+        if keep_trace {
+            let plan = play::plan(experiment, seed).map_err(bad)?;
+            export(&plan, experiment, &folder.join(format!("trace-{seed}.jsonl")))?;
+        }
+        for turn in 0..experiment.arms.len() {
+            // Another goes first each time, so that whatever drifts hurts all alike.
+            let arm = &experiment.arms[(nth + turn) % experiment.arms.len()];
+            let title = format!("[{}/{all}] {} seed {seed}", runs.len() + 1, arm.name);
+            let logs = folder.join("logs").join(format!("{}-{seed}", arm.name));
+            let mut tell = |tick: Tick| progress(&title, tick, json);
+            let played = play(experiment, arm, seed, &logs, &mut tell).map_err(failed)?;
+            let line = serde_json::to_string(&played).map_err(|cause| failed(cause.to_string()))?;
+            writeln!(lines, "{line}").map_err(|cause| failed(cause.to_string()))?;
+            if json {
+                println!("{}", report::as_json(&played));
+            } else {
+                let breaches = played.breaches.len();
+                let benefit = played.figures.benefit;
+                let void = if played.void.is_some() { ", VOID" } else { "" };
+                println!("{title}: benefit {benefit:.3}, {breaches} breaches{void}");
+            }
+            runs.push(played);
+            write(&folder.join("report.html"), &report::html(&experiment.name, &experiment.about, &runs))?;
+        }
+    }
+    if !json {
+        println!("\n{}\nreport: {}", report::summary(&runs), folder.join("report.html").display());
+    }
+    Ok(runs)
+}
+
+fn progress(title: &str, tick: Tick, json: bool) {
+    let line = format!(
+        "{title}  {:>3}/{} s  {:>6} ops/s  {:>6} served  {:>7.1} ms  {:>6} kB",
+        tick.second, tick.of, tick.left, tick.served, tick.mean_ms, tick.resident_kb
+    );
+    // Standard output is for machines then.
+    if json {
+        eprintln!("{line}");
+    } else {
+        println!("{line}");
+    }
+}
+
+/// A folder that is not there yet: nothing is written over.
+fn fresh(out: &Path, name: &str) -> Result<PathBuf, Trouble> {
+    std::fs::create_dir_all(out).map_err(|cause| failed(format!("{}: {cause}", out.display())))?;
+    for nth in 1..10_000 {
+        let folder = out.join(if nth == 1 { name.to_owned() } else { format!("{name}-{nth}") });
+        match std::fs::create_dir(&folder) {
+            Ok(()) => return Ok(folder),
+            Err(cause) if cause.kind() == std::io::ErrorKind::AlreadyExists => {}
+            Err(cause) => return Err(failed(format!("{}: {cause}", folder.display()))),
+        }
+    }
+    Err(failed(format!("{}: too many results named {name}: remove some", out.display())))
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Trouble> {
+    std::fs::write(path, text).map_err(|cause| failed(format!("{}: {cause}", path.display())))
+}
+
+fn up(file: &Path, seed: u64, out: &Path, seconds: Option<f64>) -> Result<u8, Trouble> {
+    let experiment = Experiment::read(file).map_err(bad)?;
+    let ledger = Ledger::new(Clock::start());
+    let world = World::start(&experiment, seed, &ledger).map_err(failed)?;
+    std::fs::create_dir_all(out).map_err(|cause| failed(format!("{}: {cause}", out.display())))?;
+    for (nth, seat) in world.seats.iter().enumerate() {
+        let listen = ([127, 0, 0, 1], 6379 + nth as u16).into();
+        let told = settings::told(&experiment, &format!("n{nth}"), listen, seat, seed);
+        let path = out.join(format!("balancer-{nth}.json"));
+        write(&path, &told.to_string())?;
+        println!("PROXY_CONFIG={} # listens on {listen}, discovery {}", path.display(), seat.discovery);
+    }
+    println!("up; Ctrl-C ends it");
+    let began = std::time::Instant::now();
+    while !STOP.load(Ordering::Relaxed) && seconds.is_none_or(|most| began.elapsed().as_secs_f64() < most) {
+        std::thread::sleep(Duration::from_millis(50));
+        // Nobody audits this world: what it notes is not to fill the memory.
+        ledger.take();
+    }
+    Ok(0)
+}
+
+fn load(file: &Path, to: &[std::net::SocketAddr], seed: u64, json: bool) -> Result<u8, Trouble> {
+    if let Some(address) = to.iter().find(|address| !address.ip().is_loopback()) {
+        return Err(bad(format!("--to {address}: the lab loads loopback addresses only (127.0.0.0/8)")));
+    }
+    let experiment = Experiment::read(file).map_err(bad)?;
+    let plan = Arc::new(play::plan(&experiment, seed).map_err(bad)?);
+    let ledger = Ledger::new(Clock::start());
+    ledger.clock.begin(200 * MS);
+    let (progress, late) = (Arc::default(), Arc::default());
+    let played = player::play(&experiment, plan, seed, to, &ledger, Vec::new(), progress, late);
+    let played = played.map_err(failed)?;
+    let events = ledger.take();
+    let figures = figures::figures(&experiment, &played.records, &events, played.cpu_s);
+    let void = figures::void(&figures);
+    let run = Run {
+        experiment: experiment.name.clone(),
+        arm: "load".to_owned(),
+        seed,
+        void,
+        figures,
+        ..Run::default()
+    };
+    if json {
+        println!("{}", serde_json::to_string(&run).map_err(|cause| failed(cause.to_string()))?);
+    } else {
+        print!("{}", report::summary(std::slice::from_ref(&run)));
+        let figures = &run.figures;
+        println!(
+            "until the end: p50 {:.2} p90 {:.2} p99 {:.2} p99.9 {:.2} p99.99 {:.2} most {:.2} ms; {} over 1 s",
+            figures.until_end.p50,
+            figures.until_end.p90,
+            figures.until_end.p99,
+            figures.until_end.p999,
+            figures.until_end.p9999,
+            figures.until_end.most,
+            figures.over_1s
+        );
+        println!(
+            "generator: {:.1} us of CPU an op; late by {:.3} ms at the 99th percentile, {:.1} ms at most",
+            figures.generator_us_per_op, figures.late_p99_ms, figures.late_most_ms
+        );
+    }
+    Ok(code(&[run]))
+}
+
+/// FOLDER or FOLDER:ARM.
+fn side(text: &str) -> Result<Vec<Run>, Trouble> {
+    let (folder, arm) = match text.rsplit_once(':') {
+        Some((folder, arm)) if !Path::new(text).exists() => (folder, Some(arm)),
+        _ => (text, None),
+    };
+    let mut runs = compare::read(Path::new(folder)).map_err(bad)?;
+    let names: Vec<String> = report::by_arm(&runs).iter().map(|arm| arm.0.to_owned()).collect();
+    match arm {
+        Some(arm) if !names.iter().any(|name| name == arm) => {
+            return Err(bad(format!("{folder}: no arm {arm}: it holds {}", names.join(", "))));
+        }
+        Some(arm) => runs.retain(|run| run.arm == arm),
+        None if names.len() > 1 => {
+            return Err(bad(format!("{folder} holds {}: name one as {folder}:ARM", names.join(", "))));
+        }
+        None => {}
+    }
+    Ok(runs)
+}
+
+fn export(plan: &Plan, experiment: &Experiment, path: &Path) -> Result<(), Trouble> {
+    let written = File::create(path).and_then(|file| trace::export(plan, experiment, BufWriter::new(file)));
+    written.map_err(|cause| failed(format!("{}: {cause}", path.display())))
+}
+
+fn traces(verb: TraceVerb) -> Result<u8, Trouble> {
+    let open = |path: &Path| {
+        File::open(path).map(BufReader::new).map_err(|cause| bad(format!("{}: {cause}", path.display())))
+    };
+    match verb {
+        TraceVerb::Export { file, seed, out } => {
+            let experiment = Experiment::read(&file).map_err(bad)?;
+            let plan = play::plan(&experiment, seed).map_err(bad)?;
+            export(&plan, &experiment, &out)?;
+            println!("{} ops in {}", plan.ops.len(), out.display());
+        }
+        TraceVerb::Import { csv, out } => {
+            let lines =
+                trace::of_csv(open(&csv)?).map_err(|cause| bad(format!("{}: {cause}", csv.display())))?;
+            write(&out, &lines)?;
+            println!("{} ops in {}", lines.lines().count(), out.display());
+        }
+        TraceVerb::Check { trace: path, experiment } => {
+            let experiment = Experiment::read(&experiment).map_err(bad)?;
+            let plan = trace::import(open(&path)?, &experiment, 1.0)
+                .map_err(|cause| bad(format!("{}: {cause}", path.display())))?;
+            println!("{} ops, {} keys, {:.1} ops a second", plan.ops.len(), plan.keys.len(), plan.rate());
+        }
+    }
+    Ok(0)
+}
--- /dev/null
+++ b/lab/src/world/faults.rs
@@ -0,0 +1,118 @@
+//! The script of faults, laid out in time: which edges come when, and how likely a fault is for a push. Pure.
+
+use std::collections::BTreeSet;
+
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+
+use crate::ledger::HostNo;
+use crate::script::{Experiment, Fault, Kind, Which};
+use crate::time::{seconds, Micros};
+
+/// One time that a fault is on.
+#[derive(Clone, Debug)]
+pub struct Span {
+    pub kind: Kind,
+    pub hosts: BTreeSet<HostNo>,
+    pub balancer: Option<usize>,
+    pub from: Micros,
+    pub to: Micros,
+    pub part: f64,
+    pub factor: f64,
+    /// For growth: how many.
+    pub count: usize,
+}
+
+impl Span {
+    fn covers(&self, now: Micros, kind: Kind, host: HostNo, balancer: usize) -> bool {
+        self.kind == kind
+            && (self.from..self.to).contains(&now)
+            && self.balancer.is_none_or(|only| only == balancer)
+            && self.hosts.contains(&host)
+    }
+
+    pub fn title(&self) -> String {
+        let name = serde_json::to_string(&self.kind).unwrap_or_default();
+        let name = name.trim_matches('"');
+        let of = match (self.kind, self.balancer) {
+            (Kind::Grow, _) => format!(" by {}", self.count),
+            (Kind::BalancerKill, Some(balancer)) => format!(" {balancer}"),
+            _ if self.hosts.is_empty() => String::new(),
+            _ => {
+                let hosts: Vec<String> = self.hosts.iter().map(|host| host.0.to_string()).collect();
+                format!(" of {}", hosts.join(","))
+            }
+        };
+        format!("{name}{of}")
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    pub spans: Vec<Span>,
+}
+
+impl Faults {
+    /// All times that faults are on, in the order of their beginnings. Which hosts are meant by a number is drawn once.
+    pub fn laid_out(experiment: &Experiment, rng: &mut ChaCha8Rng) -> Faults {
+        let length = experiment.length();
+        let mut spans = Vec::new();
+        for fault in &experiment.faults {
+            let hosts = hosts(fault, experiment.fleet.hosts, rng);
+            let span = seconds(fault.to_s.unwrap_or(experiment.seconds)) - fault.from();
+            let mut from = fault.from();
+            loop {
+                let one = Span {
+                    kind: fault.kind,
+                    hosts: hosts.clone(),
+                    balancer: fault.balancer,
+                    from,
+                    to: from + span,
+                    part: fault.part,
+                    factor: fault.factor,
+                    count: if let Which::Count(count) = fault.hosts { count } else { 0 },
+                };
+                if one.kind == Kind::RollOut {
+                    rolled(&one, &mut spans);
+                } else {
+                    spans.push(one);
+                }
+                match fault.every_s.map(seconds).filter(|&every| from + every < length) {
+                    Some(every) => from += every,
+                    None => break,
+                }
+            }
+        }
+        spans.sort_by_key(|span| span.from);
+        Faults { spans }
+    }
+
+    /// How likely a push is hit by a fault of this kind now.
+    pub fn part(&self, now: Micros, kind: Kind, host: HostNo, balancer: usize) -> f64 {
+        let on = self.spans.iter().filter(|span| span.covers(now, kind, host, balancer));
+        on.map(|span| span.part).fold(0.0, f64::max)
+    }
+}
+
+fn hosts(fault: &Fault, all: usize, rng: &mut ChaCha8Rng) -> BTreeSet<HostNo> {
+    let every = (0..all as u32).map(HostNo);
+    match (&fault.kind, &fault.hosts) {
+        (Kind::OriginSlow | Kind::OriginDown, _) => [HostNo::ORIGIN].into(),
+        (Kind::Grow | Kind::DiscoveryDown | Kind::DiscoveryStale, _) => BTreeSet::new(),
+        (Kind::BalancerKill | Kind::GeneratorStop, _) => BTreeSet::new(),
+        (_, Which::Named(_)) => every.collect(),
+        (_, Which::These(hosts)) => hosts.iter().map(|&host| HostNo(host as u32)).collect(),
+        (_, Which::Count(count)) => every.choose_multiple(rng, *count).into_iter().collect(),
+    }
+}
+
+/// A roll-out: each host drains for a third of its time and is away for a twentieth; then the next one's turn comes.
+fn rolled(whole: &Span, spans: &mut Vec<Span>) {
+    let each = (whole.to - whole.from) / whole.hosts.len().max(1) as Micros;
+    for (nth, host) in whole.hosts.iter().enumerate() {
+        let from = whole.from + each * nth as Micros;
+        let one = |kind, from, to| Span { kind, hosts: [*host].into(), from, to, ..whole.clone() };
+        spans.push(one(Kind::RollOut, from, from + each / 3));
+        spans.push(one(Kind::Die, from + each / 3, from + each / 3 + each / 20));
+    }
+}
--- a/wire/src/resp.rs
+++ b/wire/src/resp.rs
@@ -151,15 +151,19 @@
     }
 }
 
-/// A cache host's reply with a value or, with `None`, a miss; nothing on how it went, no load report.
-pub fn stored(value: Option<&[u8]>) -> Bytes {
+/// A cache host's reply with a value or, with `None`, a miss; nothing on how it went, and its load where it tells that.
+pub fn stored(value: Option<&[u8]>, load: Option<&str>) -> Bytes {
     let mut out = BytesMut::with_capacity(value.map_or(0, <[u8]>::len) + 32);
     out.put_slice(b"*3\r\n");
     match value {
         Some(value) => put_bulk(&mut out, value),
         None => out.put_slice(b"$-1\r\n"),
     }
-    out.put_slice(b"$-1\r\n$-1\r\n");
+    out.put_slice(b"$-1\r\n");
+    match load {
+        Some(load) => put_bulk(&mut out, load.as_bytes()),
+        None => out.put_slice(b"$-1\r\n"),
+    }
     out.freeze()
 }
 
