--- a/lab/src/load/plan.rs
+++ b/lab/src/load/plan.rs
@@ -163,7 +163,7 @@
     fn draw(&mut self, at: f64, write: bool, rng: &mut ChaCha8Rng) -> u32 {
         let keys = self.names.len() as u32;
         if let Some(hot) = self.hot.filter(|hot| !write && (hot.from_s..hot.to_s).contains(&at)) {
-            let on = hot.period_s <= 0.0 || ((at - hot.from_s) / hot.period_s) as u64 % 2 == 0;
+            let on = hot.period_s <= 0.0 || (((at - hot.from_s) / hot.period_s) as u64).is_multiple_of(2);
             if on && rng.random::<f64>() < hot.part {
                 return self.order[0];
             }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use basaltwood_lab::balancers::Program;
 use basaltwood_lab::compare;
 use basaltwood_lab::figures::{self, Run};
 use basaltwood_lab::ledger::Ledger;
@@ -305,7 +306,8 @@
             let title = format!("[{}/{all}] {} seed {seed}", runs.len() + 1, arm.name);
             let logs = folder.join("logs").join(format!("{}-{seed}", arm.name));
             let mut tell = |tick: Tick| progress(&title, tick, json);
-            let played = play(experiment, arm, seed, &logs, &mut tell).map_err(failed)?;
+            let program = Program::of(arm).map_err(bad)?;
+            let played = play(experiment, &arm.name, &program, seed, &logs, &mut tell).map_err(failed)?;
             let line = serde_json::to_string(&played).map_err(|cause| failed(cause.to_string()))?;
             writeln!(lines, "{line}").map_err(|cause| failed(cause.to_string()))?;
             if json {
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -15,7 +15,7 @@
 use crate::load::plan::Plan;
 use crate::load::player::{self, Progress};
 use crate::load::trace;
-use crate::script::{Arm, Experiment, Kind};
+use crate::script::{Experiment, Kind};
 use crate::time::{millis, Clock, Micros, MS, SECOND};
 use crate::world::World;
 
@@ -60,28 +60,28 @@
     Ok(plan)
 }
 
-/// Plays it, tells of each second, and leaves the balancers' files and logs in `folder`.
+/// Plays `program` under the name of an arm, tells of each second, and leaves the balancers' files and logs in `folder`.
 ///
 /// # Errors
 /// One line where the world or a balancer does not come up, or where it was interrupted.
 pub fn play(
     experiment: &Experiment,
-    arm: &Arm,
+    arm: &str,
+    program: &Program,
     seed: u64,
     folder: &Path,
     tell: &mut dyn FnMut(Tick),
 ) -> Result<Run, String> {
     std::fs::create_dir_all(folder).map_err(|cause| format!("{}: {cause}", folder.display()))?;
-    let program = Program::of(arm)?;
     let plan = Arc::new(plan(experiment, seed)?);
     let ledger = Ledger::new(Clock::start());
     let mut world = World::start(experiment, seed, &ledger)?;
-    let balancers = Balancers::start(program, experiment, &world.seats, seed, &ledger, folder)?;
+    let balancers = Balancers::start(program.clone(), experiment, &world.seats, seed, &ledger, folder)?;
     // What was noted until now, the lists that balancers took in, was before the run.
     ledger.take();
     ledger.clock.begin(AHEAD);
     world.late.store(0, Ordering::Relaxed);
-    world.begin(balancers.clone());
+    world.begin(Some(balancers.clone()));
     let progress = Arc::new(Progress::default());
     let late = Arc::new(std::sync::atomic::AtomicI64::new(0));
     let playing = {
@@ -152,7 +152,7 @@
     drop(balancers);
     Ok(Run {
         experiment: experiment.name.clone(),
-        arm: arm.name.clone(),
+        arm: arm.to_owned(),
         seed,
         void,
         figures,
--- a/lab/src/world/host.rs
+++ b/lab/src/world/host.rs
@@ -56,6 +56,9 @@
     accepting: RefCell<Option<JoinHandle<()>>>,
 }
 
+/// A host that lacked a key.
+type Lacked = (Rc<Host>, Bytes);
+
 /// What all machines share.
 pub struct Shared {
     pub ledger: Ledger,
@@ -64,7 +67,7 @@
     pub mode: Mode,
     pub rng: RefCell<ChaCha8Rng>,
     /// Keys that hosts lacked, by the op for which they did: the origin's answer is stored there.
-    missed: RefCell<HashMap<Id, Vec<(Rc<Host>, Bytes)>>>,
+    missed: RefCell<HashMap<Id, Vec<Lacked>>>,
     /// Marks of deduplicated writes, by the group that drops their repeats: when each ran first.
     marks: RefCell<HashMap<(Bytes, u32), Micros>>,
     pub hosts: RefCell<Vec<Rc<Host>>>,
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -46,7 +46,7 @@
     pub spans: Vec<Span>,
     /// The longest time by which this thread was late, in microseconds: what it noted may be late by that.
     pub late: Arc<AtomicI64>,
-    begin: Option<oneshot::Sender<Balancers>>,
+    begin: Option<oneshot::Sender<Option<Balancers>>>,
     end: Option<oneshot::Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -93,8 +93,8 @@
         Ok(World { seats, spans, late, begin: Some(begin), end: Some(end), thread: Some(thread) })
     }
 
-    /// The script begins; the clock has been set to the run's beginning.
-    pub fn begin(&mut self, balancers: Balancers) {
+    /// The script begins; the clock has been set to the run's beginning. Balancers that it is to kill are given along.
+    pub fn begin(&mut self, balancers: Option<Balancers>) {
         if let Some(begin) = self.begin.take() {
             let _ = begin.send(balancers);
         }
@@ -231,7 +231,7 @@
         Host::start(&self.shared, terms, &Host::addresses(HostNo::ORIGIN, *balancers))
     }
 
-    async fn direct(self: Rc<Director>, balancers: Balancers) {
+    async fn direct(self: Rc<Director>, balancers: Option<Balancers>) {
         let spans = &self.shared.faults.spans;
         let begins = spans.iter().enumerate().map(|(nth, span)| (span.from, false, nth));
         let ends = spans.iter().enumerate().map(|(nth, span)| (span.to, true, nth));
@@ -241,7 +241,7 @@
             sleep_until(self.shared.ledger.clock.at(at)).await;
             let span = &spans[nth];
             self.shared.ledger.note(What::Edge { text: span.title(), begins: !ends });
-            self.edge(span, ends, &balancers).await;
+            self.edge(span, ends, balancers.as_ref()).await;
         }
         // What was started is not to be dropped before the run is over.
         std::future::pending::<()>().await;
@@ -261,7 +261,7 @@
         found
     }
 
-    async fn edge(&self, span: &Span, ends: bool, balancers: &Balancers) {
+    async fn edge(&self, span: &Span, ends: bool, balancers: Option<&Balancers>) {
         let now = self.shared.ledger.clock.now();
         let only = span.balancer;
         for host in self.hosts(span) {
@@ -311,6 +311,7 @@
             }
             Kind::BalancerKill => {
                 for nth in only.map_or(0..self.agents.len(), |only| only..only + 1) {
+                    let Some(balancers) = balancers else { continue };
                     if ends {
                         balancers.restart(nth, &self.agents[nth].known());
                     } else {
--- /dev/null
+++ b/lab/tests/audit.rs
@@ -0,0 +1,179 @@
+//! Each check of the audit can fail: a bad peer in the balancer's place commits each breach, and an honest one none.
+
+mod common;
+
+use std::thread;
+
+use basaltwood_lab::audit::{audit, Rule, Terms};
+use basaltwood_lab::ledger::{Answered, Event, HostNo, Id, What};
+use basaltwood_lab::script::{Category, Experiment, Group};
+use basaltwood_lab::time::{Micros, MS, SECOND};
+use common::*;
+use expect_test::expect;
+
+#[test]
+fn a_bad_peer_commits_each_breach_and_an_honest_one_none() {
+    let calm = experiment("seconds = 2.0", "[load]\nrate = 150");
+    let drains = experiment(
+        "seconds = 2.0",
+        "[load]\nrate = 150\n[[faults]]\nkind = \"drain\"\nhosts = [1]\nfrom_s = 0.3\nto_s = 1.9",
+    );
+    type Case<'a> = (Option<&'a str>, &'a Experiment, Option<(Rule, &'a str)>);
+    let cases: [Case; 12] = [
+        (None, &calm, None),
+        (None, &drains, None),
+        (Some("forget"), &calm, Some((Rule::Answered, "got no answer"))),
+        (Some("late"), &calm, Some((Rule::Answered, "too late"))),
+        (Some("twice"), &calm, Some((Rule::Answered, "a second time"))),
+        (Some("foreign"), &calm, Some((Rule::Answered, "made for another"))),
+        (Some("forge"), &calm, Some((Rule::Answered, "no host made"))),
+        (Some("cut"), &calm, Some((Rule::Answered, "ended the connection"))),
+        (Some("after"), &calm, Some((Rule::Answered, "after its end"))),
+        (Some("again"), &calm, Some((Rule::Once, "sent to origin again"))),
+        (Some("deny"), &calm, Some((Rule::Once, "nacked though it may have run"))),
+        (Some("drain"), &drains, Some((Rule::Drain, "after its drain"))),
+    ];
+    thread::scope(|scope| {
+        for (misdeed, experiment, expected) in cases {
+            scope.spawn(move || {
+                let run = played(experiment, &router("random", misdeed));
+                assert!(run.figures.ops > 200 && run.figures.failed < 20, "{misdeed:?}: {:?}", run.figures);
+                let found = breaches(&run);
+                match expected {
+                    None => assert!(found.is_empty(), "{misdeed:?}: {found:#?}"),
+                    Some((rule, text)) => {
+                        let of_kind = |breach: &&basaltwood_lab::audit::Breach| {
+                            breach.rule == rule && breach.what.contains(text)
+                        };
+                        let breach = run.breaches.iter().find(of_kind);
+                        let breach =
+                            breach.unwrap_or_else(|| panic!("{misdeed:?}: no {text:?} in {found:#?}"));
+                        assert!(!breach.around.is_empty(), "{misdeed:?}: nothing around {breach}");
+                    }
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn a_cold_host_that_is_pushed_over_is_the_routers_breach() {
+    // A new host gets a third of the reads at once: more than the 16 ms of work a second that it is said to bear.
+    let experiment = experiment(
+        "seconds = 2.5",
+        "[load]\nrate = 300\n[cold]\nfrom = 0.05\nmultiple = 0.02\nwindow_ms = 500\n\
+         [[faults]]\nkind = \"grow\"\nhosts = 1\nfrom_s = 0.3",
+    );
+    let run = played(&experiment, &router("random", None));
+    let fell = run.breaches.iter().find(|breach| breach.rule == Rule::Cold);
+    assert!(
+        fell.is_some_and(|fell| fell.what == "host 2 was pushed over while it was cold"),
+        "{:?}",
+        run.breaches
+    );
+}
+
+const A: Id = Id(10);
+
+/// An op of one category, what happened to it by millisecond, and what the audit says.
+fn judged(category: &str, group: Group, happened: &[(Micros, What)]) -> String {
+    let experiment = experiment("seconds = 1.0", "[load]\nrate = 1");
+    let nth = experiment.categories.iter().position(|other| other.name == category).expect("a category");
+    let mut categories = experiment.categories;
+    categories[nth].group = group;
+    let asked = What::Asked { id: A, balancer: 0, category: nth, until: 2 * SECOND };
+    let mut events = vec![Event { at: 0, what: asked }];
+    events.extend(happened.iter().map(|(at, what)| Event { at: at * MS, what: what.clone() }));
+    verdict(&events, &categories)
+}
+
+fn verdict(events: &[Event], categories: &[Category]) -> String {
+    let terms = Terms { categories, zones: 2, grace: SECOND, slack: 50 * MS };
+    let found: Vec<String> = audit(events, &terms).iter().map(ToString::to_string).collect();
+    if found.is_empty() {
+        "nothing".to_owned()
+    } else {
+        found.join("\n")
+    }
+}
+
+fn pushed(at: Micros, host: u32) -> (Micros, What) {
+    (at, What::Pushed { id: A, host: HostNo(host), balancer: 0, began: at * MS })
+}
+
+fn ran(at: Micros, host: u32, effect: bool) -> (Micros, What) {
+    (at, What::Ran { id: A, host: HostNo(host), effect })
+}
+
+fn turned(at: Micros, host: u32) -> (Micros, What) {
+    (at, What::Turned { id: A, host: HostNo(host) })
+}
+
+fn answered(at: Micros, answer: Answered) -> (Micros, What) {
+    (at, What::Answered { id: A, answer })
+}
+
+#[test]
+fn repeats_are_judged_by_what_was_known_of_earlier_pushes() {
+    let served = || answered(90, Answered::Served { own: true });
+    let mut trace = Vec::new();
+    let mut say = |title: &str, verdict: String| trace.push(format!("{title}: {verdict}"));
+    let twice = [pushed(10, 0), turned(20, 0), pushed(30, 1), ran(40, 1, true), served()];
+    say("once, turned away first", judged("once", Group::All, &twice));
+    let blind = [pushed(10, 0), pushed(30, 1), ran(40, 1, true), served()];
+    say("once, blind", judged("once", Group::All, &blind));
+    let both = [pushed(10, 0), ran(20, 0, true), pushed(30, 1), ran(40, 1, true), served()];
+    say("once, ran twice", judged("once", Group::All, &both));
+    let nacked = [pushed(10, 0), answered(30, Answered::Busy)];
+    say("once, nacked while out", judged("once", Group::All, &nacked));
+    say("put, nacked while out, one group", judged("put", Group::All, &nacked));
+    say("put, nacked while out, zones", judged("put", Group::Zone, &nacked));
+    let same = [pushed(10, 0), pushed(30, 2), ran(40, 2, true), ran(45, 0, false), served()];
+    say("put, same zone", judged("put", Group::Zone, &same));
+    say("put, other zone", judged("put", Group::Zone, &blind));
+    say(
+        "put, same cell",
+        judged("put", Group::Cell, &[pushed(10, 3), pushed(30, 3), ran(40, 3, true), served()]),
+    );
+    expect![[r#"
+        once, turned away first: nothing
+        once, blind: rule 2 at 0.030 s: at-most-once op 000000000000000a was sent to host 1 again while an earlier push may have run
+        once, ran twice: rule 2 at 0.030 s: at-most-once op 000000000000000a was sent to host 1 again while an earlier push may have run
+        rule 2 at 0.030 s: at-most-once op 000000000000000a took effect 2 times
+        once, nacked while out: rule 2 at 0.030 s: at-most-once op 000000000000000a was nacked though it may have run
+        put, nacked while out, one group: nothing
+        put, nacked while out, zones: rule 2 at 0.030 s: deduplicated op 000000000000000a was nacked though it may have run in one group
+        put, same zone: nothing
+        put, other zone: rule 2 at 0.030 s: deduplicated op 000000000000000a left its group: host 0, then host 1
+        put, same cell: nothing"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn windows_falls_of_the_origin_and_kills_are_told_apart() {
+    let late = [pushed(10, 0), pushed(5_200, 0), ran(5_300, 0, true)];
+    let late = judged("put", Group::All, &late);
+    let origin = |by_cold_misses| {
+        let fell = What::Fell { host: HostNo::ORIGIN, cold: false, by_cold_misses };
+        judged("read", Group::All, &[(10, fell), answered(20, Answered::Failed)])
+    };
+    let cut = (500, What::Cut { id: A });
+    let killed = (490, What::Balancer { balancer: 0, up: false });
+    let trace = [
+        late,
+        origin(false),
+        origin(true),
+        judged("read", Group::All, std::slice::from_ref(&cut)),
+        judged("read", Group::All, &[killed, cut]),
+        judged("read", Group::All, &[(2_400, What::Unanswered { id: A })]),
+    ];
+    expect![[r#"
+        rule 1 at 5.200 s: op 000000000000000a went to host 0 3200.0 ms after its end
+        rule 2 at 5.200 s: deduplicated op 000000000000000a was sent again past its window
+        nothing
+        rule 4 at 0.010 s: the origin was pushed over by misses at cold hosts
+        rule 1 at 0.500 s: balancer 0 ended the connection over op 000000000000000a
+        nothing
+        rule 1 at 2.000 s: op 000000000000000a got no answer from balancer 0"#]]
+    .assert_eq(&trace.join("\n"));
+}
--- /dev/null
+++ b/lab/tests/common/mod.rs
@@ -0,0 +1,83 @@
+//! Short runs for tests: experiments from a few lines, routers and the balancer as programs.
+#![allow(dead_code)] // each test file uses its part
+
+use std::path::Path;
+
+use basaltwood_lab::balancers::Program;
+use basaltwood_lab::figures::Run;
+use basaltwood_lab::play::play;
+use basaltwood_lab::script::Experiment;
+
+/// A quick fleet: two hosts and an origin that answer within milliseconds, one category of each kind.
+const BASE: &str = r#"
+name = "test"
+balancers = 1
+[[categories]]
+name = "read"
+share = 8
+target_ms = 800
+ttl_ms = 4000
+repeats = "redeliverable"
+[[categories]]
+name = "once"
+write = true
+target_ms = 800
+ttl_ms = 4000
+repeats = "at-most-once"
+[[categories]]
+name = "put"
+write = true
+target_ms = 800
+ttl_ms = 4000
+repeats = "deduplicated"
+window_ms = 5000
+[fleet]
+hosts = 2
+cores = 16
+queue = 4000
+connections = 4000
+service = { kind = "constant", mean_ms = 2 }
+[origin]
+cores = 16
+queue = 4000
+connections = 4000
+service = { kind = "constant", mean_ms = 4 }
+[discovery]
+lag_ms = 20
+spread_ms = 20
+grace_ms = 200
+"#;
+
+/// The base, with top-level lines ahead of it and tables behind.
+pub fn experiment(top: &str, tables: &str) -> Experiment {
+    Experiment::parse(&format!("{top}\n{BASE}\n{tables}")).expect("an experiment")
+}
+
+/// The same with two balancers and six hosts.
+pub fn larger(top: &str, tables: &str) -> Experiment {
+    let base = BASE.replace("balancers = 1", "balancers = 2").replace("hosts = 2", "hosts = 6");
+    Experiment::parse(&format!("{top}\n{base}\n{tables}")).expect("an experiment")
+}
+
+pub fn router(kind: &str, misdeed: Option<&str>) -> Program {
+    let misdeed = misdeed.map(|misdeed| format!("--misdeed={misdeed}"));
+    let arguments = ["router".to_owned(), kind.to_owned()].into_iter().chain(misdeed).collect();
+    Program { path: env!("CARGO_BIN_EXE_basaltwood-lab").into(), arguments }
+}
+
+/// The balancer that the workspace has built beside the lab.
+pub fn balancer() -> Program {
+    let path = Path::new(env!("CARGO_BIN_EXE_basaltwood-lab")).with_file_name("basaltwood-balancer");
+    assert!(path.is_file(), "{} is missing: run `cargo test --workspace`", path.display());
+    Program { path, arguments: Vec::new() }
+}
+
+pub fn played(experiment: &Experiment, program: &Program) -> Run {
+    let folder = tempfile::tempdir().expect("a folder");
+    play(experiment, "test", program, 7, folder.path(), &mut |_| {}).expect("it is played")
+}
+
+/// The titles of all breaches, for a failing test's message.
+pub fn breaches(run: &Run) -> Vec<String> {
+    run.breaches.iter().map(|breach| format!("{breach} {:#?}", breach.around)).collect()
+}
--- /dev/null
+++ b/lab/tests/input.rs
@@ -0,0 +1,119 @@
+//! Bad input: one clear line that names the place and the way out.
+
+mod common;
+
+use basaltwood_lab::load::plan::Plan;
+use basaltwood_lab::load::trace;
+use basaltwood_lab::script::Experiment;
+use common::*;
+use expect_test::expect;
+
+#[test]
+fn a_trace_of_no_use_is_refused_by_its_line() {
+    let experiment = experiment("seconds = 1.0", "[load]\nrate = 1");
+    let good = r#"{"at_us":5,"category":"read","key":"a"}"#;
+    let lines = [
+        r#"{"at_us":4,"category":"read","key":"a"}"#,
+        r#"{"at_us":6,"category":"unheard","key":"a"}"#,
+        r#"{"at_us":6,"category":"read","customer":"acme","key":"a"}"#,
+        r#"{"at_us":6,"category":"read","key":"a\n"}"#,
+        r#"{"at_us":6,"category":"read","ke"#,
+        r#"{"at_us":6,"category":"read","key":"a","colour":1}"#,
+        "at_us 6",
+    ];
+    let mut told = vec![trace::import(&b""[..], &experiment, 1.0).expect_err("it is empty")];
+    for line in lines {
+        let text = format!("{good}\n\n{line}");
+        told.push(trace::import(text.as_bytes(), &experiment, 1.0).expect_err(line));
+    }
+    told.push(trace::of_csv(&b"time_s,category,key\n1,read,a\nx,read,b\n"[..]).expect_err("no time"));
+    expect![[r#"
+        it holds no op
+        line 3: at_us 4 runs backwards from 5: sort the lines by at_us
+        line 3: no category "unheard": the experiment has read, once, put
+        line 3: no customer "acme": add it to the experiment's [[customers]]
+        line 3: a key without control characters and at most 65536 bytes, please
+        line 3: EOF while parsing a string at line 1 column 32: it is torn off; cut it or write at_us, category, key and perhaps customer and size
+        line 3: unknown field `colour`, expected one of `at_us`, `category`, `customer`, `key`, `size` at line 1 column 47: write at_us, category, key and perhaps customer and size
+        line 3: expected value at line 1 column 1: write at_us, category, key and perhaps customer and size
+        row 2: CSV deserialize error: record 2 (line: 3, byte: 29): field 0: invalid float literal"#]].assert_eq(&told.join("\n"));
+}
+
+#[test]
+fn what_was_exported_is_played_alike_and_as_much_faster_as_asked() {
+    let experiment =
+        experiment("seconds = 2.0", "[load]\nrate = 100\nhot = { from_s = 0, to_s = 1, part = 0.5 }");
+    let plan = Plan::drawn(&experiment, 3);
+    assert!(plan.ops == Plan::drawn(&experiment, 3).ops, "one seed, one plan");
+    let mut file = Vec::new();
+    trace::export(&plan, &experiment, &mut file).expect("it is written");
+    let again = trace::import(&file[..], &experiment, 1.0).expect("it is read");
+    let told = |plan: &Plan| -> Vec<(i64, u16, String)> {
+        plan.ops.iter().map(|op| (op.at, op.category, plan.keys[op.key as usize].clone())).collect()
+    };
+    assert_eq!(told(&plan), told(&again));
+    let faster = trace::import(&file[..], &experiment, 4.0).expect("it is read");
+    assert!(plan.ops.iter().zip(&faster.ops).all(|(op, fast)| fast.at == op.at / 4));
+    let csv = "time_s,category,key,customer,size\n10.5,read,b,,64\n10,put,a,,\n";
+    expect![[r#"
+        {"at_us":0,"category":"put","customer":null,"key":"a","size":128}
+        {"at_us":500000,"category":"read","customer":null,"key":"b","size":64}
+    "#]]
+    .assert_eq(&trace::of_csv(csv.as_bytes()).expect("it is read"));
+}
+
+#[test]
+fn an_experiment_that_cannot_be_played_is_refused_with_the_way_out() {
+    let good =
+        "name = \"x\"\nseconds = 2.0\n[[categories]]\nname = \"read\"\ntarget_ms = 100\nttl_ms = 400\n\
+                repeats = \"redeliverable\"\n[fleet]\nhosts = 4\n[load]\nrate = 10.0\n";
+    Experiment::parse(good).expect("that one is good");
+    let fault = |lines: &str| format!("{good}[[faults]]\n{lines}\n");
+    let bad = [
+        good.replace("hosts = 4", "hots = 4"),
+        good.replace("seconds = 2.0", "seconds = \"2\""),
+        good.replace("redeliverable", "harmless"),
+        good.replace("redeliverable", "deduplicated"),
+        good.replace("ttl_ms = 400", "ttl_ms = 40"),
+        good.replace("hosts = 4", "hosts = 0"),
+        good.replace("rate = 10.0", "rate = 10.0\nzipf = nan"),
+        good.replace("hosts = 4", "hosts = 3000\n[limits]\nsockets = 9000000"),
+        fault("kind = \"hang\"\nhosts = [4]\nfrom_s = 1"),
+        fault("kind = \"hang\"\nhosts = 5\nfrom_s = 1"),
+        fault("kind = \"hang\"\nfrom_s = 3"),
+        fault("kind = \"hang\"\nfrom_s = 1\nbalancer = 0"),
+        fault("kind = \"balancer-kill\"\nfrom_s = 1\nbalancer = 2"),
+        fault("kind = \"reset\"\nfrom_s = 0.5\nto_s = 1.5\nevery_s = 0.5"),
+        fault("kind = \"earthquake\"\nfrom_s = 1"),
+    ];
+    let told: Vec<String> = bad
+        .iter()
+        .map(|text| {
+            let cause = Experiment::parse(text).expect_err(text);
+            assert!(!cause.contains('\n'), "one line: {cause}");
+            // How many descriptors are allowed is this machine's matter.
+            match cause.split_once(" and ") {
+                Some((before, after)) if after.contains("are allowed") => {
+                    format!("{before} and .. {}", after.split_once(' ').map_or("", |rest| rest.1))
+                }
+                _ => cause,
+            }
+        })
+        .collect();
+    expect![[r#"
+        9: unknown field `hots`, expected one of `hosts`, `zones`, `cores`, `speed`, `queue`, `connections`, `idle_ms`, `open_ms`, `store`, `filled`, `report_ms`, `service`
+        2: invalid type: string "2", expected f64
+        7: unknown variant `harmless`, expected one of `redeliverable`, `deduplicated`, `at-most-once`
+         category read is deduplicated: give its window_ms
+         category read: target_ms = 100 is not between 1 and 40
+         fleet.hosts = 0 is not between 1 and 4000
+         load.zipf = NaN is not between 0 and 5
+         it needs up to 18006260 descriptors and .. are allowed: fewer hosts, balancers, load.connections or limits.sockets, or a higher `ulimit -n`
+         fault 1 (Hang): there are hosts 0 to 3 only
+         fault 1 (Hang): there are 4 hosts only
+         fault 1 (Hang): from_s = 3 is not between 0 and 2
+         fault 1 (Hang): it is the same for every balancer, so leave `balancer` out
+         fault 1 (BalancerKill): there are balancers 0 to 1 only
+         fault 1 (Reset): every_s must be longer than the fault itself, which needs to_s
+        13: unknown variant `earthquake`, expected one of `slow`, `hang`, `silent`, `stale`, `reset`, `refuse`, `lost`, `busy`, `error`, `spoil`, `die`, `replace`, `drain`, `roll-out`, `grow`, `origin-slow`, `origin-down`, `discovery-down`, `discovery-stale`, `discovery-wrong`, `balancer-kill`, `generator-stop`"#]].assert_eq(&told.join("\n"));
+}
--- /dev/null
+++ b/lab/tests/runs.rs
@@ -0,0 +1,126 @@
+//! Runs on real sockets: the generator's honesty, the balancer's death, and short experiments with the balancer itself.
+//! Judged by rules and counts, never by the machine's speed.
+
+mod common;
+
+use std::thread;
+
+use basaltwood_lab::figures::Figures;
+use common::*;
+
+#[test]
+fn a_pause_shows_in_the_tail_and_a_closed_loop_would_hide_it() {
+    let pause = "[[faults]]\nkind = \"hang\"\nhosts = \"all\"\nfrom_s = 1.0\nto_s = 3.0\n\
+                 [[faults]]\nkind = \"hang\"\nhosts = \"all\"\nfrom_s = 3.99\nto_s = 4.0";
+    let load =
+        |more: &str| format!("[load]\nrate = 200\narrivals = \"even\"\nconnections = 1000\n{more}\n{pause}");
+    let open = experiment("seconds = 4.0", &load(""));
+    let closed = experiment("seconds = 4.0", &load("closed_loop = true").replace("1000", "2"));
+    // Reads only: a write goes to the origin, which is not paused.
+    let reads = |mut experiment: basaltwood_lab::script::Experiment| {
+        experiment.categories.truncate(1);
+        experiment
+    };
+    let (open, closed) = (reads(open), reads(closed));
+    let (open, closed) = thread::scope(|scope| {
+        let open = scope.spawn(|| played(&open, &router("random", None)));
+        let closed = scope.spawn(|| played(&closed, &router("random", None)));
+        (open.join().expect("played").figures, closed.join().expect("played").figures)
+    });
+    let told = |figures: &Figures| {
+        let end = &figures.until_end;
+        format!(
+            "{} ops, {} over 1 s, p99 {:.0} ms, most {:.0} ms",
+            figures.ops, figures.over_1s, end.p99, end.most
+        )
+    };
+    let both = format!("open: {}; closed: {}", told(&open), told(&closed));
+    println!("{both}");
+    // One in 5 ms: those due in the pause's first second wait for longer than one more.
+    assert!((190..=260).contains(&open.over_1s), "{both}");
+    assert!(open.until_end.p99 > 1_800.0 && open.until_end.most > 1_900.0, "{both}");
+    assert!(closed.over_1s <= 2 && closed.until_end.p99 < 1_000.0, "{both}");
+}
+
+#[test]
+fn a_generator_that_stood_still_voids_its_run() {
+    let stop = "[load]\nrate = 200\n[[faults]]\nkind = \"generator-stop\"\nfrom_s = 1.0\nto_s = 1.3";
+    let run = played(&experiment("seconds = 2.0", stop), &router("random", None));
+    let void = run.void.clone().expect("it is void");
+    assert!(void.starts_with("the generator was late:"), "{void}");
+    assert!(breaches(&run).is_empty(), "its own stop is nobody's breach: {:#?}", breaches(&run));
+}
+
+#[test]
+fn a_balancer_that_dies_loses_its_open_ops_to_their_clients_and_the_run_ends() {
+    // All is slow, so that ops are open when it dies.
+    let slow = "[load]\nrate = 200\nretry = { kind = \"RETRY\" }\n\
+                [[faults]]\nkind = \"slow\"\nhosts = \"all\"\nfactor = 100\nfrom_s = 0.0\n\
+                [[faults]]\nkind = \"balancer-kill\"\nbalancer = 0\nfrom_s = 1.0\nto_s = 1.5";
+    let top = "seconds = 2.5";
+    let two = |retry: &str| larger(top, &slow.replace("kind = \"RETRY\"", retry));
+    for (retry, again) in [("kind = \"none\"", false), ("kind = \"after\", times = 5, pause_ms = 50", true)] {
+        let run = played(&two(retry), &router("least-in-flight", None));
+        let figures = &run.figures;
+        let sum = figures.served
+            + figures.nacked
+            + figures.failed
+            + figures.lost
+            + figures.left
+            + figures.unreached;
+        assert_eq!(sum, figures.ops, "every op has one end");
+        assert!(breaches(&run).is_empty(), "killed, not broken: {:#?}", breaches(&run));
+        // At-most-once ops are not asked again even so.
+        assert!(if again { figures.tries > figures.ops } else { figures.lost > 5 }, "{retry}: {figures:?}");
+        assert!(figures.served * 2 > figures.ops, "{retry}: {figures:?}");
+    }
+}
+
+#[test]
+fn the_balancer_keeps_the_rules_through_short_troubles() {
+    let fault = |kind: &str, more: &str| format!("[[faults]]\nkind = \"{kind}\"\nfrom_s = 0.7\n{more}\n");
+    let some = "hosts = [1, 4]\nto_s = 1.7";
+    let cases = [
+        ("calm", String::new()),
+        ("hang", fault("hang", some)),
+        ("silent", fault("silent", some)),
+        ("stale", fault("stale", "hosts = \"all\"")),
+        ("reset", fault("reset", "hosts = \"all\"\npart = 0.05\nto_s = 1.7")),
+        (
+            "lost and spoilt",
+            fault("lost", "hosts = [0]\npart = 0.2") + &fault("spoil", "hosts = [2]\npart = 0.2"),
+        ),
+        ("die", fault("die", some)),
+        ("replace", fault("replace", some)),
+        ("roll-out", fault("roll-out", "hosts = [0, 1, 2]\nto_s = 2.2")),
+        ("drain and grow", fault("drain", some) + &fault("grow", "hosts = 2")),
+        (
+            "busy and errors",
+            fault("busy", "hosts = [1]\nto_s = 1.7") + &fault("error", "hosts = [3]\npart = 0.3"),
+        ),
+        ("discovery", fault("discovery-down", "to_s = 1.5") + &fault("refuse", "hosts = [2]\nto_s = 1.7")),
+        ("wrong list", fault("discovery-wrong", "hosts = [0]\nto_s = 1.7")),
+        ("origin", fault("origin-down", "to_s = 1.2") + &fault("origin-slow", "to_s = 2.0\nfactor = 5")),
+        ("killed", fault("balancer-kill", "balancer = 1\nto_s = 1.2")),
+    ];
+    let program = balancer();
+    // A few at a time: the machine is not to be the trouble.
+    for few in cases.chunks(4) {
+        thread::scope(|scope| {
+            for (name, faults) in few {
+                let program = &program;
+                scope.spawn(move || {
+                    let tables = format!(
+                        "[load]\nrate = 150\nkeys = 500\nretry = {{ kind = \"back-off\", times = 3, pause_ms = 50 }}\n{faults}"
+                    );
+                    let run = played(&larger("seconds = 2.5", &tables), program);
+                    assert!(breaches(&run).is_empty(), "{name}: {:#?}", breaches(&run));
+                    let figures = &run.figures;
+                    assert!(figures.ops > 200, "{name}: {} ops", figures.ops);
+                    // Half is far below what any of them leaves; a balancer that serves nothing is caught.
+                    assert!(figures.served * 2 > figures.ops, "{name}: {} of {} served", figures.served, figures.ops);
+                });
+            }
+        });
+    }
+}
