--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod figures;
 pub mod ledger;
 pub mod load;
+pub mod measure;
 pub mod play;
 pub mod report;
 pub mod router;
--- a/lab/src/load/player.rs
+++ b/lab/src/load/player.rs
@@ -358,7 +358,7 @@
         let nth = self.target();
         let balancer = self.targets.iter().position(|target| Rc::ptr_eq(target, &nth)).unwrap_or(0);
         let target = nth;
-        let link = match self.link(&target, deadline).await {
+        let link = match self.link(&target, deadline, left).await {
             Some(link) => link,
             None => {
                 if target.failing.get().is_none() {
@@ -431,7 +431,8 @@
     }
 
     /// A connection that has room, or a new one; where there may be no more, the first that comes free.
-    async fn link(&self, target: &Rc<Target>, deadline: Micros) -> Option<Rc<Link>> {
+    /// An op that has to wait for one has left all the same: that is not the generator's lateness.
+    async fn link(&self, target: &Rc<Target>, deadline: Micros, left: &Cell<Micros>) -> Option<Rc<Link>> {
         let load = &self.experiment.load;
         loop {
             {
@@ -443,6 +444,9 @@
                     return Some(free.clone());
                 }
             }
+            if left.get() < 0 {
+                left.set(self.ledger.clock.now());
+            }
             if target.links.borrow().len() + target.opening.get() >= load.connections {
                 let freed = timeout_at(self.ledger.clock.at(deadline), target.freed.notified()).await;
                 freed.ok()?;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -14,6 +14,7 @@
 use basaltwood_lab::figures::{self, Run};
 use basaltwood_lab::ledger::Ledger;
 use basaltwood_lab::load::{plan::Plan, player, trace};
+use basaltwood_lab::measure;
 use basaltwood_lab::play::{self, play, Tick, INTERRUPTED, STOP};
 use basaltwood_lab::report;
 use basaltwood_lab::router::{self, Misdeed};
@@ -107,6 +108,17 @@
     },
     /// Writes a result's page anew.
     Report { folder: PathBuf },
+    /// Measures the generator's own ceiling, what a balancer carries on one core and what time it adds, and its memory.
+    Measure {
+        /// A balancer; the one beside this program otherwise.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        #[arg(long)]
+        json: bool,
+    },
+    /// A host that answers at once, for `measure`.
+    #[command(hide = true)]
+    StandIn,
     /// Recorded arrivals.
     Trace {
         #[command(subcommand)]
@@ -236,6 +248,21 @@
             Ok(0)
         }
         Verb::Trace { verb } => traces(verb),
+        Verb::StandIn => measure::stand_in().map(|()| 0).map_err(failed),
+        Verb::Measure { program, json } => {
+            let arm = Arm { name: "balancer".to_owned(), program, baseline: None };
+            let program = Program::of(&arm).map_err(bad)?;
+            let folder = tempfile::tempdir().map_err(|cause| failed(cause.to_string()))?;
+            let mut tell = |line: &str, value: serde_json::Value| {
+                if json {
+                    println!("{value}");
+                } else {
+                    println!("{line}");
+                }
+            };
+            measure::measure(&program, folder.path(), 1, &mut tell).map_err(failed)?;
+            Ok(0)
+        }
         Verb::Router { kind, misdeed } => router::serve(kind, misdeed).map(|()| 0).map_err(failed),
     }
 }
--- /dev/null
+++ b/lab/tests/cli.rs
@@ -0,0 +1,119 @@
+//! The program as a user has it: exit codes, what it writes, and that Ctrl-C ends all that it started.
+
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const LAB: &str = env!("CARGO_BIN_EXE_basaltwood-lab");
+
+const SHORT: &str = r#"
+name = "short"
+seconds = 1.0
+[[categories]]
+name = "read"
+target_ms = 800
+ttl_ms = 2000
+repeats = "redeliverable"
+[fleet]
+hosts = 2
+[load]
+rate = 100
+[[arms]]
+name = "random"
+baseline = "random"
+"#;
+
+fn lab(folder: &Path, arguments: &[&str]) -> (i32, String, String) {
+    let Output { status, stdout, stderr } =
+        Command::new(LAB).args(arguments).current_dir(folder).output().expect("it starts");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    (status.code().expect("a code"), text(stdout), text(stderr))
+}
+
+fn folder_with(name: &str, text: &str) -> tempfile::TempDir {
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::write(folder.path().join(name), text).expect("a file");
+    folder
+}
+
+#[test]
+fn exit_codes_tell_bad_input_broken_rules_and_void_runs_apart() {
+    let run = |text: &str| {
+        let folder = folder_with("x.toml", text);
+        let (code, out, err) = lab(folder.path(), &["run", "x.toml"]);
+        (code, out, err)
+    };
+    let (code, out, err) = run(&SHORT.replace("rate = 100", "rite = 100"));
+    assert_eq!((code, out.as_str()), (2, ""));
+    assert!(
+        err.starts_with("basaltwood-lab: x.toml:12: unknown field `rite`") && err.lines().count() == 1,
+        "{err}"
+    );
+    let cold =
+        "[cold]\nfrom = 0.05\nmultiple = 0.01\nwindow_ms = 300\n[[faults]]\nkind = \"grow\"\nfrom_s = 0.2\n";
+    let (code, out, _) = run(&format!("{SHORT}\n{cold}"));
+    assert_eq!(code, 3, "{out}");
+    assert!(out.contains("BREACH: random seed 1: rule 4 at"), "{out}");
+    let stop = "[[faults]]\nkind = \"generator-stop\"\nfrom_s = 0.5\nto_s = 0.8\n";
+    let (code, out, _) = run(&format!("{SHORT}\n{stop}"));
+    assert_eq!(code, 4, "{out}");
+    assert!(out.contains("VOID: random seed 1: the generator was late"), "{out}");
+}
+
+#[test]
+fn a_result_is_a_folder_that_is_never_written_over_and_can_be_compared() {
+    let folder = folder_with("x.toml", SHORT);
+    let arguments = [
+        "run",
+        "x.toml",
+        "--arm",
+        "random",
+        "--arm",
+        "plain-ring",
+        "--seeds",
+        "1,2",
+        "--keep-trace",
+        "--json",
+    ];
+    let (code, out, _) = lab(folder.path(), &arguments);
+    assert_eq!((code, out.lines().count()), (0, 4), "{out}");
+    let result = folder.path().join("lab-results/short");
+    let page = std::fs::read_to_string(result.join("report.html")).expect("a page");
+    assert!(
+        page.matches("<svg").count() >= 4 && !page.contains("http-equiv") && !page.contains("<script"),
+        "{page}"
+    );
+    let (code, out, _) =
+        lab(folder.path(), &["trace", "check", "lab-results/short/trace-2.jsonl", "--experiment", "x.toml"]);
+    assert!(code == 0 && out.contains("ops, "), "{out}");
+    let (code, out, _) =
+        lab(folder.path(), &["compare", "lab-results/short:random", "lab-results/short:plain-ring"]);
+    assert!(code == 0 && out.starts_with("2 pairs of seeds") && out.contains("benefit"), "{out}");
+    let (code, _, err) = lab(folder.path(), &["compare", "lab-results/short", "lab-results/short:random"]);
+    assert!(code == 2 && err.contains("name one as lab-results/short:ARM"), "{err}");
+    lab(folder.path(), &["run", "x.toml"]);
+    assert!(folder.path().join("lab-results/short-2/runs.jsonl").is_file());
+}
+
+#[test]
+fn ctrl_c_ends_all_that_it_started() {
+    let folder = folder_with("x.toml", &SHORT.replace("seconds = 1.0", "seconds = 60.0"));
+    let mut command = Command::new(LAB);
+    command.args(["run", "x.toml"]).current_dir(folder.path()).stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut run = command.spawn().expect("it starts");
+    let mut lines = BufReader::new(run.stdout.take().expect("its words")).lines();
+    assert!(lines.next().expect("a line").expect("text").contains("1/60 s"));
+    let children =
+        std::fs::read_to_string(format!("/proc/{0}/task/{0}/children", run.id())).expect("children");
+    let children: Vec<&str> = children.split_whitespace().collect();
+    assert_eq!(children.len(), 2, "two balancers");
+    let kill = Command::new("kill").args(["-INT", &run.id().to_string()]).status().expect("kill");
+    assert!(kill.success());
+    assert_eq!(run.wait().expect("it ends").code(), Some(130));
+    let began = Instant::now();
+    while children.iter().any(|child| Path::new(&format!("/proc/{child}")).exists()) {
+        assert!(began.elapsed() < Duration::from_secs(10), "a child still runs");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/wire/src/resp.rs
+++ b/wire/src/resp.rs
@@ -194,6 +194,11 @@
             };
             Ok(Some((answer, end)))
         }
+        // As a cache host answers: what is asked of one directly.
+        Some(b'*') => Ok(reply(bytes)?.map(|(reply, used, _)| match reply {
+            Reply::Value(value) => (Answer::Value(value), used),
+            Reply::Miss | Reply::Busy | Reply::Failed => (Answer::Failed, used),
+        })),
         Some(_) => Err("no answer to a command of ours"),
     }
 }
