--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -1,6 +1,7 @@
 //! The balancers of a run: started as programs with a file of their own, watched through /proc, killed and started again
 //! by the script. Only what was started here is ever ended, by its process id.
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -198,6 +199,34 @@
         self.inner().look()
     }
 
+    /// What each says it has counted, by name: it is asked by SIGUSR1 and answers with a line of `name=number` in its log.
+    /// For the end of a run: a program that does not know the signal ends by it.
+    pub fn counters(&self) -> Vec<BTreeMap<String, u64>> {
+        let logs = |inner: &Inner| -> Vec<Vec<String>> {
+            (0..inner.places.len()).map(|nth| inner.lines_with(nth, "counters: ")).collect()
+        };
+        let before: Vec<usize> = {
+            let inner = self.inner();
+            let running = inner.places.iter().filter_map(|place| place.running.as_ref());
+            let ids: Vec<String> = running.map(|running| running.child.id().to_string()).collect();
+            let before = logs(&inner).iter().map(Vec::len).collect();
+            let _ = Command::new("kill").arg("-USR1").args(&ids).stderr(Stdio::null()).status();
+            before
+        };
+        let began = Instant::now();
+        loop {
+            let lines = logs(&self.inner());
+            let all = lines.iter().zip(&before).all(|(lines, before)| lines.len() > *before);
+            if all || began.elapsed() > Duration::from_millis(500) {
+                return lines
+                    .iter()
+                    .map(|lines| lines.last().map_or_else(BTreeMap::new, |line| counted(line)))
+                    .collect();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Those that ended by themselves, and how.
     pub fn died(&self) -> Vec<String> {
         let inner = self.inner();
@@ -256,12 +285,22 @@
         self.places.iter().map(|place| place.last).collect()
     }
 
+    fn lines_with(&self, nth: usize, what: &str) -> Vec<String> {
+        let Ok(file) = File::open(self.folder.join(log_name(nth))) else { return Vec::new() };
+        BufReader::new(file).lines().map_while(Result::ok).filter(|line| line.contains(what)).collect()
+    }
+
     fn last_line(&self, nth: usize) -> String {
         let Ok(file) = File::open(self.folder.join(log_name(nth))) else { return String::new() };
         BufReader::new(file).lines().map_while(Result::ok).last().unwrap_or_default()
     }
 }
 
+fn counted(line: &str) -> BTreeMap<String, u64> {
+    let pairs = line.split(' ').filter_map(|word| word.split_once('='));
+    pairs.filter_map(|(name, count)| Some((name.to_owned(), count.parse().ok()?))).collect()
+}
+
 fn log_name(nth: usize) -> String {
     format!("balancer-{nth}.log")
 }
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -128,6 +128,9 @@
     pub breaches: Vec<Breach>,
     /// Faults: what, from and to, in seconds.
     pub faults: Vec<(String, f64, f64)>,
+    /// What the balancers say they have counted, summed, by name.
+    #[serde(default)]
+    pub counters: BTreeMap<String, u64>,
 }
 
 impl Run {
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -1,5 +1,6 @@
 //! Plays one arm of an experiment with one seed: a world, its balancers, its load; then the audit and the figures.
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::BufReader;
 use std::path::Path;
@@ -129,6 +130,10 @@
     thread::sleep(SETTLE);
     let used = balancers.look();
     let died = balancers.died();
+    let mut counters = BTreeMap::new();
+    for (name, count) in balancers.counters().into_iter().flatten() {
+        *counters.entry(name).or_default() += count;
+    }
     let events = ledger.take();
     let mut figures = figures::figures(experiment, &played.records, &events, played.cpu_s);
     let world_late = world.late.load(Ordering::Relaxed).max(0);
@@ -158,5 +163,6 @@
         figures,
         breaches,
         faults: figures::shaded(&world.spans),
+        counters,
     })
 }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -107,6 +107,7 @@
     body += &percentiles(&arms);
     body += &resources(&arms);
     body += &hosts(&arms);
+    body += &counters(&arms);
     if let Some(((first, base), others)) = arms.split_first().filter(|(_, others)| !others.is_empty()) {
         for (other, runs) in others {
             if let Ok((pairs, rows)) = compare(base, runs) {
@@ -291,6 +292,25 @@
     out
 }
 
+/// What the balancers counted themselves, summed over an arm's runs.
+fn counters(arms: &Arms) -> String {
+    let mut out = String::new();
+    for (name, runs) in arms {
+        let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+        for (name, count) in runs.iter().flat_map(|run| &run.counters) {
+            *sums.entry(name).or_default() += count;
+        }
+        if sums.is_empty() {
+            continue;
+        }
+        let told: Vec<String> = sums.iter().map(|(name, count)| format!("{name}={count}")).collect();
+        let told = escaped(&told.join("\n"));
+        let _ =
+            write!(out, "<details><summary>Counters: {}</summary><pre>{told}</pre></details>", escaped(name));
+    }
+    out
+}
+
 fn breaches(runs: &[Run]) -> String {
     let mut out = String::new();
     for run in runs.iter().filter(|run| run.in_breach()) {
--- a/lab/src/script.rs
+++ b/lab/src/script.rs
@@ -428,6 +428,8 @@
     Silent,
     /// Connections opened before are dead from then on, new ones work.
     Stale,
+    /// Connections opened before are gone at the host: the next command on one is met by a reset and never runs.
+    StaleReset,
     /// All connections are reset, and further commands with probability `part` once they have run.
     Reset,
     /// Not there: connections are reset, new ones refused, until the end. What it held stays.
@@ -652,7 +654,7 @@
                 return Err(format!("{what}: there are balancers 0 to {} only", self.balancers - 1));
             }
             use Kind::*;
-            let one_way = [Silent, Stale, Reset, Refuse, Lost, Busy, Error, Spoil, BalancerKill];
+            let one_way = [Silent, Stale, StaleReset, Reset, Refuse, Lost, Busy, Error, Spoil, BalancerKill];
             let one_way = one_way.contains(&fault.kind)
                 || [DiscoveryDown, DiscoveryStale, DiscoveryWrong].contains(&fault.kind);
             if fault.balancer.is_some() && !one_way {
--- a/lab/src/world/host.rs
+++ b/lab/src/world/host.rs
@@ -36,6 +36,8 @@
     Alive,
     /// Stays open and says nothing more.
     Dead,
+    /// Is reset as soon as anything comes on it.
+    Gone,
     Reset,
 }
 
@@ -283,6 +285,13 @@
         });
     }
 
+    /// Open connections are known no more: what comes on one is met by a reset.
+    pub fn disown(&self, balancer: Option<usize>) {
+        self.seen_by(balancer).for_each(|path| {
+            path.fate.send_replace(Fate::Gone);
+        });
+    }
+
     pub fn reset(&self, balancer: Option<usize>) {
         self.seen_by(balancer).for_each(|path| {
             path.fate.send_replace(Fate::Reset);
@@ -487,6 +496,9 @@
             let end = async { while changed(&mut fate).await != Fate::Reset {} };
             let _ = timeout(Duration::from_secs(600), end).await;
         }
+        if served == Fate::Gone {
+            let _ = timeout(Duration::from_secs(600), stream.readable()).await;
+        }
         if served != Fate::Alive {
             hard(&stream);
         }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -276,6 +276,7 @@
                     host.open(only);
                 }
                 (Kind::Stale, false) => host.deaden(only),
+                (Kind::StaleReset, false) => host.disown(only),
                 (Kind::Reset, false) => host.reset(only),
                 (Kind::Refuse | Kind::OriginDown, false) => host.refuse(only),
                 (Kind::Refuse | Kind::OriginDown, true) => host.open(only),
--- a/lab/tests/world.rs
+++ b/lab/tests/world.rs
@@ -87,7 +87,18 @@
 #[test]
 fn each_fault_does_what_its_name_says() {
     let kinds = [
-        "hang", "silent", "stale", "reset", "refuse", "lost", "busy", "error", "spoil", "die", "replace",
+        "hang",
+        "silent",
+        "stale",
+        "stale-reset",
+        "reset",
+        "refuse",
+        "lost",
+        "busy",
+        "error",
+        "spoil",
+        "die",
+        "replace",
         "drain",
     ];
     let stages: Vec<_> = kinds
@@ -113,6 +124,7 @@
         hang: own value | kept silence, new silence | kept noise, new own value
         silent: own value | kept silence, new does not come up | kept broken, new own value
         stale: own value | kept silence, new own value | kept silence, new own value
+        stale-reset: own value | kept reset, new own value | kept broken, new own value
         reset: own value | kept broken, new reset | kept broken, new own value
         refuse: own value | kept broken, new refused | kept broken, new own value
         lost: own value | kept silence, new silence | kept silence, new own value
