--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -38,7 +38,7 @@
     acked, nacked, dead_lettered, dropped,
     // Pushes, and how they ended.
     pushes, push_acked, push_missed, push_error, push_turned_away, push_timed_out, push_unreachable,
-    push_broken, push_called_off, push_never_sent,
+    push_broken, push_severed, push_called_off, push_never_sent,
     // Connections to hosts: opened, used again, found closed.
     connections_opened, connections_reused, connections_stale,
     // The list.
@@ -56,6 +56,7 @@
             End::Unreachable => &self.push_unreachable,
             End::Void => &self.push_never_sent,
             End::Broken => &self.push_broken,
+            End::Severed => &self.push_severed,
             End::CalledOff => &self.push_called_off,
         };
         count.add();
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -16,7 +16,7 @@
 use crate::counters::Counters;
 use crate::origin;
 use crate::request::{Outcome, Request};
-use crate::servers::Servers;
+use crate::servers::{Note, Servers};
 
 /// The final answer to an op, in no protocol's form.
 pub enum Answer {
@@ -32,7 +32,7 @@
 pub struct Desk {
     pub facade: RefCell<Facade>,
     pub words: RefCell<Words>,
-    pub servers: Servers,
+    pub servers: Rc<Servers>,
     pub clock: Rc<Clock>,
     pub counters: Rc<Counters>,
     pub budget: Rc<Budget>,
@@ -46,7 +46,7 @@
         terms: &Terms,
         words: Words,
         most_held: usize,
-        servers: Servers,
+        servers: Rc<Servers>,
         clock: Rc<Clock>,
         counters: Rc<Counters>,
         budget: Rc<Budget>,
@@ -72,6 +72,23 @@
         }
     }
 
+    /// Takes what connections tell of ops and hosts to the facade, for ever.
+    pub async fn heed(self: Rc<Desk>) {
+        loop {
+            self.servers.noted.notified().await;
+            for note in self.servers.notes() {
+                let now = self.clock.now();
+                let mut facade = self.facade.borrow_mut();
+                match note {
+                    Note::Doubt((op, push)) => facade.doubt(now, op, push),
+                    Note::Alive(host) => facade.alive(now, host),
+                    Note::Stopped(span) => facade.stopped(now, span),
+                }
+            }
+            self.ring();
+        }
+    }
+
     /// Whether an op may come under this id: not while another does.
     pub fn admit(&self, id: &Bytes) -> bool {
         self.open.borrow_mut().insert(id.clone())
@@ -151,12 +168,13 @@
                 Decision::Push { push, host, timeout } => {
                     counters.pushes.add();
                     let (desk, request) = (self.desk.clone(), self.request.clone());
+                    let ticket = (self.op, push);
                     let task = async move {
                         let outcome = match desk.servers.origin(host) {
                             Some(address) => {
-                                origin::push(&desk.servers, host, address, &request, timeout).await
+                                origin::push(&desk.servers, host, address, ticket, &request, timeout).await
                             }
-                            None => desk.servers.push(host, &request, timeout).await,
+                            None => desk.servers.push(host, ticket, &request, timeout).await,
                         };
                         (push, outcome)
                     };
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -10,6 +10,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout};
 
+use basaltwood_pools::Pools;
+
 use crate::budget::Budget;
 use crate::clients;
 use crate::clock::{span, Clock};
@@ -25,7 +27,10 @@
 /// Then what was taken is answered, for as long as the longest op may take, and no longer than this: operators
 /// kill a balancer 0.7 s after that time.
 const LAST_ANSWERS: Duration = Duration::from_millis(3_000);
-const SWEEP_IDLE: Duration = Duration::from_millis(500);
+/// Between looks at connections: what is in doubt is not to wait for long.
+const LOOK: Duration = Duration::from_millis(50);
+/// Between looks for timers where there is none.
+const NO_TIMER: Duration = Duration::from_millis(500);
 
 pub struct Phases {
     phase: watch::Sender<Phase>,
@@ -54,7 +59,14 @@
         let last_answers = longest.map_or(LAST_ANSWERS, |longest| span(longest).min(LAST_ANSWERS));
         let counters = Rc::new(Counters::default());
         let budget = Budget::new(told.sockets, told.memory);
-        let servers = Servers::new(told.bounds, budget.clone(), counters.clone(), clock.clone());
+        let pools = Pools::new(basaltwood_pools::Terms {
+            seed: told.terms.seed,
+            balancers: told.terms.balancers,
+            idle_for: told.bounds.idle_for,
+            connect_within: told.bounds.connect_within,
+            most: told.sockets,
+        });
+        let servers = Servers::new(told.bounds, pools, budget.clone(), counters.clone(), clock.clone());
         let desk = Rc::new(Desk::new(
             &told.terms,
             told.words,
@@ -79,7 +91,8 @@
         let discovery = watch::Sender::new(told.discovery);
         parts.spawn_local(list::watch(desk.clone(), discovery.subscribe(), known));
         parts.spawn_local(tick(desk.clone()));
-        parts.spawn_local(sweep_idle(desk.clone()));
+        parts.spawn_local(look_after(desk.clone()));
+        parts.spawn_local(desk.clone().heed());
         log::info!("{} listens on {}", told.name, listener.local_addr().map_err(failed)?);
         Ok(Phases { phase, desk, listener, signals, last_answers, discovery, parts })
     }
@@ -109,7 +122,7 @@
         // Each connection holds a receiver for as long as it lives, and ends once it owes nothing.
         let _ = timeout(last_answers, phase.closed()).await;
         enter(Phase::Ended);
-        log::info!("{}", desk.counters);
+        log::info!("{} {}", desk.counters, desk.servers.counted());
         outcome
     }
 }
@@ -125,7 +138,7 @@
 /// Prints the counters whenever it is asked to.
 async fn print(desk: Rc<Desk>, mut asked: Signal) {
     while asked.recv().await.is_some() {
-        log::info!("{}", desk.counters);
+        log::info!("{} {}", desk.counters, desk.servers.counted());
     }
 }
 
@@ -150,14 +163,15 @@
         desk.ring();
         match due {
             Some(due) => sleep_until(desk.clock.at(due)).await,
-            None => sleep(SWEEP_IDLE).await,
+            None => sleep(NO_TIMER).await,
         }
     }
 }
 
-async fn sweep_idle(desk: Rc<Desk>) {
+/// Has connections looked after.
+async fn look_after(desk: Rc<Desk>) {
     loop {
-        sleep(SWEEP_IDLE).await;
-        desk.servers.drop_old();
+        sleep(LOOK).await;
+        desk.servers.tick();
     }
 }
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -1,4 +1,5 @@
-//! Cache hosts: their addresses, the connections kept to them, and a push over one of those.
+//! Cache hosts and the origin: their addresses, the connections to them, and a push over one of those. Which connection
+//! carries it, and when another is opened, the pools decide; this carries that out on sockets.
 //! One push at a time on each connection, so that calling it off closes nothing else.
 
 use std::cell::RefCell;
@@ -6,15 +7,19 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use basaltwood::types::{End, HostId, Micros};
+use basaltwood::types::{End, HostId, Micros, OpId, PushNo};
+use basaltwood_pools::{Counted, Failure, Fault, Grant, LinkId, Order, Pools};
 use basaltwood_terms::Bounds;
 use basaltwood_wire::buffer::Buffer;
 use basaltwood_wire::resp::{self, Reply, MOST};
 use bytes::Bytes;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{timeout_at, Instant};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::budget::{Budget, Permit};
 use crate::clock::{span, Clock};
@@ -22,19 +27,39 @@
 use crate::read;
 use crate::request::{Outcome, Request};
 
-/// The part of a host's idle time after which a connection is not used again.
-const FRESH: f64 = 0.8;
-
 /// A connection that this balancer opened. Dropping it closes it.
 pub struct Link {
     pub stream: TcpStream,
     pub buffer: Buffer,
-    idle_since: Micros,
     _permit: Permit,
 }
 
+/// Takes a whole answer from the front of a buffer: the outcome, how many bytes it took, and whether the connection may
+/// carry another.
+pub type Whole = fn(&[u8]) -> Result<Option<(Outcome, usize, bool)>, String>;
+
+/// The push of an op, as the facade numbers it.
+pub type Ticket = (OpId, PushNo);
+
+/// What connections tell of ops and hosts.
+pub enum Note {
+    Doubt(Ticket),
+    Alive(HostId),
+    /// This process stood still for so long.
+    Stopped(Micros),
+}
+
 pub struct Servers {
     hosts: RefCell<BTreeMap<HostId, Place>>,
+    pools: RefCell<Pools>,
+    /// Connections that carry nothing.
+    idle: RefCell<BTreeMap<LinkId, Link>>,
+    /// Those whose push has given up, read for what may come late.
+    listening: RefCell<BTreeMap<LinkId, AbortHandle>>,
+    carrying: RefCell<BTreeMap<LinkId, Ticket>>,
+    notes: RefCell<Vec<Note>>,
+    /// There are notes.
+    pub noted: Notify,
     bounds: Bounds,
     budget: Rc<Budget>,
     counters: Rc<Counters>,
@@ -44,61 +69,150 @@
 struct Place {
     address: SocketAddr,
     origin: bool,
-    /// The one used last is at the back and used first, so that those not needed grow old.
-    idle: Vec<Link>,
+    /// A connection came free there.
+    freed: Rc<Notify>,
+}
+
+/// A connection that a push has; where that is called off, or fails, the pools learn of it.
+struct Held<'a> {
+    servers: &'a Servers,
+    id: LinkId,
+    link: Option<Link>,
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.servers.carrying.borrow_mut().remove(&self.id);
+        if self.link.take().is_some() {
+            self.servers.pools.borrow_mut().abandoned(self.id);
+            self.servers.carry_out();
+        }
+    }
+}
+
+/// One that is being opened; the same.
+struct Opening<'a>(&'a Servers, Option<LinkId>);
+
+impl Drop for Opening<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.1.take() {
+            self.0.pools.borrow_mut().abandoned(id);
+        }
+    }
 }
 
 impl Servers {
-    pub fn new(bounds: Bounds, budget: Rc<Budget>, counters: Rc<Counters>, clock: Rc<Clock>) -> Servers {
-        Servers { hosts: RefCell::default(), bounds, budget, counters, clock }
+    pub fn new(
+        bounds: Bounds,
+        pools: Pools,
+        budget: Rc<Budget>,
+        counters: Rc<Counters>,
+        clock: Rc<Clock>,
+    ) -> Rc<Servers> {
+        Rc::new(Servers {
+            hosts: RefCell::default(),
+            pools: RefCell::new(pools),
+            idle: RefCell::default(),
+            listening: RefCell::default(),
+            carrying: RefCell::default(),
+            notes: RefCell::default(),
+            noted: Notify::new(),
+            bounds,
+            budget,
+            counters,
+            clock,
+        })
     }
 
     /// Where a host is to be found; connections to another address are closed.
     pub fn place(&self, host: HostId, address: SocketAddr, origin: bool) {
         let mut hosts = self.hosts.borrow_mut();
-        let place = hosts.entry(host).or_insert_with(|| Place { address, origin, idle: Vec::new() });
-        if place.address != address {
-            (place.address, place.idle) = (address, Vec::new());
-        }
+        let fresh = || Place { address, origin, freed: Rc::default() };
+        let place = hosts.entry(host).or_insert_with(fresh);
         place.origin = origin;
+        if std::mem::replace(&mut place.address, address) != address {
+            self.pools.borrow_mut().moved(host);
+        }
+        drop(hosts);
+        self.carry_out();
     }
 
     /// A host that takes nothing new needs no idle connections.
     pub fn leave(&self, host: HostId) {
-        if let Some(place) = self.hosts.borrow_mut().get_mut(&host) {
-            place.idle.clear();
-        }
+        self.pools.borrow_mut().drained(host);
+        self.carry_out();
     }
 
     /// A host that is gone, with nothing open there.
     pub fn forget(&self, host: HostId) {
         self.hosts.borrow_mut().remove(&host);
+        self.pools.borrow_mut().forget(host);
+        self.carry_out();
     }
 
     pub fn origin(&self, host: HostId) -> Option<SocketAddr> {
         self.hosts.borrow().get(&host).filter(|place| place.origin).map(|place| place.address)
     }
 
-    /// Closes connections before the hosts do.
-    pub fn drop_old(&self) {
-        let now = self.clock.now();
-        for place in self.hosts.borrow_mut().values_mut() {
-            place.idle.retain(|link| self.fresh(link, now));
+    pub fn counted(&self) -> Counted {
+        self.pools.borrow().counted()
+    }
+
+    /// What was noted since this was last asked.
+    pub fn notes(&self) -> Vec<Note> {
+        self.notes.take()
+    }
+
+    /// Has the pools look after all connections.
+    pub fn tick(&self) {
+        let stopped = self.pools.borrow_mut().tick(self.clock.now());
+        if stopped > 0 {
+            log::warn!("stood still for {} ms; nobody's silence counts for that time", stopped / 1000);
+            self.note(Note::Stopped(stopped));
         }
+        self.carry_out();
     }
 
-    /// Closes the connection that stood idle longest; whether there was one.
-    pub fn drop_idle(&self) -> bool {
-        let mut hosts = self.hosts.borrow_mut();
-        let oldest = hosts
-            .values_mut()
-            .filter(|place| !place.idle.is_empty())
-            .min_by_key(|place| place.idle[0].idle_since);
-        oldest.map(|place| place.idle.remove(0)).is_some()
+    fn note(&self, note: Note) {
+        self.notes.borrow_mut().push(note);
+        self.noted.notify_one();
+    }
+
+    fn carry_out(&self) {
+        let orders = self.pools.borrow_mut().orders();
+        for order in orders {
+            match order {
+                Order::Close(id) => self.shut(id),
+                Order::Doubt(id) => {
+                    let ticket = self.carrying.borrow().get(&id).copied();
+                    if let Some(ticket) = ticket {
+                        log::debug!(
+                            "push {} of op {} is in doubt: later ones are answered",
+                            ticket.1 .0,
+                            ticket.0 .0
+                        );
+                        self.note(Note::Doubt(ticket));
+                    }
+                }
+                Order::Alive(host) => {
+                    log::debug!("host {} answers again on a connection from before its silence", host.0);
+                    self.note(Note::Alive(host));
+                }
+            }
+        }
+    }
+
+    fn shut(&self, id: LinkId) {
+        self.idle.borrow_mut().remove(&id);
+        if let Some(listening) = self.listening.borrow_mut().remove(&id) {
+            listening.abort();
+        }
     }
 
-    fn fresh(&self, link: &Link, now: Micros) -> bool {
-        now - link.idle_since < (self.bounds.idle_for as f64 * FRESH) as Micros
+    /// Closes a connection that is needed least; whether there was one.
+    pub fn drop_idle(&self) -> bool {
+        let oldest = self.pools.borrow_mut().make_room();
+        oldest.map(|id| self.shut(id)).is_some()
     }
 
     /// A descriptor for a connection, at the cost of an idle one where there is no other.
@@ -116,55 +230,88 @@
     ) -> io::Result<Link> {
         let stream = timeout_at(until, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream, buffer: Buffer::new(most), idle_since: 0, _permit: permit })
-    }
-
-    /// An idle connection that is still up, or a new one. A push that gets none never ran; want of descriptors
-    /// is this balancer's own, and must not be held against the host.
-    async fn link(&self, host: HostId, until: Instant) -> Result<Link, End> {
-        let idle = || self.hosts.borrow_mut().get_mut(&host).and_then(|place| place.idle.pop());
-        while let Some(link) = idle() {
-            // Whatever can be read now, its end above all, means that it can't carry a push.
-            let up =
-                matches!(link.stream.try_read(&mut [0]), Err(cause) if cause.kind() == ErrorKind::WouldBlock);
-            if up && self.fresh(&link, self.clock.now()) {
-                self.counters.connections_reused.add();
-                return Ok(link);
+        Ok(Link { stream, buffer: Buffer::new(most), _permit: permit })
+    }
+
+    /// A connection for a push: one that is kept, or a new one. A push that gets none never ran; what is this balancer's
+    /// own want must not be held against the host.
+    async fn link(&self, host: HostId, until: Instant) -> Result<Held<'_>, End> {
+        loop {
+            let grant = self.pools.borrow_mut().grant(self.clock.now(), host);
+            self.carry_out();
+            match grant {
+                Grant::Carry(id) => {
+                    let Some(link) = self.idle.borrow_mut().remove(&id) else {
+                        self.pools.borrow_mut().abandoned(id);
+                        continue;
+                    };
+                    // Whatever can be read now, its end above all, means that it can't carry a push.
+                    let read = link.stream.try_read(&mut [0]);
+                    if matches!(read, Err(cause) if cause.kind() == ErrorKind::WouldBlock) {
+                        self.counters.connections_reused.add();
+                        return Ok(Held { servers: self, id, link: Some(link) });
+                    }
+                    self.counters.connections_stale.add();
+                    self.pools.borrow_mut().found_ended(id);
+                }
+                Grant::Open(id) => return self.opened(host, id, until).await,
+                Grant::Later(at) => {
+                    let freed = self.hosts.borrow().get(&host).map(|place| place.freed.clone());
+                    let freed = freed.ok_or(End::Void)?;
+                    if Instant::now() >= until {
+                        return Err(End::Void);
+                    }
+                    let _ = timeout_at(until.min(self.clock.at(at)), freed.notified()).await;
+                }
+                Grant::Closed => return Err(End::Unreachable),
+                Grant::Full => return Err(End::Void),
             }
-            self.counters.connections_stale.add();
         }
+    }
+
+    async fn opened(&self, host: HostId, id: LinkId, until: Instant) -> Result<Held<'_>, End> {
+        let mut opening = Opening(self, Some(id));
         let address = self.hosts.borrow().get(&host).map(|place| place.address).ok_or(End::Void)?;
         let permit = self.permit().ok_or(End::Void)?;
-        let until = until.min(Instant::now() + span(self.bounds.connect_within));
-        match self.open(permit, address, until, MOST).await {
+        let bound = Instant::now() + span(self.bounds.connect_within);
+        let outcome = self.open(permit, address, until.min(bound), MOST).await;
+        opening.1 = None;
+        let now = self.clock.now();
+        match outcome {
             Ok(link) => {
                 self.counters.connections_opened.add();
-                Ok(link)
+                self.pools.borrow_mut().opened(now, id);
+                Ok(Held { servers: self, id, link: Some(link) })
             }
             Err(cause) => {
                 log::debug!("host {} at {address} does not come up: {cause}", host.0);
+                // Cut off by the op's own time it tells nothing of the host.
+                let own = cause.kind() == ErrorKind::TimedOut && until < bound;
+                let why = if own { Failure::Own } else { Failure::Host };
+                self.pools.borrow_mut().failed(now, id, why);
                 Err(End::Unreachable)
             }
         }
     }
 
-    /// Sends one request and reads one answer. `whole` takes a whole answer from the front of the buffer:
-    /// the outcome, how many bytes it took, and whether the connection may carry another.
+    /// Sends one request and reads one answer.
     pub async fn exchange(
-        &self,
+        self: &Rc<Servers>,
         host: HostId,
+        ticket: Ticket,
         request: &Request,
         text: Bytes,
         within: Micros,
-        whole: impl Fn(&[u8]) -> Result<Option<(Outcome, usize, bool)>, String>,
+        whole: Whole,
     ) -> Outcome {
         let until = Instant::now() + span(within);
         // The host begins with the last byte: until that is written the push never ran. An op that is over
         // meanwhile must not get that far, which says nothing of the host; its answer, once it has, is waited for.
         let sent = async {
-            let mut link = self.link(host, until).await?;
+            let mut held = self.link(host, until).await?;
+            let Some(link) = &mut held.link else { return Err(End::Void) };
             match timeout_at(until, link.stream.write_all(&text)).await {
-                Ok(Ok(())) => Ok(link),
+                Ok(Ok(())) => Ok(held),
                 _ => Err(End::Unreachable),
             }
         };
@@ -173,23 +320,44 @@
             () = request.ended() => Err(End::CalledOff),
             sent = sent => sent,
         };
-        let mut link = match sent {
-            Ok(link) => link,
+        let mut held = match sent {
+            Ok(held) => held,
             Err(end) => return (end, None),
         };
         drop(text);
+        let id = held.id;
+        self.pools.borrow_mut().sent(self.clock.now(), id);
+        self.carrying.borrow_mut().insert(id, ticket);
         loop {
-            match timeout_at(until, read(&mut link.stream, &mut link.buffer)).await {
-                Err(_) => return (End::TimedOut, None),
-                Ok(Ok(0) | Err(_)) => return (End::Broken, None),
+            let Some(link) = &mut held.link else { return (End::Void, None) };
+            let filled = timeout_at(until, read(&mut link.stream, &mut link.buffer)).await;
+            let now = self.clock.now();
+            match filled {
+                Err(_) => {
+                    let link = held.link.take();
+                    let (_, listens) = self.pools.borrow_mut().silent(now, id);
+                    if let Some(link) = link.filter(|_| listens) {
+                        self.listen(host, id, link, whole);
+                    }
+                    return (End::TimedOut, None);
+                }
+                Ok(Ok(0) | Err(_)) => {
+                    held.link = None;
+                    let fault = self.pools.borrow_mut().broke(now, id);
+                    self.carry_out();
+                    log::debug!("host {}: a connection ended over a push, {fault:?} at fault", host.0);
+                    return (if fault == Fault::Link { End::Severed } else { End::Broken }, None);
+                }
                 Ok(Ok(_)) => {}
             }
             match whole(link.buffer.bytes()) {
                 Ok(None) => {}
                 Ok(Some((outcome, used, keep))) => {
                     link.buffer.consume(used);
-                    if keep && link.buffer.is_empty() {
-                        self.give_back(host, link);
+                    let keep = keep && link.buffer.is_empty();
+                    let link = held.link.take();
+                    if self.pools.borrow_mut().answered(now, id, keep) {
+                        self.give_back(host, id, link);
                     }
                     return outcome;
                 }
@@ -201,29 +369,69 @@
         }
     }
 
-    fn give_back(&self, host: HostId, mut link: Link) {
-        link.idle_since = self.clock.now();
-        let same = |address: SocketAddr| link.stream.peer_addr().is_ok_and(|peer| peer == address);
-        if let Some(place) = self.hosts.borrow_mut().get_mut(&host).filter(|place| same(place.address)) {
-            place.idle.push(link);
+    fn give_back(&self, host: HostId, id: LinkId, link: Option<Link>) {
+        if let Some(link) = link {
+            self.idle.borrow_mut().insert(id, link);
         }
+        if let Some(place) = self.hosts.borrow().get(&host) {
+            place.freed.notify_one();
+        }
+    }
+
+    /// Reads on for what may come late: that tells that the host is there again, and the connection can carry pushes.
+    fn listen(self: &Rc<Servers>, host: HostId, id: LinkId, mut link: Link, whole: Whole) {
+        const LONGEST: Duration = Duration::from_secs(60);
+        let servers = self.clone();
+        let listening = async move {
+            let answer = async {
+                loop {
+                    if !matches!(read(&mut link.stream, &mut link.buffer).await, Ok(1..)) {
+                        return false;
+                    }
+                    match whole(link.buffer.bytes()) {
+                        Ok(None) => {}
+                        Ok(Some((_, used, keep))) => {
+                            link.buffer.consume(used);
+                            return keep && link.buffer.is_empty();
+                        }
+                        Err(_) => return false,
+                    }
+                }
+            };
+            let good = timeout(LONGEST, answer).await.unwrap_or(false);
+            servers.listening.borrow_mut().remove(&id);
+            let kept = servers.pools.borrow_mut().late(servers.clock.now(), id, good);
+            if kept {
+                servers.give_back(host, id, Some(link));
+            }
+            servers.carry_out();
+        };
+        let task = spawn_local(listening);
+        self.listening.borrow_mut().insert(id, task.abort_handle());
     }
 
     /// One push of an op to a cache host.
-    pub async fn push(&self, host: HostId, request: &Request, within: Micros) -> Outcome {
+    pub async fn push(
+        self: &Rc<Servers>,
+        host: HostId,
+        ticket: Ticket,
+        request: &Request,
+        within: Micros,
+    ) -> Outcome {
         let facts = request.facts(within);
         let mut words: Vec<&[u8]> = vec![&request.command, &request.key, &request.id, &facts];
         words.extend(request.value.as_deref());
-        let whole = |bytes: &[u8]| {
-            let Some((reply, used, keep)) = resp::reply(bytes)? else { return Ok(None) };
-            let outcome = match reply {
-                Reply::Value(place) => (End::Acked, Some(Bytes::copy_from_slice(&bytes[place]))),
-                Reply::Miss => (End::Miss, None),
-                Reply::Busy => (End::TurnedAway, None),
-                Reply::Failed => (End::Error, None),
-            };
-            Ok(Some((outcome, used, keep)))
-        };
-        self.exchange(host, request, resp::written(&words), within, whole).await
+        self.exchange(host, ticket, request, resp::written(&words), within, reply).await
     }
 }
+
+fn reply(bytes: &[u8]) -> Result<Option<(Outcome, usize, bool)>, String> {
+    let Some((reply, used, keep)) = resp::reply(bytes)? else { return Ok(None) };
+    let outcome = match reply {
+        Reply::Value(place) => (End::Acked, Some(Bytes::copy_from_slice(&bytes[place]))),
+        Reply::Miss => (End::Miss, None),
+        Reply::Busy => (End::TurnedAway, None),
+        Reply::Failed => (End::Error, None),
+    };
+    Ok(Some((outcome, used, keep)))
+}
--- /dev/null
+++ b/lab/tests/pools.rs
@@ -0,0 +1,85 @@
+//! The balancer's connections on real sockets, against hosts that lose them in every way: judged by rules and counts.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use basaltwood_lab::figures::Run;
+use common::*;
+
+/// Reads only, on six warm hosts; most ops go out on kept connections.
+fn reads(faults: &str) -> basaltwood_lab::script::Experiment {
+    let load = "[load]\nrate = 240\nkeys = 300\n";
+    let mut experiment = larger("seconds = 3.0", &format!("{load}{faults}"));
+    experiment.categories.truncate(1);
+    experiment
+}
+
+fn fault(kind: &str, more: &str) -> String {
+    format!("[[faults]]\nkind = \"{kind}\"\n{more}\n")
+}
+
+fn sound(run: &Run) -> &BTreeMap<String, u64> {
+    assert!(breaches(run).is_empty(), "{:#?}", breaches(run));
+    assert!(!run.counters.is_empty(), "the balancer tells its counters");
+    &run.counters
+}
+
+fn told(run: &Run) -> String {
+    format!("{:?}\n{:?}", run.counters, run.figures)
+}
+
+#[test]
+fn kept_connections_of_all_hosts_dead_at_once_leave_no_host_for_silent() {
+    let run = played(&reads(&fault("stale", "hosts = \"all\"\nfrom_s = 1.0")), &balancer());
+    let counters = sound(&run);
+    // One push for each connection that was kept, at the most, and a second copy brings its value.
+    assert!(counters["push_timed_out"] <= counters["connections_opened"], "{}", told(&run));
+    assert!(run.figures.served * 100 >= run.figures.ops * 97, "{}", told(&run));
+}
+
+#[test]
+fn kept_connections_that_are_reset_under_a_push_are_their_own_fault() {
+    // Each command on a connection from before is met by a reset; new connections work. Twice, so that it may learn.
+    let resets = fault("stale-reset", "hosts = \"all\"\nfrom_s = 1.0\nto_s = 1.1\nevery_s = 1.0");
+    let run = played(&reads(&resets), &balancer());
+    let counters = sound(&run);
+    assert!(counters["push_severed"] > 0 && counters["links_dead_kept"] > 0, "{}", told(&run));
+    assert_eq!(counters["push_broken"], 0, "none of it is a host's: {}", told(&run));
+    assert!(run.figures.served * 100 >= run.figures.ops * 99, "{}", told(&run));
+    assert_eq!(run.figures.nacked, 0, "{}", told(&run));
+}
+
+#[test]
+fn a_host_that_hangs_and_dead_connections_of_another_are_told_apart() {
+    let hang = fault("hang", "hosts = [0]\nfrom_s = 1.0\nto_s = 2.0");
+    let both = hang + &fault("stale-reset", "hosts = [3]\nfrom_s = 1.0");
+    let run = played(&reads(&both), &balancer());
+    sound(&run);
+    let host = |no: usize| &run.figures.hosts[&format!("host {no}")];
+    // The one with dead connections goes on as ever; the hung one is left and comes back.
+    assert!(host(3).ran * 10 >= host(4).ran.min(host(5).ran) * 3, "{}", told(&run));
+    assert!(run.figures.served * 100 >= run.figures.ops * 95, "{}", told(&run));
+}
+
+#[test]
+fn hosts_that_hang_are_reset_and_hang_again_do_not_crowd_out_the_others() {
+    let some = "hosts = [0, 1]\n";
+    let hangs = fault("hang", &format!("{some}from_s = 0.5\nto_s = 1.0\nevery_s = 0.9"));
+    let resets = fault("reset", &format!("{some}from_s = 0.99\nto_s = 1.0\nevery_s = 0.9\npart = 0.0"));
+    let mut experiment = reads(&(hangs + &resets));
+    // Few descriptors: what hangs must not eat those of the others.
+    experiment.limits.sockets = 64;
+    experiment.load.connections = 20;
+    let run = played(&experiment, &balancer());
+    sound(&run);
+    assert!(run.figures.served * 100 >= run.figures.ops * 85, "{}", told(&run));
+}
+
+#[test]
+fn a_host_that_is_silent_costs_no_connect_time_out_after_the_first() {
+    let run = played(&reads(&fault("silent", "hosts = [2]\nfrom_s = 0.8")), &balancer());
+    let counters = sound(&run);
+    assert!(run.figures.served * 100 >= run.figures.ops * 95, "{}", told(&run));
+    assert!(counters["push_unreachable"] < run.figures.ops / 10, "{}", told(&run));
+}
--- /dev/null
+++ b/pools/src/pool.rs
@@ -0,0 +1,258 @@
+//! The connections of one host.
+
+use std::collections::BTreeMap;
+
+use basaltwood::types::Micros;
+
+use crate::opening::{Circuit, Pace};
+use crate::{Fault, LinkId};
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Opening,
+    /// Up, and its first push under way: that one takes longer.
+    Warming,
+    /// Up, and carries nothing.
+    Ready,
+    Carrying,
+    /// Its push has given up waiting; it is listened to.
+    Doubtful,
+    Closed,
+}
+
+/// The part of the hosts' idle time after which a connection is not used again.
+const FRESH: f64 = 0.8;
+/// Of the age at which one was dead, what is trusted from then on.
+const MARGIN: f64 = 0.7;
+/// No shorter than this: a connection that was just used is as good as any.
+const LEAST_AGE: Micros = 100_000;
+/// What the trusted age grows by, with each use at more than half of it.
+const REGAIN: f64 = 1.004;
+/// Connections of a host that are listened to at a time.
+const LISTEN: usize = 2;
+/// And for how long.
+const LISTEN_FOR: Micros = 20_000_000;
+/// How long a peak of use is remembered, and how long one more than that stands.
+const REMEMBER: Micros = 5_000_000;
+const SURPLUS_AFTER: Micros = 1_000_000;
+/// A push is in doubt once so many that were sent after it have their answers,
+const OVERTAKEN: usize = 3;
+/// and it has waited so many times as long as any answer of late.
+const SLOWEST: f64 = 2.0;
+const LEAST_DOUBT: Micros = 20_000;
+/// What is left of the slowest answer after each further one.
+const FADES: f64 = 0.995;
+
+pub fn by_settings(idle_for: Micros) -> Micros {
+    (idle_for as f64 * FRESH) as Micros
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    pub state: State,
+    pub opened_at: Micros,
+    pub idle_since: Micros,
+    /// Its push under way was sent then.
+    pub sent_at: Option<Micros>,
+    /// How long it had stood idle before that; none where it is new.
+    pub reused_at_age: Option<Micros>,
+    pub doubted: bool,
+}
+
+impl Link {
+    pub fn new(now: Micros) -> Link {
+        Link {
+            state: State::Opening,
+            opened_at: now,
+            idle_since: now,
+            sent_at: None,
+            reused_at_age: None,
+            doubted: false,
+        }
+    }
+
+    /// A push has it.
+    pub fn busy(&self) -> bool {
+        matches!(self.state, State::Opening | State::Warming | State::Carrying)
+    }
+}
+
+/// The age up to which idle connections have proved to be good.
+#[derive(Clone, Copy, Debug)]
+pub struct Age {
+    trusted: Micros,
+    most: Micros,
+}
+
+impl Age {
+    pub fn trusted(&self) -> Micros {
+        self.trusted
+    }
+
+    /// Shorter than the settings say, where it is.
+    pub fn learnt(&self) -> Option<Micros> {
+        (self.trusted < self.most).then_some(self.trusted)
+    }
+
+    pub fn ended_at(&mut self, age: Micros) {
+        self.trusted = self.trusted.min((age as f64 * MARGIN) as Micros).max(LEAST_AGE.min(self.most));
+    }
+
+    fn good_at(&mut self, age: Micros) {
+        if age * 2 > self.trusted {
+            self.trusted = ((self.trusted as f64 * REGAIN) as Micros + 1).min(self.most);
+        }
+    }
+}
+
+pub struct Pool {
+    pub links: BTreeMap<LinkId, Link>,
+    pub age: Age,
+    pub circuit: Circuit,
+    pub pace: Pace,
+    /// Most in use at a time of late, and when that was.
+    peak: (usize, Micros),
+    /// When the last answers' pushes were sent, newest last.
+    answered: Vec<Micros>,
+    /// The longest that an answer took of late.
+    slowest: f64,
+}
+
+impl Pool {
+    pub fn new(idle_for: Micros) -> Pool {
+        let most = by_settings(idle_for);
+        Pool {
+            links: BTreeMap::new(),
+            age: Age { trusted: most, most },
+            circuit: Circuit::default(),
+            pace: Pace::of_host(),
+            peak: (0, 0),
+            answered: Vec::new(),
+            slowest: 0.0,
+        }
+    }
+
+    pub fn youngest(&self) -> Option<LinkId> {
+        let ready = self.links.iter().filter(|(_, link)| link.state == State::Ready);
+        ready.max_by_key(|(id, link)| (link.idle_since, **id)).map(|(id, _)| *id)
+    }
+
+    fn busy(&self) -> usize {
+        self.links.values().filter(|link| link.busy()).count()
+    }
+
+    pub fn carrying_peaks(&mut self, now: Micros) {
+        let busy = self.busy();
+        if busy >= self.peak.0 || now - self.peak.1 > REMEMBER {
+            self.peak = (busy, now);
+        }
+    }
+
+    pub fn rests(&mut self, id: LinkId, now: Micros) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.state = State::Ready;
+            (link.idle_since, link.sent_at, link.reused_at_age) = (now, None, None);
+        }
+    }
+
+    pub fn answered(&mut self, id: LinkId, now: Micros) {
+        let Some(link) = self.links.get(&id) else { return };
+        if let Some(age) = link.reused_at_age {
+            self.age.good_at(age);
+        }
+        if let Some(sent) = link.sent_at {
+            // One that was only listened to says how long its host was silent, not how long answers take.
+            if link.state != State::Doubtful {
+                self.slowest = (self.slowest * FADES).max((now - sent) as f64);
+            }
+            self.answered.push(sent);
+            if self.answered.len() > 2 * OVERTAKEN {
+                self.answered.remove(0);
+            }
+        }
+    }
+
+    /// Pushes that were sent after this one and have their answers.
+    fn overtakes(&self, sent: Micros) -> usize {
+        self.answered.iter().filter(|&&other| other > sent).count()
+    }
+
+    /// A push gave up: the connection's fault where others that went after it were answered.
+    pub fn silence(&self, id: LinkId) -> Fault {
+        let sent = self.links.get(&id).and_then(|link| link.sent_at);
+        match sent {
+            Some(sent) if self.overtakes(sent) > 0 => Fault::Link,
+            _ => Fault::Host,
+        }
+    }
+
+    /// Whether a connection is listened to after its push gave up: where the whole host is silent it tells of its return.
+    pub fn listens(&mut self, id: LinkId, now: Micros) -> bool {
+        let silent = self.silence(id) == Fault::Host;
+        let listening = self.links.values().filter(|link| link.state == State::Doubtful).count();
+        let Some(link) = self.links.get_mut(&id) else { return false };
+        if !silent || listening >= LISTEN || link.sent_at.is_none() {
+            return false;
+        }
+        (link.state, link.idle_since) = (State::Doubtful, now);
+        true
+    }
+
+    /// One ended over its push. A kept one may have been dead before; then its fellows that stood idle as long are in doubt.
+    pub fn broke(&mut self, id: LinkId, _now: Micros) -> (Fault, Vec<LinkId>) {
+        let Some(link) = self.links.get(&id).copied() else { return (Fault::Host, Vec::new()) };
+        let Some(age) = link.reused_at_age else { return (Fault::Host, Vec::new()) };
+        self.age.ended_at(age);
+        let stood_since = link.sent_at.unwrap_or(link.idle_since) - age;
+        let as_long = |other: &Link| other.state == State::Ready && other.idle_since <= stood_since;
+        let fellows = self.links.iter().filter(|(other, link)| **other != id && as_long(link));
+        (Fault::Link, fellows.map(|(id, _)| *id).collect())
+    }
+
+    /// Idle for longer than is trusted, or listened to for long enough.
+    pub fn old(&self, now: Micros, trust: Micros) -> Vec<LinkId> {
+        let old = |link: &Link| match link.state {
+            State::Ready => now - link.idle_since >= trust,
+            State::Doubtful => now - link.idle_since >= LISTEN_FOR,
+            _ => false,
+        };
+        self.links.iter().filter(|(_, link)| old(link)).map(|(id, _)| *id).collect()
+    }
+
+    /// More than were in use at a time of late, and not needed for a while.
+    pub fn surplus(&mut self, now: Micros) -> Vec<LinkId> {
+        if now - self.peak.1 > REMEMBER {
+            self.peak = (self.busy(), now);
+        }
+        let mut idle: Vec<(Micros, LinkId)> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.state == State::Ready)
+            .map(|(id, link)| (link.idle_since, *id))
+            .collect();
+        idle.sort_unstable();
+        let spare = (self.busy() + idle.len()).saturating_sub(self.peak.0 + 1);
+        let long = idle.into_iter().take_while(|(since, _)| now - since >= SURPLUS_AFTER);
+        long.take(spare).map(|(_, id)| id).collect()
+    }
+
+    /// Connections whose push is in doubt from now on.
+    pub fn doubts(&mut self, now: Micros) -> Vec<LinkId> {
+        let bound = ((self.slowest * SLOWEST) as Micros).max(LEAST_DOUBT);
+        let waits =
+            |link: &Link| link.sent_at.filter(|&sent| link.busy() && !link.doubted && now - sent > bound);
+        let late: Vec<(LinkId, Micros)> =
+            self.links.iter().filter_map(|(id, link)| Some((*id, waits(link)?))).collect();
+        let mut doubted = Vec::new();
+        for (id, sent) in late {
+            if self.overtakes(sent) >= OVERTAKEN {
+                if let Some(link) = self.links.get_mut(&id) {
+                    link.doubted = true;
+                }
+                doubted.push(id);
+            }
+        }
+        doubted
+    }
+}
--- /dev/null
+++ b/pools/tests/traces.rs
@@ -0,0 +1,382 @@
+//! Talks with the pools, printed step by step: what a push gets, whose fault an end was, what is ordered.
+
+use basaltwood::types::{HostId, Micros};
+use basaltwood_pools::{Failure, Fault, Grant, LinkId, Pools, Terms};
+use expect_test::{expect, Expect};
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+struct Talk {
+    pools: Pools,
+    now: Micros,
+    text: String,
+}
+
+impl Talk {
+    fn new(balancers: u32, most: usize) -> Talk {
+        let terms = Terms { seed: 7, balancers, idle_for: 15 * SECOND, connect_within: 250 * MS, most };
+        let mut talk = Talk { pools: Pools::new(terms), now: 0, text: String::new() };
+        talk.pools.tick(0);
+        talk
+    }
+
+    fn say(&mut self, what: &str) {
+        let orders: Vec<String> = self.pools.orders().iter().map(|order| format!("{order:?}")).collect();
+        let orders = if orders.is_empty() { String::new() } else { format!(" -> {}", orders.join(", ")) };
+        self.text += &format!("{:<6}{what}{orders}\n", self.now / MS);
+    }
+
+    /// Time passes with its ticks; orders are told as they come.
+    fn pass(&mut self, span: Micros) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = (self.now + 50 * MS).min(until);
+            self.pools.tick(self.now);
+            let orders = self.pools.orders();
+            if !orders.is_empty() {
+                self.text += &format!("{:<6}{orders:?}\n", self.now / MS);
+            }
+        }
+    }
+
+    /// A push that is sent at once, on whatever connection it gets; that one.
+    fn sent(&mut self, host: u32) -> LinkId {
+        let grant = self.pools.grant(self.now, HostId(host));
+        let link = match grant {
+            Grant::Carry(link) => link,
+            Grant::Open(link) => {
+                self.pools.opened(self.now, link);
+                link
+            }
+            other => panic!("{other:?}"),
+        };
+        self.pools.sent(self.now, link);
+        self.say(&format!("h{host} {grant:?}"));
+        link
+    }
+
+    /// The same, answered after 5 ms.
+    fn served(&mut self, host: u32) -> LinkId {
+        let link = self.sent(host);
+        self.now += 5 * MS;
+        self.pools.answered(self.now, link, true);
+        link
+    }
+
+    fn ends(&mut self, what: &str, link: LinkId) -> Fault {
+        let fault = match what {
+            "broke" => self.pools.broke(self.now, link),
+            "silent" => self.pools.silent(self.now, link).0,
+            other => panic!("{other}"),
+        };
+        let state = self.pools.state(link);
+        self.say(&format!("{what} {link:?}: {fault:?} at fault, {state:?}"));
+        fault
+    }
+
+    fn is(mut self, expected: Expect) {
+        self.text += &self.pools.counted().to_string();
+        expected.assert_eq(&self.text);
+    }
+}
+
+#[test]
+fn a_kept_connection_that_was_dead_tells_of_its_fellows_and_not_of_its_host() {
+    let mut talk = Talk::new(2, 300);
+    // Three in use together, all idle from now on.
+    let three: Vec<LinkId> = (0..3).map(|_| talk.sent(0)).collect();
+    talk.now += 5 * MS;
+    three.iter().for_each(|&link| {
+        talk.pools.answered(talk.now, link, true);
+    });
+    talk.pass(600 * MS);
+    let used = talk.sent(0);
+    talk.now += MS;
+    talk.ends("broke", used);
+    // The fellows went with it: the next is new, and what has stood for so long is not trusted any more.
+    talk.served(0);
+    talk.pass(450 * MS);
+    talk.served(0);
+    talk.is(expect![[r#"
+        0     h0 Open(LinkId(0))
+        0     h0 Open(LinkId(1))
+        0     h0 Open(LinkId(2))
+        605   h0 Carry(LinkId(2))
+        606   broke LinkId(2): Link at fault, Closed -> Close(LinkId(0)), Close(LinkId(1))
+        606   h0 Open(LinkId(3))
+        1061  [Close(LinkId(3))]
+        1061  h0 Open(LinkId(4))
+        links_distrusted=3 links_surplus=0 links_dead_kept=1 pushes_doubted=0 links_late=0 opens_put_off=0 opens_closed=0 opens_full=0 own_stops=0"#]]);
+}
+
+#[test]
+fn what_forgot_the_connections_of_two_hosts_forgot_those_of_all() {
+    let mut talk = Talk::new(2, 300);
+    (0..4).for_each(|host| {
+        talk.served(host);
+    });
+    talk.pass(900 * MS);
+    let (one, two) = (talk.sent(0), talk.sent(1));
+    talk.now += MS;
+    talk.ends("broke", one);
+    talk.ends("broke", two);
+    // Hosts 2 and 3 lose nothing: new ones are opened there.
+    talk.served(2);
+    talk.served(3);
+    talk.is(expect![[r#"
+        0     h0 Open(LinkId(0))
+        5     h1 Open(LinkId(1))
+        10    h2 Open(LinkId(2))
+        15    h3 Open(LinkId(3))
+        920   h0 Carry(LinkId(0))
+        920   h1 Carry(LinkId(1))
+        921   broke LinkId(0): Link at fault, Closed
+        921   broke LinkId(1): Link at fault, Closed -> Close(LinkId(2)), Close(LinkId(3))
+        921   h2 Open(LinkId(4))
+        926   h3 Open(LinkId(5))
+        links_distrusted=2 links_surplus=0 links_dead_kept=2 pushes_doubted=0 links_late=0 opens_put_off=0 opens_closed=0 opens_full=0 own_stops=0"#]]);
+}
+
+#[test]
+fn silence_is_weighed_against_what_others_of_the_host_answer() {
+    let mut talk = Talk::new(2, 300);
+    let mute = talk.sent(0);
+    for _ in 0..4 {
+        talk.now += 2 * MS;
+        talk.served(0);
+    }
+    talk.pass(50 * MS);
+    talk.ends("silent", mute);
+    // All silent at once: the host, and two of its connections are listened to.
+    let all: Vec<LinkId> = (0..3).map(|_| talk.sent(0)).collect();
+    talk.pass(300 * MS);
+    for &link in &all {
+        talk.ends("silent", link);
+    }
+    talk.pass(100 * MS);
+    // It answers late, on one from before: it is there, and was not started anew.
+    let kept = talk.pools.late(talk.now, all[0], true);
+    talk.say(&format!("late whole answer, kept {kept}"));
+    let kept = talk.pools.late(talk.now, all[1], false);
+    talk.say(&format!("late nonsense, kept {kept}"));
+    talk.served(0);
+    talk.is(expect![[r#"
+        0     h0 Open(LinkId(0))
+        2     h0 Open(LinkId(1))
+        9     h0 Carry(LinkId(1))
+        16    h0 Carry(LinkId(1))
+        23    h0 Carry(LinkId(1))
+        78    [Doubt(LinkId(0))]
+        78    silent LinkId(0): Link at fault, Closed
+        78    h0 Carry(LinkId(1))
+        78    h0 Open(LinkId(2))
+        78    h0 Open(LinkId(3))
+        378   silent LinkId(1): Host at fault, Doubtful
+        378   silent LinkId(2): Host at fault, Doubtful
+        378   silent LinkId(3): Host at fault, Closed
+        478   late whole answer, kept true -> Alive(HostId(0))
+        478   late nonsense, kept false
+        478   h0 Carry(LinkId(1))
+        links_distrusted=0 links_surplus=0 links_dead_kept=0 pushes_doubted=1 links_late=1 opens_put_off=0 opens_closed=0 opens_full=0 own_stops=0"#]]);
+}
+
+#[test]
+fn a_host_that_lets_nothing_come_up_is_asked_in_growing_pauses() {
+    let mut talk = Talk::new(2, 300);
+    for _ in 0..40 {
+        match talk.pools.grant(talk.now, HostId(0)) {
+            Grant::Open(link) => {
+                talk.say("asked");
+                talk.pools.failed(talk.now, link, Failure::Host);
+            }
+            other => assert!(matches!(other, Grant::Closed), "{other:?}"),
+        }
+        talk.pass(100 * MS);
+    }
+    talk.pass(2 * SECOND);
+    talk.served(0);
+    talk.served(0);
+    talk.is(expect![[r#"
+        0     asked
+        100   asked
+        200   asked
+        400   asked
+        700   asked
+        1400  asked
+        2500  asked
+        6000  h0 Open(LinkId(7))
+        6005  h0 Carry(LinkId(7))
+        links_distrusted=0 links_surplus=0 links_dead_kept=0 pushes_doubted=0 links_late=0 opens_put_off=0 opens_closed=33 opens_full=0 own_stops=0"#]]);
+}
+
+#[test]
+fn a_hung_host_holds_no_more_than_its_part_where_descriptors_are_short() {
+    let mut talk = Talk::new(2, 120);
+    (1..10).for_each(|host| {
+        talk.served(host);
+    });
+    let mut held = 0;
+    let refused = loop {
+        match talk.pools.grant(talk.now, HostId(0)) {
+            Grant::Open(link) => {
+                talk.pools.opened(talk.now, link);
+                talk.pools.sent(talk.now, link);
+                held += 1;
+            }
+            Grant::Later(at) => talk.now = at,
+            other => break other,
+        }
+    };
+    talk.text.clear();
+    talk.say(&format!("{refused:?} at {held} held"));
+    // All others go on.
+    talk.served(5);
+    match talk.pools.grant(talk.now, HostId(5)) {
+        Grant::Carry(_) => {}
+        other => panic!("{other:?}"),
+    }
+    let grant = talk.pools.grant(talk.now, HostId(5));
+    talk.say(&format!("h5 {grant:?}"));
+    talk.is(expect![[r#"
+        205   Full at 96 held
+        205   h5 Carry(LinkId(4))
+        210   h5 Open(LinkId(105))
+        links_distrusted=0 links_surplus=0 links_dead_kept=0 pushes_doubted=0 links_late=0 opens_put_off=32 opens_closed=0 opens_full=1 own_stops=0"#]]);
+}
+
+#[test]
+fn a_stop_of_our_own_is_evidence_against_nobody() {
+    let mut talk = Talk::new(2, 300);
+    let out = talk.sent(0);
+    for _ in 0..3 {
+        talk.now += MS;
+        talk.served(0);
+    }
+    // The machine stood still: no tick for two seconds.
+    talk.now += 2 * SECOND;
+    let stopped = talk.pools.tick(talk.now);
+    talk.say(&format!("stopped for {} ms, {:?} is {:?}", stopped / MS, out, talk.pools.state(out)));
+    talk.now += 5 * MS;
+    talk.pools.answered(talk.now, out, true);
+    talk.is(expect![[r#"
+        0     h0 Open(LinkId(0))
+        1     h0 Open(LinkId(1))
+        7     h0 Carry(LinkId(1))
+        13    h0 Carry(LinkId(1))
+        2018  stopped for 2018 ms, LinkId(0) is Warming
+        links_distrusted=0 links_surplus=0 links_dead_kept=0 pushes_doubted=0 links_late=0 opens_put_off=0 opens_closed=0 opens_full=0 own_stops=1"#]]);
+}
+
+#[test]
+fn a_push_that_others_overtook_is_doubted_once() {
+    let mut talk = Talk::new(2, 300);
+    talk.served(0);
+    let mute = talk.sent(0);
+    talk.pass(60 * MS);
+    for _ in 0..3 {
+        talk.served(0);
+    }
+    talk.pass(200 * MS);
+    talk.say(&format!("{mute:?} is {:?}", talk.pools.state(mute)));
+    talk.is(expect![[r#"
+        0     h0 Open(LinkId(0))
+        5     h0 Carry(LinkId(0))
+        65    h0 Open(LinkId(1))
+        70    h0 Carry(LinkId(1))
+        75    h0 Carry(LinkId(1))
+        130   [Doubt(LinkId(0))]
+        280   LinkId(0) is Carrying
+        links_distrusted=0 links_surplus=0 links_dead_kept=0 pushes_doubted=1 links_late=0 opens_put_off=0 opens_closed=0 opens_full=0 own_stops=0"#]]);
+}
+
+#[test]
+fn more_than_were_needed_of_late_are_closed_and_room_is_made_of_the_oldest() {
+    let mut talk = Talk::new(2, 300);
+    let many: Vec<LinkId> = (0..6).map(|_| talk.sent(0)).collect();
+    talk.now += 5 * MS;
+    many.iter().for_each(|&link| {
+        talk.pools.answered(talk.now, link, true);
+    });
+    talk.text.clear();
+    for _ in 0..14 {
+        talk.pass(500 * MS);
+        talk.served(0);
+    }
+    talk.text =
+        talk.text.lines().filter(|line| line.contains("Close")).map(|line| format!("{line}\n")).collect();
+    let room = talk.pools.make_room();
+    talk.say(&format!("room: {room:?}, {} open", talk.pools.open()));
+    talk.is(expect![[r#"
+        5050  [Close(LinkId(0)), Close(LinkId(1)), Close(LinkId(2)), Close(LinkId(3)), Close(LinkId(4))]
+        7075  room: Some(LinkId(5)), 0 open
+        links_distrusted=0 links_surplus=5 links_dead_kept=0 pushes_doubted=0 links_late=0 opens_put_off=0 opens_closed=0 opens_full=0 own_stops=0"#]]);
+}
+
+/// Opens a second over the fleet when 40 hosts return in one instant, by so many balancers that each want eight
+/// connections to each at once.
+fn returning(balancers: u32) -> (u64, u64, usize) {
+    const HOSTS: u32 = 40;
+    const EACH: usize = 8;
+    // Balancers are alike but for their chance: a part of them stands for all.
+    let played = balancers.min(4);
+    let mut by_tenth = vec![0_u64; 600];
+    let mut whole = 0;
+    for nth in 0..played {
+        let terms = Terms {
+            seed: u64::from(nth),
+            balancers,
+            idle_for: 15 * SECOND,
+            connect_within: 250 * MS,
+            most: 1_000,
+        };
+        let mut pools = Pools::new(terms);
+        let mut up = vec![0; HOSTS as usize];
+        for step in 0..3_000_i64 {
+            let now = step * 20 * MS;
+            // All are away for the first two seconds.
+            let there = now >= 2 * SECOND;
+            if step % 5 == 0 {
+                pools.tick(now);
+                pools.orders();
+            }
+            for host in 0..HOSTS {
+                while up[host as usize] < EACH {
+                    match pools.grant(now, HostId(host)) {
+                        Grant::Open(link) if there => {
+                            pools.opened(now, link);
+                            pools.sent(now, link);
+                            up[host as usize] += 1;
+                            by_tenth[(now / (100 * MS)) as usize] += 1;
+                        }
+                        Grant::Open(link) => pools.failed(now, link, Failure::Host),
+                        _ => break,
+                    }
+                }
+            }
+        }
+        whole += usize::from(up.iter().all(|&up| up == EACH));
+    }
+    let scale = u64::from(balancers / played);
+    let most_second = by_tenth.windows(10).map(|window| window.iter().sum::<u64>()).max().unwrap_or(0);
+    let most_tenth = by_tenth.iter().max().copied().unwrap_or(0);
+    (most_second * scale, most_tenth * scale, whole * scale as usize)
+}
+
+#[test]
+fn a_fleet_that_returns_in_one_instant_meets_no_stampede() {
+    let mut text = String::new();
+    for balancers in [2, 20, 200] {
+        let (second, tenth, whole) = returning(balancers);
+        let all = u64::from(balancers) * 40 * 8;
+        text += &format!(
+            "{balancers} balancers: {all} connections wanted, at most {second} opened in a second and {tenth} in a \
+             tenth of one; {whole} have all of theirs after a minute\n"
+        );
+    }
+    expect![[r#"
+        2 balancers: 640 connections wanted, at most 616 opened in a second and 120 in a tenth of one; 2 have all of theirs after a minute
+        20 balancers: 6400 connections wanted, at most 5650 opened in a second and 795 in a tenth of one; 20 have all of theirs after a minute
+        200 balancers: 64000 connections wanted, at most 6400 opened in a second and 800 in a tenth of one; 200 have all of theirs after a minute
+    "#]].assert_eq(&text);
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -106,6 +106,23 @@
         self.mail(op)
     }
 
+    /// A push that is out is in doubt: others of its host answer, and it does not.
+    pub fn doubt(&mut self, now: Micros, op: OpId, push: PushNo) {
+        if self.tickets.get(&op).is_some_and(|ticket| !ticket.over && ticket.out.contains_key(&push)) {
+            self.hear(now, Heard::Doubt { op, push });
+        }
+    }
+
+    /// A host answered on a connection from before its silence.
+    pub fn alive(&mut self, now: Micros, host: HostId) {
+        self.hear(now, Heard::Alive { host });
+    }
+
+    /// This process itself stood still for so long.
+    pub fn stopped(&mut self, now: Micros, span: Micros) {
+        self.hear(now, Heard::Stopped(span));
+    }
+
     /// Nobody waits for the op any more.
     pub fn dropped(&mut self, now: Micros, op: OpId) -> Vec<Decision> {
         let Some(ticket) = self.tickets.get_mut(&op).filter(|ticket| !ticket.over) else { return Vec::new() };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,9 @@
     Listed(Listed),
     Sent(OpId, PushNo),
     Ended(OpId, PushNo, End, Micros),
+    /// It answered on a connection from before its silence.
+    Alive,
+    Stopped(Micros),
     /// Time to judge; with the fleet's typical answer time, and the longest that can pass for the shortest.
     Sweep(f64, f64),
 }
@@ -254,6 +257,13 @@
                 limit.peak = limit.peak.max(self.out.len());
             }
             ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
+            // What was assumed of it while it was silent, that it might be cold, does not hold.
+            ToHost::Alive => {
+                self.cold_since = self.standing.listed.as_ref().and_then(|listed| listed.started);
+                self.answered_at = post.now;
+                self.well();
+            }
+            ToHost::Stopped(span) => self.out.values_mut().for_each(|sent| *sent += span),
             ToHost::Sweep(typical, bearable) => self.sweep(typical, bearable, post),
         }
         let warm = self.cold_since.map_or(1.0, |since| self.cold.surely(post.now - since));
@@ -298,7 +308,7 @@
                     self.strikes += STRIKE;
                 }
             }
-            End::CalledOff | End::Void => {}
+            End::Severed | End::CalledOff | End::Void => {}
         }
         if matches!(end, End::Acked | End::TimedOut) {
             self.gap = now - self.measured_at;
@@ -475,6 +485,8 @@
     loads: Loads,
     ops: BTreeMap<OpId, Op>,
     retries: f64,
+    /// The same for what was lost with a connection alone.
+    mends: f64,
     /// Further pushes earned by an acked op.
     earned: f64,
     watches: u32,
@@ -511,6 +523,7 @@
             target: shortest as f64,
             shortest: shortest as f64,
             retries: RETRY_STORE,
+            mends: RETRY_STORE,
             earned: if terms.allowed.aside { RETRY_RATE } else { FETCH_RATE },
             ..Desk::default()
         }
@@ -584,6 +597,18 @@
                 post.orders.extend(others.map(|out| Order::CallOff { op, push: out.0 }));
             }
             Heard::Dropped { op } => self.forget(op, post),
+            Heard::Doubt { op, push } => {
+                let Some(held) = self.ops.get_mut(&op) else { return };
+                let Some(&(_, host, _)) = held.out.iter().find(|out| out.0 == push) else { return };
+                // Its connection is in doubt, not its host: that one may have it again.
+                held.tried.retain(|tried| *tried != host);
+                self.again(op, post);
+            }
+            Heard::Alive { host } => post.host(host, ToHost::Alive),
+            Heard::Stopped(span) => {
+                let up = (0..).map(HostId).zip(&self.board).filter(|(_, standing)| standing.up());
+                up.for_each(|(host, _)| post.host(host, ToHost::Stopped(span)));
+            }
             Heard::Ended { op, push, host, took, end, over } => {
                 if !self.board[host.0 as usize].origin() {
                     self.abroad = self.abroad.saturating_sub(1);
@@ -640,6 +665,7 @@
         let sent = op.out.iter().position(|out| out.0 == push).map(|at| op.out.remove(at));
         if end == End::Acked {
             self.retries = (self.retries + self.earned).min(RETRY_STORE);
+            self.mends = (self.mends + self.earned).min(RETRY_STORE);
         }
         if over {
             return self.forget(id, post);
@@ -655,8 +681,14 @@
         if let Some((_, host, at)) = sent.filter(|_| !end.proves_not_run()) {
             op.may_have_run = op.may_have_run.filter(|earlier| earlier.1 <= at).or(Some((host, at)));
         }
-        // What reached no host has loaded none: going elsewhere is not paid for.
-        let unpaid = matches!(end, End::Unreachable | End::Void);
+        // What reached no host has loaded none: going elsewhere is not paid for. A connection's fault is, from a
+        // store of its own, and its host is as good as before.
+        let severed = end == End::Severed && self.mends >= 1.0;
+        if let Some((_, host, _)) = sent.filter(|_| severed) {
+            self.mends -= 1.0;
+            op.tried.retain(|tried| *tried != host);
+        }
+        let unpaid = severed || matches!(end, End::Unreachable | End::Void);
         (op.spare, self.retries) = (op.spare + u32::from(unpaid), self.retries + f64::from(unpaid));
         self.again(id, post);
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -191,8 +191,10 @@
     TurnedAway,
     TimedOut,
     Unreachable,
-    /// The connection went while the push was out.
+    /// The connection went while the push was out; perhaps its host did.
     Broken,
+    /// The same where the fault was the connection's own: the op may have run, and the host is well.
+    Severed,
     CalledOff,
     /// Never sent.
     Void,
@@ -248,6 +250,17 @@
     Dropped {
         op: OpId,
     },
+    /// Its push may be lost with its connection: others that went to the host after it were answered.
+    Doubt {
+        op: OpId,
+        push: PushNo,
+    },
+    /// The host answered on a connection from before its silence: it is there, and was not started anew.
+    Alive {
+        host: HostId,
+    },
+    /// This balancer itself stood still for so long: nobody's silence in that time tells anything.
+    Stopped(Micros),
     Wake(Wake),
 }
 
