pools: an age is judged by how its connections fared, not by one that was reset

Neither doubts nor surplus closings were at fault; 13,200 connections were opened where 3,740 had been, since one connection reset by chance distrusted its age down to 0.1 s and two such hosts within half a second closed all idle ones. Now an age is distrusted only where 15% of its uses were dead, fellows go with the second dead one in a row, and all hosts' with the third while none is good.

--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -167,6 +167,13 @@
             match decision {
                 Decision::Push { push, host, timeout } => {
                     counters.pushes.add();
+                    log::debug!(
+                        "op {} push {} to host {} for {} ms",
+                        self.op.0,
+                        push.0,
+                        host.0,
+                        timeout / 1000
+                    );
                     let (desk, request) = (self.desk.clone(), self.request.clone());
                     let ticket = (self.op, push);
                     let task = async move {
@@ -194,10 +201,12 @@
                 }
                 Decision::Nack { come_back } => {
                     counters.nacked.add();
+                    log::debug!("op {} nacked", self.op.0);
                     self.finish(Answer::Nacked { come_back });
                 }
                 Decision::DeadLetter => {
                     counters.dead_lettered.add();
+                    log::debug!("op {} dead-lettered", self.op.0);
                     self.finish(Answer::DeadLettered);
                 }
             }
@@ -228,6 +237,7 @@
             return Vec::new();
         }
         self.desk.counters.ended(end);
+        log::debug!("op {} push {}: {end:?}", self.op.0, push.0);
         self.value = value;
         self.report(push, end)
     }
--- a/pools/src/lib.rs
+++ b/pools/src/lib.rs
@@ -106,8 +106,9 @@
 const STOPPED: Micros = 400_000;
 /// Hosts that must have learnt of an age before others believe it.
 const SAY_SO: usize = 2;
-/// Kept connections of so many hosts that turn out dead within this: what stood between forgot them all.
-const FORGOT: usize = 2;
+/// Kept connections of so many hosts that turn out dead within this, with none that is good: what stands between forgot
+/// them all.
+const FORGOT: usize = 3;
 const FORGOT_WITHIN: Micros = 500_000;
 
 pub struct Pools {
@@ -317,24 +318,26 @@
         });
     }
 
-    /// A kept connection was found ended before its use: its age tells something, and nothing is lost.
+    /// A kept connection was found ended before its use. Its host said so in time: nothing is lost, and nothing learnt.
     pub fn found_ended(&mut self, link: LinkId) {
-        self.with(link, |pool, id| {
-            if let Some(age) = pool.links.get(&id).and_then(|link| link.reused_at_age) {
-                pool.age.ended_at(age);
-            }
-        });
         self.drop_link(link);
     }
 
     /// An answer came, whatever it said; `keep` where the connection can carry another push. Whether it is kept.
     pub fn answered(&mut self, now: Micros, link: LinkId, keep: bool) -> bool {
         let known = self.with(link, |pool, id| {
+            let stood = pool.links.get(&id).and_then(|link| Some((link.sent_at?, link.reused_at_age?)));
             pool.answered(id, now);
             if keep {
                 pool.rests(id, now);
             }
+            stood
         });
+        // One from before the first that was dead, and used after it, is good: there was no forgetting at large.
+        let before = |at: Micros| known.flatten().is_some_and(|(sent, age)| sent > at && sent - age < at);
+        if self.dead.first().is_some_and(|dead| before(dead.0)) {
+            self.dead.clear();
+        }
         if !keep {
             self.drop_link(link);
         }
@@ -448,6 +451,7 @@
         for pool in self.hosts.values_mut() {
             let trust = self.others.min(pool.age.trusted());
             let (old, surplus, doubted) = (pool.old(now, trust), pool.surplus(now), pool.doubts(now));
+            pool.fade(now);
             self.counted.distrusted += old.len() as u64;
             self.counted.surplus += surplus.len() as u64;
             self.counted.doubts += doubted.len() as u64;
--- a/pools/src/pool.rs
+++ b/pools/src/pool.rs
@@ -23,12 +23,19 @@
 
 /// The part of the hosts' idle time after which a connection is not used again.
 const FRESH: f64 = 0.8;
-/// Of the age at which one was dead, what is trusted from then on.
-const MARGIN: f64 = 0.7;
-/// No shorter than this: a connection that was just used is as good as any.
-const LEAST_AGE: Micros = 100_000;
-/// What the trusted age grows by, with each use at more than half of it.
-const REGAIN: f64 = 1.004;
+/// Ages are told apart from this on, in steps that double; below, a connection was just used and is as good as any.
+const FIRST_STEP: Micros = 100_000;
+const STEPS: usize = 9;
+/// Dead ones of an age that are more than chance, and the part of its uses that is too many: a push that is lost costs
+/// several times what a new connection does.
+const SEVERAL: f64 = 1.5;
+const TOO_MANY: f64 = 0.15;
+/// What is left of what an age's uses told after each further one, and of all after each ten seconds.
+const FADES_AGE: f64 = 0.95;
+const FADES_TIME: f64 = 0.5;
+const FADES_EVERY: Micros = 10_000_000;
+/// Kept connections that turn out dead one after the other, with none that is good between: their fellows are in doubt.
+const IN_A_ROW: u32 = 2;
 /// Connections of a host that are listened to at a time.
 const LISTEN: usize = 2;
 /// And for how long.
@@ -78,31 +85,48 @@
     }
 }
 
-/// The age up to which idle connections have proved to be good.
+/// How kept connections of each age fared of late: the age from which on too many were dead is not trusted. One that dies by
+/// itself at any age, as a reset that comes by chance, teaches next to nothing: a new connection has its price too.
 #[derive(Clone, Copy, Debug)]
 pub struct Age {
-    trusted: Micros,
+    /// By age, each step twice the one before: good, and dead.
+    fared: [(f64, f64); STEPS],
     most: Micros,
 }
 
 impl Age {
+    fn new(most: Micros) -> Age {
+        Age { fared: [(0.0, 0.0); STEPS], most }
+    }
+
+    fn step(age: Micros) -> usize {
+        ((age / FIRST_STEP + 1).ilog2() as usize).min(STEPS - 1)
+    }
+
+    fn begins(step: usize) -> Micros {
+        FIRST_STEP * ((1 << step) - 1)
+    }
+
     pub fn trusted(&self) -> Micros {
-        self.trusted
+        let bad = |&(good, dead): &(f64, f64)| dead >= SEVERAL && dead > TOO_MANY * (good + dead);
+        let first = self.fared.iter().position(bad);
+        first.map_or(self.most, |step| Age::begins(step).max(FIRST_STEP).min(self.most))
     }
 
     /// Shorter than the settings say, where it is.
     pub fn learnt(&self) -> Option<Micros> {
-        (self.trusted < self.most).then_some(self.trusted)
+        Some(self.trusted()).filter(|&trusted| trusted < self.most)
     }
 
-    pub fn ended_at(&mut self, age: Micros) {
-        self.trusted = self.trusted.min((age as f64 * MARGIN) as Micros).max(LEAST_AGE.min(self.most));
+    fn fared(&mut self, age: Micros, well: bool) {
+        let step = &mut self.fared[Age::step(age)];
+        *step = (step.0 * FADES_AGE, step.1 * FADES_AGE);
+        *(if well { &mut step.0 } else { &mut step.1 }) += 1.0;
     }
 
-    fn good_at(&mut self, age: Micros) {
-        if age * 2 > self.trusted {
-            self.trusted = ((self.trusted as f64 * REGAIN) as Micros + 1).min(self.most);
-        }
+    /// What was learnt is forgotten by and by: an age that is not trusted is not tried either.
+    fn fade(&mut self, by: f64) {
+        self.fared.iter_mut().for_each(|step| *step = (step.0 * by, step.1 * by));
     }
 }
 
@@ -117,6 +141,9 @@
     answered: Vec<Micros>,
     /// The longest that an answer took of late.
     slowest: f64,
+    /// Kept connections that were dead, since one was good.
+    dead: u32,
+    faded_at: Micros,
 }
 
 impl Pool {
@@ -124,12 +151,14 @@
         let most = by_settings(idle_for);
         Pool {
             links: BTreeMap::new(),
-            age: Age { trusted: most, most },
+            age: Age::new(most),
             circuit: Circuit::default(),
             pace: Pace::of_host(),
             peak: (0, 0),
             answered: Vec::new(),
             slowest: 0.0,
+            dead: 0,
+            faded_at: 0,
         }
     }
 
@@ -159,7 +188,8 @@
     pub fn answered(&mut self, id: LinkId, now: Micros) {
         let Some(link) = self.links.get(&id) else { return };
         if let Some(age) = link.reused_at_age {
-            self.age.good_at(age);
+            self.age.fared(age, true);
+            self.dead = 0;
         }
         if let Some(sent) = link.sent_at {
             // One that was only listened to says how long its host was silent, not how long answers take.
@@ -203,7 +233,11 @@
     pub fn broke(&mut self, id: LinkId, _now: Micros) -> (Fault, Vec<LinkId>) {
         let Some(link) = self.links.get(&id).copied() else { return (Fault::Host, Vec::new()) };
         let Some(age) = link.reused_at_age else { return (Fault::Host, Vec::new()) };
-        self.age.ended_at(age);
+        self.age.fared(age, false);
+        self.dead += 1;
+        if self.dead < IN_A_ROW {
+            return (Fault::Link, Vec::new());
+        }
         let stood_since = link.sent_at.unwrap_or(link.idle_since) - age;
         let as_long = |other: &Link| other.state == State::Ready && other.idle_since <= stood_since;
         let fellows = self.links.iter().filter(|(other, link)| **other != id && as_long(link));
@@ -220,6 +254,13 @@
         self.links.iter().filter(|(_, link)| old(link)).map(|(id, _)| *id).collect()
     }
 
+    pub fn fade(&mut self, now: Micros) {
+        if now - self.faded_at >= FADES_EVERY {
+            self.faded_at = now;
+            self.age.fade(FADES_TIME);
+        }
+    }
+
     /// More than were in use at a time of late, and not needed for a while.
     pub fn surplus(&mut self, now: Micros) -> Vec<LinkId> {
         if now - self.peak.1 > REMEMBER {
