pools: a host that answers on others is well; a circuit opens with the second failure in a row

A new connection that ends counts against its host only where that has answered nothing for 150 ms; a circuit opens with the second failure and closes with any answer; doubts are paid from the store for lost connections.

--- a/pools/src/opening.rs
+++ b/pools/src/opening.rs
@@ -73,6 +73,8 @@
     }
 }
 
+/// Failures with no sign of life between that close it: one alone is chance.
+const IN_A_ROW: u32 = 2;
 const FIRST_PAUSE: Micros = 50_000;
 const LONGEST_PAUSE: Micros = 2_000_000;
 
@@ -89,14 +91,14 @@
     /// While nothing is to be opened: until when; the present where one is out to see.
     pub fn until(&self, now: Micros) -> Option<Micros> {
         match self.failures {
-            0 => None,
+            ..IN_A_ROW => None,
             _ if self.until > now => Some(self.until),
             _ => self.asking.then_some(now),
         }
     }
 
     pub fn asks(&mut self) {
-        self.asking = self.failures > 0;
+        self.asking = self.failures >= IN_A_ROW;
     }
 
     pub fn came_up(&mut self) {
@@ -114,7 +116,10 @@
             return;
         }
         self.failures += 1;
-        let pause = (FIRST_PAUSE << (self.failures - 1).min(16)).min(LONGEST_PAUSE);
+        if self.failures < IN_A_ROW {
+            return;
+        }
+        let pause = (FIRST_PAUSE << (self.failures - IN_A_ROW).min(16)).min(LONGEST_PAUSE);
         self.until = now + pause / 2 + (draw % (pause as u64 / 2)) as Micros;
     }
 }
--- a/pools/src/pool.rs
+++ b/pools/src/pool.rs
@@ -36,6 +36,8 @@
 const FADES_EVERY: Micros = 10_000_000;
 /// Kept connections that turn out dead one after the other, with none that is good between: their fellows are in doubt.
 const IN_A_ROW: u32 = 2;
+/// A host that has answered so short a time ago is well.
+const LIVELY: Micros = 150_000;
 /// Connections of a host that are listened to at a time.
 const LISTEN: usize = 2;
 /// And for how long.
@@ -144,6 +146,8 @@
     /// Kept connections that were dead, since one was good.
     dead: u32,
     faded_at: Micros,
+    /// When the last answer came.
+    answered_at: Option<Micros>,
 }
 
 impl Pool {
@@ -159,6 +163,7 @@
             slowest: 0.0,
             dead: 0,
             faded_at: 0,
+            answered_at: None,
         }
     }
 
@@ -187,6 +192,8 @@
 
     pub fn answered(&mut self, id: LinkId, now: Micros) {
         let Some(link) = self.links.get(&id) else { return };
+        self.answered_at = Some(now);
+        self.circuit.came_up();
         if let Some(age) = link.reused_at_age {
             self.age.fared(age, true);
             self.dead = 0;
@@ -230,9 +237,13 @@
     }
 
     /// One ended over its push. A kept one may have been dead before; then its fellows that stood idle as long are in doubt.
-    pub fn broke(&mut self, id: LinkId, _now: Micros) -> (Fault, Vec<LinkId>) {
+    pub fn broke(&mut self, id: LinkId, now: Micros) -> (Fault, Vec<LinkId>) {
         let Some(link) = self.links.get(&id).copied() else { return (Fault::Host, Vec::new()) };
-        let Some(age) = link.reused_at_age else { return (Fault::Host, Vec::new()) };
+        let Some(age) = link.reused_at_age else {
+            // A new one says something of its host, unless that answers on others at the same time.
+            let lively = self.answered_at.is_some_and(|at| now - at < LIVELY);
+            return (if lively { Fault::Link } else { Fault::Host }, Vec::new());
+        };
         self.age.fared(age, false);
         self.dead += 1;
         if self.dead < IN_A_ROW {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -600,9 +600,13 @@
             Heard::Doubt { op, push } => {
                 let Some(held) = self.ops.get_mut(&op) else { return };
                 let Some(&(_, host, _)) = held.out.iter().find(|out| out.0 == push) else { return };
-                // Its connection is in doubt, not its host: that one may have it again.
-                held.tried.retain(|tried| *tried != host);
-                self.again(op, post);
+                // Its connection is in doubt, not its host: that one may have it again, from the store for that.
+                if self.mends >= 1.0 {
+                    held.tried.retain(|tried| *tried != host);
+                    (held.spare, self.retries) = (held.spare + 1, self.retries + 1.0);
+                    self.mends -= 1.0;
+                    self.again(op, post);
+                }
             }
             Heard::Alive { host } => post.host(host, ToHost::Alive),
             Heard::Stopped(span) => {
