--- a/pools/src/pool.rs
+++ b/pools/src/pool.rs
@@ -39,7 +39,7 @@
 /// A host that has answered so short a time ago is well.
 const LIVELY: Micros = 150_000;
 /// Connections of a host that are listened to at a time.
-const LISTEN: usize = 2;
+const LISTEN: usize = 1;
 /// And for how long.
 const LISTEN_FOR: Micros = 20_000_000;
 /// How long a peak of use is remembered, and how long one more than that stands.
@@ -226,10 +226,12 @@
 
     /// Whether a connection is listened to after its push gave up: where the whole host is silent it tells of its return.
     pub fn listens(&mut self, id: LinkId, now: Micros) -> bool {
-        let silent = self.silence(id) == Fault::Host;
+        // A slow host that still answers is not listened to: it would work on what nobody waits for.
+        let sent = self.links.get(&id).and_then(|link| link.sent_at);
+        let silent = sent.is_some_and(|sent| self.answered_at.is_none_or(|at| at < sent));
         let listening = self.links.values().filter(|link| link.state == State::Doubtful).count();
         let Some(link) = self.links.get_mut(&id) else { return false };
-        if !silent || listening >= LISTEN || link.sent_at.is_none() {
+        if !silent || listening >= LISTEN {
             return false;
         }
         (link.state, link.idle_since) = (State::Doubtful, now);
