pools: a host is listened to once three pushes in a row gave up there

One push that gave up at a slow host was enough to keep its connection open: the host worked on for nobody, and its late answer took the strikes off it. Three in a row with no answer between tell a hang from slowness.

--- a/pools/src/pool.rs
+++ b/pools/src/pool.rs
@@ -38,6 +38,8 @@
 const IN_A_ROW: u32 = 2;
 /// A host that has answered so short a time ago is well.
 const LIVELY: Micros = 150_000;
+/// Pushes that gave up one after the other, the host answering nothing meanwhile: it hangs, and is not just slow.
+const SILENT: u32 = 3;
 /// Connections of a host that are listened to at a time.
 const LISTEN: usize = 1;
 /// And for how long.
@@ -148,6 +150,8 @@
     faded_at: Micros,
     /// When the last answer came.
     answered_at: Option<Micros>,
+    /// Pushes that gave up since then.
+    silent: u32,
 }
 
 impl Pool {
@@ -163,6 +167,7 @@
             slowest: 0.0,
             dead: 0,
             faded_at: 0,
+            silent: 0,
             answered_at: None,
         }
     }
@@ -193,6 +198,7 @@
     pub fn answered(&mut self, id: LinkId, now: Micros) {
         let Some(link) = self.links.get(&id) else { return };
         self.answered_at = Some(now);
+        self.silent = 0;
         self.circuit.came_up();
         if let Some(age) = link.reused_at_age {
             self.age.fared(age, true);
@@ -228,7 +234,9 @@
     pub fn listens(&mut self, id: LinkId, now: Micros) -> bool {
         // A slow host that still answers is not listened to: it would work on what nobody waits for.
         let sent = self.links.get(&id).and_then(|link| link.sent_at);
-        let silent = sent.is_some_and(|sent| self.answered_at.is_none_or(|at| at < sent));
+        let nothing = sent.is_some_and(|sent| self.answered_at.is_none_or(|at| at < sent));
+        self.silent = if nothing { self.silent + 1 } else { 0 };
+        let silent = self.silent >= SILENT;
         let listening = self.links.values().filter(|link| link.state == State::Doubtful).count();
         let Some(link) = self.links.get_mut(&id) else { return false };
         if !silent || listening >= LISTEN {
