--- a/src/rules.rs
+++ b/src/rules.rs
@@ -600,7 +600,7 @@
             Heard::Doubt { op, push } => {
                 let Some(held) = self.ops.get_mut(&op) else { return };
                 let Some(&(_, host, _)) = held.out.iter().find(|out| out.0 == push) else { return };
-                // Its connection is in doubt, not its host: that one may have it again, from the store for that.
+                // Its connection is in doubt, not its host: that one may have it again, paid for apart.
                 if self.mends >= 1.0 {
                     held.tried.retain(|tried| *tried != host);
                     (held.spare, self.retries) = (held.spare + 1, self.retries + 1.0);
@@ -685,8 +685,8 @@
         if let Some((_, host, at)) = sent.filter(|_| !end.proves_not_run()) {
             op.may_have_run = op.may_have_run.filter(|earlier| earlier.1 <= at).or(Some((host, at)));
         }
-        // What reached no host has loaded none: going elsewhere is not paid for. A connection's fault is, from a
-        // store of its own, and its host is as good as before.
+        // What reached no host has loaded none: going elsewhere is not paid for. A connection's fault is paid
+        // for from a store of its own, and its host is as good as before.
         let severed = end == End::Severed && self.mends >= 1.0;
         if let Some((_, host, _)) = sent.filter(|_| severed) {
             self.mends -= 1.0;
