lab: what nothing calls any more is taken out

Read once more: a copy of the list of faults made for each plot, a bound of machines and a count of running balancers that nothing used. No change of behaviour; the lab's lints, unit tests and audit tests pass.

--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -233,10 +233,6 @@
         let died = inner.places.iter().enumerate();
         died.filter_map(|(nth, place)| Some(format!("balancer {nth}: {}", place.died.as_ref()?))).collect()
     }
-
-    pub fn running(&self) -> usize {
-        self.inner().places.iter().filter(|place| place.running.is_some()).count()
-    }
 }
 
 impl Inner {
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -89,21 +89,9 @@
     }
     let _ = write!(body, "<pre>{}</pre>", escaped(&summary(runs)));
     let faults = runs.first().map_or(&[][..], |run| &run.faults);
-    body += &plot(
-        "Benefit within target latency, by second",
-        "s",
-        &faults_of(faults),
-        |second| second.benefit,
-        &arms,
-    );
-    body += &plot(
-        "99th percentile until the end of an op (ms), by second",
-        "s",
-        &faults_of(faults),
-        |s| s.p99,
-        &arms,
-    );
-    body += &plot("Nacked ops, by second", "s", &faults_of(faults), |second| second.nacked as f64, &arms);
+    body += &plot("Benefit within target latency, by second", "s", faults, |second| second.benefit, &arms);
+    body += &plot("99th percentile until the end of an op (ms), by second", "s", faults, |s| s.p99, &arms);
+    body += &plot("Nacked ops, by second", "s", faults, |second| second.nacked as f64, &arms);
     body += &percentiles(&arms);
     body += &resources(&arms);
     body += &hosts(&arms);
@@ -129,10 +117,6 @@
 
 type Shade = (String, f64, f64);
 
-fn faults_of(faults: &[Shade]) -> Vec<Shade> {
-    faults.to_vec()
-}
-
 /// A figure by second, the mean over the seeds of each arm, with the faults shaded.
 fn plot(
     title: &str,
--- a/lab/src/world/machine.rs
+++ b/lab/src/world/machine.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use crate::time::{Micros, SECOND};
+use crate::time::Micros;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -197,16 +197,10 @@
     }
 }
 
-/// A window of work that a machine with these terms bears at the most before it falls, from the start on.
-pub fn bears(terms: &Terms, at_age: Micros) -> f64 {
-    let part = Machine::new(*terms, Some(0)).part(at_age);
-    terms.fall_multiple * part * terms.cores as f64 * terms.speed * terms.fall_window as f64 / SECOND as f64
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::time::MS;
+    use crate::time::{MS, SECOND};
 
     const TERMS: Terms = Terms {
         cores: 1,
