A push lost with no other out at its host is evidence enough to leave the host

So each balancer lost each such host two ops, and took 8 s for it.

Change: a push that timed out with nothing answered since and no other out there, which could be a witness, counts twice. Where others are out all is as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -304,8 +304,9 @@
             // Too much is in flight; and silence, unless other answers came meanwhile.
             End::TimedOut => {
                 self.standing.limit.cut(BACK_OFF);
+                // Where pushes are seldom no other is a witness: the host would lose this balancer op after op.
                 if self.answered_at < sent {
-                    self.strikes += STRIKE;
+                    self.strikes += if self.out.is_empty() { 2.0 * STRIKE } else { STRIKE };
                 }
             }
             End::Severed | End::CalledOff | End::Void => {}
