Cold hosts keep what all hosts bear alike, and the gate bounds each key there

Counted by host and second, the new ones answered fast and lost nothing, while the 24 that stayed lost 15 to 60% of their pushes. A new host kept half of what it surely bears (`Desk::relist`), and `Desk::push` let one push a window through at each balancer; the rest went on to the warm hosts, which by then were the fewer.

Change: the part is the hosts on the ring over the sum of their sure parts, at most 0.6 of the fall multiple, and as far as the gate bounds a key from all balancers together; else it is what it was. The gate counts one key at a cold host by window beside all keys there (`histogram::Windows`): what could come from every balancer at once repeats at each, what does not repeat needs no bound but the part.

--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -1,4 +1,4 @@
-//! Measures that forget by halving: durations in doubling bins, counts of sends; and a leaking bucket.
+//! Measures that forget by halving: durations in doubling bins, counts of sends; counts by window; a leaking bucket.
 
 use std::collections::BTreeMap;
 
@@ -114,6 +114,30 @@
     }
 }
 
+/// Sends by host, and by host and key, each in windows of its own that begin with its first send.
+#[derive(Default)]
+pub struct Windows {
+    sends: BTreeMap<(HostId, Option<Place>), (Micros, f64)>,
+    cleared_at: Micros,
+}
+
+impl Windows {
+    /// Counts one more under each of these keys, unless one of them has had as many as it may in its window.
+    pub fn take(&mut self, now: Micros, window: Micros, host: HostId, most: &[(Option<Place>, f64)]) -> bool {
+        if now - self.cleared_at >= window {
+            self.cleared_at = now;
+            self.sends.retain(|_, sends| now - sends.0 < window);
+        }
+        let sent = |key| self.sends.get(&(host, key)).filter(|sends| now - sends.0 < window);
+        let free = most.iter().all(|&(key, most)| sent(key).map_or(0.0, |sends| sends.1) + 1.0 <= most);
+        for &(key, _) in most.iter().filter(|_| free) {
+            let sends = self.sends.entry((host, key)).or_insert((now, 0.0));
+            *sends = if now - sends.0 < window { (sends.0, sends.1 + 1.0) } else { (now, 1.0) };
+        }
+        free
+    }
+}
+
 /// Holds a second's worth of its rate; a rate of 0 has no bound.
 pub struct Bucket {
     rate: f64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::histogram::{Bucket, Counts, Histogram};
+use crate::histogram::{Bucket, Counts, Histogram, Windows};
 use crate::types::*;
 
 // The ordinary path: ring and hot keys.
@@ -46,9 +46,8 @@
 const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
-const COLD_MARGIN: f64 = 0.6; // of what a cold host can bear that it gets at most: homes are not alike
+const COLD_MARGIN: f64 = 0.6; // of what pushes a cold host over that it gets at most: homes are not alike
 const COLD_KEY: f64 = 0.1; // of all reads: one key with so much must not push over a cold host
-const COLD_LEAST: f64 = 4.0; // steps of a limit, pushes a window to a cold host where nothing is known yet
 const RETRY_RATE: f64 = 0.2; // further pushes or spills earned by an acked op
 const FETCH_RATE: f64 = 0.02; // the same in through mode, where each of them may be one more fetch
 const RETRY_STORE: f64 = 20.0;
@@ -465,6 +464,7 @@
     salt: u64, // of its own, so that balancers leave different keys of a slow host
     cold: ColdTerms,
     cold_part: f64, // of what a cold host surely bears, kept there
+    normal: f64,    // own sends to a host of mean load in the window in which a cold one may fall
     /// Of all cache hosts together.
     fleet: Limit,
     abroad: usize,
@@ -480,7 +480,7 @@
     target: f64,
     shortest: f64,
     board: Vec<Standing>,
-    cold_sends: BTreeMap<HostId, (Micros, f64)>,
+    cold_sends: Windows,
     ring: Ring,
     stale: bool,
     loads: Loads,
@@ -636,7 +636,6 @@
             Some((listed.place, host, weight))
         });
         let hosts: Vec<_> = hosts.collect();
-        self.cold_part = COLD_MARGIN.min(self.cold.fall_multiple / (COLD_KEY * hosts.len().max(1) as f64));
         let came = |host: &HostId| self.ring.weights.get(host.0 as usize).is_none_or(|&weight| weight == 0.0);
         self.loads.counts.meet(self.board.len(), hosts.iter().map(|host| host.1).filter(came));
         self.ring.set(&hosts);
@@ -651,11 +650,20 @@
             // The median: a few hosts that answer nothing are no reason to turn ops away.
             let present = self.fleet.answers.quantile(0.5).map(|present| present as f64);
             let caches = || self.board.iter().filter(|standing| standing.cache());
-            let quarter = self.target / 4.0;
-            self.fleet.judge(present, quarter, quarter, caches().count() as f64, self.abroad);
+            let (hosts, quarter) = (caches().count().max(1) as f64, self.target / 4.0);
+            self.fleet.judge(present, quarter, quarter, hosts, self.abroad);
             let mut means: Vec<f64> = caches().filter_map(|host| host.limit.answers.mean()).collect();
             means.sort_unstable_by(f64::total_cmp);
             self.typical = means.get(means.len() / 2).copied().unwrap_or(self.typical);
+            // A cold host gets as much of what it surely bears as all hosts bear of theirs: left to the warm ones
+            // alone it jams them. Where a push a window is more than that from all balancers, the gate bounds no
+            // key, and the part alone has to: for one with COLD_KEY of all reads.
+            let span = self.loads.counts.span(post.now).max(HALVING as f64);
+            self.normal = self.loads.counts.mean() * self.cold.fall_window as f64 / span;
+            let able: f64 = caches().filter(|host| !host.suspect).map(|host| host.warm).sum();
+            let most = COLD_MARGIN * self.cold.fall_multiple;
+            let least = COLD_MARGIN.min(self.cold.fall_multiple / (COLD_KEY * hosts));
+            self.cold_part = (hosts / able.max(1.0)).min((most * self.normal).max(least)).min(most);
         }
         let due = |standing: &Standing| !standing.rests && (judged || standing.in_flight > 0);
         for (host, standing) in (0..).map(HostId).zip(&self.board).filter(|(_, standing)| due(standing)) {
@@ -848,17 +856,14 @@
             if !op.tried.is_empty() {
                 return false;
             }
-            let (began, sends) = self.cold_sends.entry(host).or_default();
-            if now - *began >= self.cold.fall_window {
-                (*began, *sends) = (now, 0.0);
-            }
-            let windows = self.cold.fall_window as f64 / self.loads.counts.span(now).max(HALVING as f64);
-            let normal = self.loads.counts.mean() * windows / 2.0;
-            let allowance = COLD_MARGIN * self.cold.fall_multiple * standing.warm * normal;
-            if *sends >= allowance.max(COLD_LEAST * self.fleet.growth).max(1.0) {
+            // By window: all that goes there, and one key, which may be a tenth of all reads of all balancers.
+            let bears = standing.warm * self.normal;
+            let most = COLD_MARGIN * self.cold.fall_multiple;
+            let mut bounds = vec![(None, most * bears + 2.0)];
+            bounds.extend(op.key.map(|key| (Some(key), (most - self.cold_part) * bears + 1.0)));
+            if !self.cold_sends.take(now, self.cold.fall_window, host, &bounds) {
                 return false;
             }
-            *sends += 1.0;
         }
         let push = PushNo(op.pushes);
         op.pushes += 1;
