A zone of which several hosts lost pushes with no answer since is left as a whole

Counted by host and second, 19 to 21 hosts answered nobody and lost 280 pushes in the first second and 130 in the last. Ruled out: hosts that hang for themselves, which stand among hosts that answer in between.

Change: src/zones.rs finds zones of which three hosts lost pushes while nobody there answered since these were sent; the desk passes their hosts by as silent ones and lets the ops that are out there go elsewhere. Hosts that come back after their own 2 s are the feelers; the first answer brings the zone back.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod histogram;
 pub mod rules;
 pub mod types;
+mod zones;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,6 +11,7 @@
 
 use crate::histogram::{Bucket, Counts, Histogram, Windows};
 use crate::types::*;
+use crate::zones::{Pulse, Zones};
 
 // The ordinary path: ring and hot keys.
 const POINTS: f64 = 64.0; // per host of mean weight: arcs within about an eighth of their mean
@@ -143,6 +144,7 @@
     share: f64, // the part of its own keys that it keeps
     limit: Limit,
     in_flight: usize,
+    pulse: Pulse,
     /// Nothing to judge and nothing under way: a sweep may pass it by. Fleets are large, ops at one host few.
     rests: bool,
 }
@@ -221,7 +223,6 @@
     cold_since: Option<Micros>,
     suspect_since: Option<Micros>,
     strikes: f64,
-    answered_at: Micros,
     overtook: Micros, // when the last push of those that have a value or a miss was sent
     judged_at: Micros,
     /// When the last answer time came, and how long after the one before.
@@ -259,7 +260,7 @@
             // What was assumed of it while it was silent, that it might be cold, does not hold.
             ToHost::Alive => {
                 self.cold_since = self.standing.listed.as_ref().and_then(|listed| listed.started);
-                self.answered_at = post.now;
+                self.standing.pulse.answered_at = post.now;
                 self.well();
             }
             ToHost::Stopped(span) => self.out.values_mut().for_each(|sent| *sent += span),
@@ -287,7 +288,7 @@
         if end == End::TimedOut && self.overtook - sent >= took / 2 {
             return;
         }
-        self.answered_at = if end.answered() { now } else { self.answered_at };
+        self.standing.pulse.heard(end, sent, now);
         match end {
             End::Acked | End::Miss => {
                 self.overtook = self.overtook.max(sent);
@@ -303,8 +304,8 @@
             // Too much is in flight; and silence, unless other answers came meanwhile.
             End::TimedOut => {
                 self.standing.limit.cut(BACK_OFF);
-                // Where pushes are seldom no other is a witness: the host would lose this balancer op after op.
-                if self.answered_at < sent {
+                // Where pushes are seldom no other is a witness: the host would lose it op after op.
+                if self.standing.pulse.answered_at < sent {
                     self.strikes += if self.out.is_empty() { 2.0 * STRIKE } else { STRIKE };
                 }
             }
@@ -323,7 +324,7 @@
         // Time-outs count as answer times: they must not make silence look like slowness.
         let own = self.standing.limit.answers.mean().unwrap_or(typical).max(typical).min(quarter);
         let waits = self.out.values().filter(|&&sent| sent >= self.overtook);
-        let unanswered = waits.map(|&sent| (now - sent.max(self.answered_at)) as f64 / own);
+        let unanswered = waits.map(|&sent| (now - sent.max(self.standing.pulse.answered_at)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
         if evidence > SILENT && self.suspect_since.is_none() && !self.standing.origin() {
             self.suspect_since = Some(now);
@@ -484,6 +485,7 @@
     ring: Ring,
     stale: bool,
     loads: Loads,
+    zones: Zones,
     ops: BTreeMap<OpId, Op>,
     retries: f64,
     /// The same for what was lost with a connection alone.
@@ -554,9 +556,7 @@
                     let gone = Listed { lifecycle: Lifecycle::Gone, ..listed.clone() };
                     post.host(listed.host, ToHost::Listed(gone));
                 }
-                for entry in entries {
-                    post.host(entry.host, ToHost::Listed(entry));
-                }
+                entries.into_iter().for_each(|entry| post.host(entry.host, ToHost::Listed(entry)));
                 self.watches = 0;
                 if !self.started {
                     self.started = true;
@@ -568,8 +568,8 @@
             }
             Heard::ListRefused => {
                 self.watches += 1;
-                let pause = 200_000 << self.watches.min(4);
-                let after = pause / 2 + (self.chance.draw() % (pause as u64 / 2)) as Micros;
+                let half = 100_000 << self.watches.min(4);
+                let after = half + (self.chance.draw() % half as u64) as Micros;
                 post.orders.push(Order::Wake { after, wake: Wake::Watch });
             }
             Heard::Wake(Wake::Watch) => post.orders.push(Order::Watch),
@@ -643,6 +643,12 @@
     }
 
     fn sweep(&mut self, post: &mut Post) {
+        let zone = |host: &Standing| host.listed.as_ref().map_or(ZoneId(0), |listed| listed.zone);
+        let caches = self.board.iter().filter(|host| host.cache());
+        let dark = self.zones.look(caches.map(|host| (zone(host), host.pulse)));
+        let lost = |out: &(_, HostId, _)| dark.contains(&zone(&self.board[out.1 .0 as usize]));
+        let ops = self.ops.iter().filter(|(_, op)| op.out.iter().any(lost));
+        post.desk.extend(ops.map(|(&op, _)| ToDesk::Lost(op)));
         self.loads.sweep(post.now);
         let judged = post.now - self.judged_at >= JUDGE;
         if judged {
@@ -655,9 +661,8 @@
             let mut means: Vec<f64> = caches().filter_map(|host| host.limit.answers.mean()).collect();
             means.sort_unstable_by(f64::total_cmp);
             self.typical = means.get(means.len() / 2).copied().unwrap_or(self.typical);
-            // A cold host gets as much of what it surely bears as all hosts bear of theirs: left to the warm ones
-            // alone it jams them. Where a push a window is more than that from all balancers, the gate bounds no
-            // key, and the part alone has to: for one with COLD_KEY of all reads.
+            // What a cold host surely bears is used as all hosts' is: else it jams the warm ones. Where
+            // the gate bounds no key, the part alone has to, for one with COLD_KEY of all reads.
             let span = self.loads.counts.span(post.now).max(HALVING as f64);
             self.normal = self.loads.counts.mean() * self.cold.fall_window as f64 / span;
             let able: f64 = caches().filter(|host| !host.suspect).map(|host| host.warm).sum();
@@ -779,10 +784,12 @@
                 continue;
             }
             seen.push(host);
-            if standing.suspect || !self.keeps(host, key) {
+            let dark = |listed: &Listed| self.zones.dark(listed.zone, standing.pulse);
+            let silent = standing.suspect || standing.listed.as_ref().is_some_and(dark);
+            if silent || !self.keeps(host, key) {
                 // With no better host left: the one with most to give, suspects last and one push at a time.
-                let worth = if standing.suspect { 0.0 } else { standing.share };
-                let able = if standing.suspect { standing.in_flight == 0 } else { room };
+                let worth = if silent { 0.0 } else { standing.share };
+                let able = if silent { standing.in_flight == 0 } else { room };
                 if able && second.is_none_or(|(best, _)| worth > best) {
                     second = Some((worth, host));
                 }
@@ -856,9 +863,8 @@
             if !op.tried.is_empty() {
                 return false;
             }
-            // By window: all that goes there, and one key, which may be a tenth of all reads of all balancers.
-            let bears = standing.warm * self.normal;
-            let most = COLD_MARGIN * self.cold.fall_multiple;
+            // All that goes there, and one key, of which all balancers may have a tenth of their reads.
+            let (bears, most) = (standing.warm * self.normal, COLD_MARGIN * self.cold.fall_multiple);
             let mut bounds = vec![(None, most * bears + 2.0)];
             bounds.extend(op.key.map(|key| (Some(key), (most - self.cold_part) * bears + 1.0)));
             if !self.cold_sends.take(now, self.cold.fall_window, host, &bounds) {
