--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -562,7 +562,8 @@
         100 balancers, three hosts of it: 5 pushes lost, 21 to its other hosts meanwhile, 7 to it after
         900 balancers, a zone: 8 pushes lost, 2 to its other hosts meanwhile, 6 to it after
         900 balancers, three hosts of it: 5 pushes lost, 21 to its other hosts meanwhile, 7 to it after
-    "#]].assert_eq(&lines);
+    "#]]
+    .assert_eq(&lines);
 }
 
 #[test]
