One place draws the pauses between calls for the list, for the module and membership

Cause: read again, membership/ wrote a second time what the module had for refused watches, a pause drawn from its upper half.

--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -71,7 +71,7 @@
 
     /// How long to wait before the first call. Balancers are started together, and what is known serves meanwhile.
     pub fn first(&mut self) -> Micros {
-        self.drawn(self.least - LEAST)
+        (self.chance.draw() % (self.least - LEAST).max(1) as u64) as Micros
     }
 
     /// The version after which changes are asked for; the whole list where there is none.
@@ -100,7 +100,7 @@
         let longest = LONGEST.max(self.least);
         let pause = (self.least << self.failures.min(16)).min(longest);
         self.failures += 1;
-        let pause = pause / 2 + self.drawn(pause / 2);
+        let pause = self.chance.upper_half(pause);
         match trouble {
             Trouble::NotNow { come_back: Some(come_back), .. } => pause.max((*come_back).min(longest)),
             _ => pause,
@@ -111,8 +111,4 @@
     pub fn moved(&mut self) {
         self.failures = 0;
     }
-
-    fn drawn(&mut self, below: Micros) -> Micros {
-        (self.chance.draw() % below.max(1) as u64) as Micros
-    }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -568,8 +568,7 @@
             }
             Heard::ListRefused => {
                 self.watches += 1;
-                let half = 100_000 << self.watches.min(4);
-                let after = half + (self.chance.draw() % half as u64) as Micros;
+                let after = self.chance.upper_half(200_000 << self.watches.min(4));
                 post.orders.push(Order::Wake { after, wake: Wake::Watch });
             }
             Heard::Wake(Wake::Watch) => post.orders.push(Order::Watch),
--- a/src/types.rs
+++ b/src/types.rs
@@ -60,6 +60,12 @@
     pub fn draw(&mut self) -> u64 {
         self.0.random()
     }
+
+    /// A pause drawn from the upper half of this one, so that those who wait alike do not come back together.
+    pub fn upper_half(&mut self, pause: Micros) -> Micros {
+        let half = pause / 2;
+        half + (self.draw() % half.max(1) as u64) as Micros
+    }
 }
 
 impl Default for Chance {
