--- a/balancer/src/budget.rs
+++ b/balancer/src/budget.rs
@@ -59,8 +59,9 @@
 }
 
 impl Budget {
-    pub fn new(descriptors: usize, memory: usize) -> Rc<Budget> {
-        let connections = descriptors.saturating_sub(OWN).max(4);
+    /// With some of the descriptors set aside for others.
+    pub fn new(descriptors: usize, aside: usize, memory: usize) -> Rc<Budget> {
+        let connections = descriptors.saturating_sub(OWN + aside).max(4);
         Rc::new(Budget {
             free: Cell::new(connections),
             clients: Cell::new(0),
--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::budget::Permit;
+use crate::figures::{Outcome, Taken};
 use crate::ops::{Answer, Desk, Final};
 use crate::phase::Phase;
 use crate::read;
@@ -82,7 +83,30 @@
 /// An answer that is there, or that an op still owes.
 enum Waiting {
     There(Bytes),
-    Owed(oneshot::Receiver<Final>),
+    Owed(oneshot::Receiver<Final>, Taken),
+}
+
+/// An answer on its way to the client, and what it means for the op that owed it.
+#[derive(Default)]
+struct Sending {
+    text: Bytes,
+    ends: Option<(Taken, Outcome)>,
+}
+
+impl Sending {
+    fn is_empty(&self) -> bool {
+        self.text.is_empty()
+    }
+
+    /// So many bytes went. With the last one the op has ended for its client.
+    fn sent(&mut self, count: usize) {
+        self.text.advance(count);
+        if self.text.is_empty() {
+            if let Some((taken, outcome)) = self.ends.take() {
+                taken.ended(outcome);
+            }
+        }
+    }
 }
 
 async fn serve(desk: Rc<Desk>, mut stream: TcpStream, permit: Permit, mut phase: watch::Receiver<Phase>) {
@@ -119,7 +143,7 @@
     let mut buffer = Buffer::new(resp::MOST);
     let mut held = desk.budget.hold();
     let mut waiting: VecDeque<Waiting> = VecDeque::new();
-    let mut sending = Bytes::new();
+    let mut sending = Sending::default();
     // By when the answer under way is to be taken, or the command begun to be whole.
     let mut until: Option<Instant> = None;
     // No more is read: the client asked to be let go, or broke the protocol.
@@ -135,7 +159,8 @@
                 Ok(Some((words, used))) => {
                     buffer.consume(used);
                     if !words.is_empty() {
-                        last = (!command(desk, words, &mut waiting)).then_some(Close::Answered);
+                        let goes = command(desk, words, *phase.borrow(), &mut waiting);
+                        last = (!goes).then_some(Close::Answered);
                         (heard, settled) = (true, true);
                     }
                 }
@@ -149,10 +174,10 @@
             if let Some(Waiting::There(text)) =
                 waiting.pop_front_if(|first| matches!(first, Waiting::There(_)))
             {
-                (sending, until) = (text, None);
+                (sending, until) = (Sending { text, ends: None }, None);
             }
         }
-        held.set(buffer.size() + sending.len());
+        held.set(buffer.size() + sending.text.len());
         let idle = waiting.is_empty() && sending.is_empty();
         if idle {
             if let Some(close) = last {
@@ -161,7 +186,7 @@
         }
         let ends = match *phase.borrow_and_update() {
             Phase::Starting | Phase::Serving => false,
-            Phase::Draining => settled,
+            Phase::LameDuck | Phase::Draining => settled,
             Phase::Closing | Phase::Ended => true,
         };
         if idle && ends && buffer.is_empty() {
@@ -183,13 +208,13 @@
                 _ => return Close::Now,
             },
             () = desk.budget.freed.notified(), if more && !room => {}
-            text = owed(&mut waiting), if sending.is_empty() => match text {
-                Some(text) => (sending, until) = (text, None),
+            answer = owed(&mut waiting), if sending.is_empty() => match answer {
+                Some(answer) => (sending, until) = (answer, None),
                 None => return Close::Now,
             },
-            wrote = writing.write(&sending), if !sending.is_empty() => match wrote {
+            wrote = writing.write(&sending.text), if !sending.is_empty() => match wrote {
                 Ok(count) if count > 0 => {
-                    sending.advance(count);
+                    sending.sent(count);
                     until = until.filter(|_| !sending.is_empty());
                 }
                 _ => return Close::Now,
@@ -221,7 +246,7 @@
 }
 
 /// How many commands may wait while this is being sent.
-fn most(sending: &Bytes) -> usize {
+fn most(sending: &Sending) -> usize {
     if sending.is_empty() {
         PIPELINE
     } else {
@@ -230,19 +255,26 @@
 }
 
 /// The answer that the first op of a connection owes, once it is there.
-async fn owed(waiting: &mut VecDeque<Waiting>) -> Option<Bytes> {
-    match waiting.front_mut() {
-        Some(Waiting::Owed(owed)) => {
-            let last = owed.await.ok();
-            waiting.pop_front();
-            last.map(|(answer, _)| written(answer))
-        }
+async fn owed(waiting: &mut VecDeque<Waiting>) -> Option<Sending> {
+    let last = match waiting.front_mut() {
+        Some(Waiting::Owed(owed, _)) => owed.await,
         _ => std::future::pending().await,
+    };
+    match (waiting.pop_front(), last) {
+        (Some(Waiting::Owed(_, taken)), Ok((answer, _))) => {
+            let outcome = match &answer {
+                Answer::Acked(_) => Outcome::Ok,
+                Answer::Nacked { .. } => Outcome::Shed,
+                Answer::DeadLettered => Outcome::Errors,
+            };
+            Some(Sending { text: written(answer), ends: Some((taken, outcome)) })
+        }
+        _ => None,
     }
 }
 
 /// Takes one command; whether the connection goes on after it.
-fn command(desk: &Rc<Desk>, words: Vec<Bytes>, waiting: &mut VecDeque<Waiting>) -> bool {
+fn command(desk: &Rc<Desk>, words: Vec<Bytes>, phase: Phase, waiting: &mut VecDeque<Waiting>) -> bool {
     let name = words[0].to_ascii_uppercase();
     let text = match &name[..] {
         b"CACHE.GET" | b"CACHE.SET" => {
@@ -252,8 +284,8 @@
                     let (answer, owed) = oneshot::channel();
                     let mut held = desk.budget.hold();
                     held.set(size);
+                    waiting.push_back(Waiting::Owed(owed, desk.figures.take(ask.category)));
                     spawn_local(desk.clone().serve(request, ask, answer, held));
-                    waiting.push_back(Waiting::Owed(owed));
                     return true;
                 }
                 Err(cause) => {
@@ -262,6 +294,8 @@
                 }
             }
         }
+        // By this the front learns that clients are to go elsewhere.
+        b"PING" if phase == Phase::LameDuck => resp::error("draining"),
         b"PING" if words.len() == 2 => resp::value(&words[1]),
         b"PING" => Bytes::from_static(b"+PONG\r\n"),
         b"CLIENT" | b"SELECT" | b"QUIT" => Bytes::from_static(b"+OK\r\n"),
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -14,6 +14,7 @@
 use crate::budget::{Budget, Held};
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::figures::Figures;
 use crate::origin;
 use crate::request::{Outcome, Request};
 use crate::servers::{Note, Servers};
@@ -35,6 +36,7 @@
     pub servers: Rc<Servers>,
     pub clock: Rc<Clock>,
     pub counters: Rc<Counters>,
+    pub figures: Rc<Figures>,
     pub budget: Rc<Budget>,
     bells: RefCell<BTreeMap<OpId, Rc<Notify>>>,
     /// The clients' ids of the ops open here: hosts drop or refuse what comes under one a second time.
@@ -54,6 +56,7 @@
         Desk {
             facade: RefCell::new(Facade::new(terms, most_held)),
             words: RefCell::new(words),
+            figures: servers.figures.clone(),
             servers,
             clock,
             counters,
--- a/balancer/src/phase.rs
+++ b/balancer/src/phase.rs
@@ -5,6 +5,9 @@
     /// Reads what it is told and begins to listen.
     Starting,
     Serving,
+    /// Operators send clients away: what comes is served, connections are closed after their next answer. It is left
+    /// again for `Serving`.
+    LameDuck,
     /// Told to end: takes what still comes, answers it, closes connections once they were of use.
     Draining,
     /// Nothing new is taken; connections are closed as soon as they are owed nothing.
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -17,7 +17,9 @@
 use crate::clients;
 use crate::clock::{span, Clock};
 use crate::counters::Counters;
+use crate::figures::Figures;
 use crate::list;
+use crate::management::{self, Front};
 use crate::ops::Desk;
 use crate::phase::Phase;
 use crate::servers::Servers;
@@ -32,7 +34,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 pub struct Phases {
-    phase: watch::Sender<Phase>,
+    phase: Rc<watch::Sender<Phase>>,
     desk: Rc<Desk>,
     listener: TcpListener,
     signals: Signals,
@@ -57,7 +59,8 @@
         let longest = told.terms.categories.iter().map(|category| category.ttl).max();
         let last_answers = longest.map_or(LAST_ANSWERS, |longest| span(longest).min(LAST_ANSWERS));
         let counters = Rc::new(Counters::default());
-        let budget = Budget::new(told.sockets, told.memory);
+        let aside = told.mgmt.map_or(0, |_| management::DESCRIPTORS);
+        let budget = Budget::new(told.sockets, aside, told.memory);
         let pools = Pools::new(basaltwood_pools::Terms {
             seed: told.terms.seed,
             balancers: told.terms.balancers,
@@ -65,7 +68,15 @@
             connect_within: told.bounds.connect_within,
             most: told.sockets,
         });
-        let servers = Servers::new(told.bounds, pools, budget.clone(), counters.clone(), clock.clone());
+        let figures = Figures::new(told.words.categories());
+        let servers = Servers::new(
+            told.bounds,
+            pools,
+            budget.clone(),
+            counters.clone(),
+            figures.clone(),
+            clock.clone(),
+        );
         let desk = Rc::new(Desk::new(
             &told.terms,
             told.words,
@@ -75,7 +86,7 @@
             counters,
             budget,
         ));
-        let phase = watch::Sender::new(Phase::Starting);
+        let phase = Rc::new(watch::Sender::new(Phase::Starting));
         let failed = |cause: std::io::Error| cause.to_string();
         let signals = Signals {
             end: signal(SignalKind::terminate()).map_err(failed)?,
@@ -87,6 +98,11 @@
         let known = list::take(&desk, told.known, true);
         let listener = listen(told.listen).map_err(|cause| format!("listen on {}: {cause}", told.listen))?;
         let mut parts = JoinSet::new();
+        if let Some(address) = told.mgmt {
+            let listener = listen(address).map_err(|cause| format!("mgmt on {address}: {cause}"))?;
+            log::info!("mgmt on {}", listener.local_addr().map_err(failed)?);
+            parts.spawn_local(Front::new(desk.clone(), phase.clone()).accept(listener));
+        }
         let discovery = watch::Sender::new(told.discovery);
         let (seed, balancers) = (told.terms.seed, told.terms.balancers);
         let asking = Asking::new(membership::Terms { seed, balancers, known: Some(known) });
@@ -163,6 +179,8 @@
         desk.servers.tick();
         desk.take_notes();
         let due = desk.facade.borrow_mut().tick(desk.clock.now());
+        let (listed, avoided) = desk.facade.borrow().pool();
+        desk.figures.pool(listed, avoided);
         desk.ring();
         match due {
             Some(due) => sleep_until(desk.clock.at(due).min(Instant::now() + LOOK)).await,
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -24,6 +24,7 @@
 use crate::budget::{Budget, Permit};
 use crate::clock::{span, Clock};
 use crate::counters::Counters;
+use crate::figures::Figures;
 use crate::read;
 use crate::request::{Outcome, Request};
 
@@ -63,6 +64,7 @@
     bounds: Bounds,
     budget: Rc<Budget>,
     counters: Rc<Counters>,
+    pub figures: Rc<Figures>,
     clock: Rc<Clock>,
 }
 
@@ -107,6 +109,7 @@
         pools: Pools,
         budget: Rc<Budget>,
         counters: Rc<Counters>,
+        figures: Rc<Figures>,
         clock: Rc<Clock>,
     ) -> Rc<Servers> {
         Rc::new(Servers {
@@ -120,6 +123,7 @@
             bounds,
             budget,
             counters,
+            figures,
             clock,
         })
     }
@@ -327,6 +331,7 @@
         drop(text);
         let id = held.id;
         self.pools.borrow_mut().sent(self.clock.now(), id);
+        self.figures.tried();
         self.carrying.borrow_mut().insert(id, ticket);
         loop {
             let Some(link) = &mut held.link else { return (End::Void, None) };
--- a/balancer/src/told.rs
+++ b/balancer/src/told.rs
@@ -13,6 +13,9 @@
     name: String,
     listen: String,
     discovery: String,
+    /// Where operators call; without it none can.
+    #[serde(default)]
+    mgmt: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -38,6 +41,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    pub mgmt: Option<SocketAddr>,
     pub memory: usize,
     pub sockets: usize,
     pub known: Page,
@@ -56,8 +60,10 @@
     fn parse(text: &str) -> Result<Told, String> {
         let file: File = serde_json::from_str(text).map_err(|cause| cause.to_string())?;
         let address = |what: &str, text: &str| {
-            text.parse().map_err(|_| format!("{what} {text:?} is no address with a port"))
+            text.parse::<SocketAddr>().map_err(|_| format!("{what} {text:?} is no address with a port"))
         };
+        let mgmt = file.mgmt.or_else(|| std::env::var("PROXY_MGMT").ok().filter(|text| !text.is_empty()));
+        let mgmt = mgmt.map(|text| address("mgmt", &text)).transpose()?;
         let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| Place::of(&file.seed).0);
         if !(8.0..1e9).contains(&file.limits.memory_mb) || file.limits.sockets < 32 {
             return Err("limits: at least 8 MB and 32 sockets are needed".to_owned());
@@ -69,6 +75,7 @@
         Ok(Told {
             listen: address("listen", &file.listen)?,
             discovery: address("discovery", &file.discovery)?,
+            mgmt,
             memory: (file.limits.memory_mb * 1024.0 * 1024.0) as usize,
             sockets: file.limits.sockets,
             known: file.known,
--- /dev/null
+++ b/management/tests/calls.rs
@@ -0,0 +1,68 @@
+//! Calls and figures as bytes.
+
+use basaltwood_management::{answered, call, refused, Page};
+use expect_test::expect;
+
+#[test]
+fn calls_are_read_whatever_their_pieces_and_refused_in_http_s_terms() {
+    let long = format!("GET /_vars HTTP/1.1\r\nX: {}", "x".repeat(17 * 1024));
+    let mut lines = Vec::new();
+    for text in [
+        "GET /_ready HTTP/1.1\r\n\r\n",
+        "GET /_vars?x=1 HTTP/1.1\r\nHost: b\r\n\r\n",
+        "POST /_lameduck/on HTTP/1.1\r\nContent-Length: 2\r\n\r\nok",
+        "POST /_lameduck/off HTTP/1.0\r\n\r\n",
+        "GET /_lameduck/on HTTP/1.1\r\n\r\n",
+        "POST /_ready HTTP/1.1\r\n\r\n",
+        "GET /metrics HTTP/1.1\r\n\r\n",
+        "POST /_lameduck/on HTTP/1.1\r\nContent-Length: 9999\r\n\r\n",
+        "POST /_lameduck/on HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /_lameduck/on HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "\0nonsense\r\n\r\n",
+        &long,
+    ] {
+        let whole = call(text.as_bytes());
+        // However it is cut, what comes before its end is no call and no error that the whole is not.
+        for end in 0..text.len() {
+            let part = call(&text.as_bytes()[..end]);
+            assert!(matches!(part, Ok(None)) || part == whole, "{text:?} cut at {end}: {part:?}");
+        }
+        lines.push(match &whole {
+            Err(refusal) => String::from_utf8_lossy(&refused(refusal)).replace("\r\n", "; "),
+            call => format!("{call:?}"),
+        });
+    }
+    expect![[r#"
+        Ok(Some(Ready))
+        Ok(Some(Vars))
+        Ok(Some(LameDuckOn))
+        Ok(Some(LameDuckOff))
+        HTTP/1.1 405 -; Content-Length: 0; Content-Type: text/plain; version=0.0.4; Connection: close; Allow: POST; ; 
+        HTTP/1.1 405 -; Content-Length: 0; Content-Type: text/plain; version=0.0.4; Connection: close; Allow: GET; ; 
+        HTTP/1.1 404 -; Content-Length: 0; Content-Type: text/plain; version=0.0.4; Connection: close; ; 
+        HTTP/1.1 413 -; Content-Length: 0; Content-Type: text/plain; version=0.0.4; Connection: close; ; 
+        HTTP/1.1 411 -; Content-Length: 0; Content-Type: text/plain; version=0.0.4; Connection: close; ; 
+        HTTP/1.1 400 -; Content-Length: 0; Content-Type: text/plain; version=0.0.4; Connection: close; ; 
+        HTTP/1.1 400 -; Content-Length: 0; Content-Type: text/plain; version=0.0.4; Connection: close; ; 
+        HTTP/1.1 431 -; Content-Length: 0; Content-Type: text/plain; version=0.0.4; Connection: close; ; "#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn figures_are_written_with_their_labels_escaped() {
+    let mut page = Page::default();
+    let samples = [(Some(("kind", "read")), 812), (Some(("kind", "a\"b\\c\nd")), 0)];
+    page.figure("edge_proxy_ok", "counter", "Ops acked.", samples);
+    page.figure("edge_proxy_active", "gauge", "Ops in hand.", [(None, 14)]);
+    expect![[r#"
+        # HELP edge_proxy_ok Ops acked.
+        # TYPE edge_proxy_ok counter
+        edge_proxy_ok{kind="read"} 812
+        edge_proxy_ok{kind="a\"b\\c\nd"} 0
+        # HELP edge_proxy_active Ops in hand.
+        # TYPE edge_proxy_active gauge
+        edge_proxy_active 14
+    "#]]
+    .assert_eq(page.text());
+    assert!(answered(200, page.text()).ends_with(b"edge_proxy_active 14\n"));
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -81,6 +81,11 @@
         self.balancer.free()
     }
 
+    /// How many cache hosts the list names, and how many of them are avoided now.
+    pub fn pool(&self) -> (usize, usize) {
+        self.balancer.pool()
+    }
+
     pub fn pick(&mut self, now: Micros, ask: Ask) -> (OpId, Vec<Decision>) {
         let op = OpId(self.next);
         self.next = self.next.wrapping_add(1);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -133,6 +133,16 @@
         let free = |host: &&Host| host.standing.listed.as_ref().is_some_and(gone) && !open(host);
         self.hosts.iter().filter(free).map(|host| host.id).collect()
     }
+
+    /// How many cache hosts are listed, and how many of them get nothing now but what feels for their return.
+    pub fn pool(&self) -> (usize, usize) {
+        let desk = &self.desk;
+        let here = |listed: &&Listed| listed.lifecycle != Lifecycle::Gone && !listed.origin;
+        let listed =
+            |host: &Standing| host.listed.as_ref().filter(here).map(|listed| desk.avoids(listed, host));
+        let avoided: Vec<bool> = desk.board.iter().filter_map(listed).collect();
+        (avoided.len(), avoided.iter().filter(|&&avoided| avoided).count())
+    }
 }
 
 /// What a host shows the desk.
@@ -641,6 +651,10 @@
         self.loads.over_since.resize(self.board.len(), None);
     }
 
+    fn avoids(&self, listed: &Listed, host: &Standing) -> bool {
+        host.suspect || self.zones.dark(listed.zone, host.pulse)
+    }
+
     fn sweep(&mut self, post: &mut Post) {
         let zone = |host: &Standing| host.listed.as_ref().map_or(ZoneId(0), |listed| listed.zone);
         let caches = self.board.iter().filter(|host| host.cache());
@@ -783,8 +797,7 @@
                 continue;
             }
             seen.push(host);
-            let dark = |listed: &Listed| self.zones.dark(listed.zone, standing.pulse);
-            let silent = standing.suspect || standing.listed.as_ref().is_some_and(dark);
+            let silent = standing.listed.as_ref().is_some_and(|listed| self.avoids(listed, standing));
             if silent || !self.keeps(host, key) {
                 // With no better host left: the one with most to give, suspects last and one push at a time.
                 let worth = if silent { 0.0 } else { standing.share };
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// The categories' names, in the order of their ids.
+    pub fn categories(&self) -> Vec<String> {
+        self.categories.texts.clone()
+    }
+
     pub fn category(&self, name: &str) -> Result<CategoryId, String> {
         self.categories.known(name, "category").map(|number| CategoryId(number as u16))
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)] // each test file uses its part
 
 use std::fmt::Write as _;
-use std::io::{self, BufRead, BufReader, Write as _};
+use std::io::{self, BufRead, BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -364,9 +364,25 @@
     child: Child,
     log: Receiver<String>,
     pub address: String,
+    /// Where operators call; empty where none can.
+    pub mgmt: String,
     told: PathBuf,
 }
 
+fn address_in(line: &str) -> String {
+    line.rsplit(' ').next().expect("an address").to_owned()
+}
+
+/// What a program is told that operators can call.
+pub fn managed(known: &[String], [memory, sockets]: [u32; 2]) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","mgmt":"127.0.0.1:0","seed":"1",
+        "limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},
+        "known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{SETTINGS}}}"#,
+        known.join(",")
+    )
+}
+
 impl Program {
     /// Starts it and waits until it serves.
     pub fn start(binary: &str, discovery: SocketAddr, known: &[String], sockets: u32) -> Program {
@@ -387,11 +403,45 @@
             "known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{settings}}}"#,
             known.join(",")
         );
-        let mut program = Program::told(binary, &text);
-        let line = program.logged("listens on");
-        program.address = line.rsplit(' ').next().expect("an address").to_owned();
-        program.logged("Serving");
-        program
+        Program::told(binary, &text).serving()
+    }
+
+    /// With an address for operators beside the clients' one.
+    pub fn managed(binary: &str, known: &[String], limits: [u32; 2]) -> Program {
+        let mut program = Program::told(binary, &managed(known, limits));
+        program.mgmt = address_in(&program.logged("mgmt on"));
+        program.serving()
+    }
+
+    fn serving(mut self) -> Program {
+        self.address = address_in(&self.logged("listens on"));
+        self.logged("Serving");
+        self
+    }
+
+    /// A call of an operator: the status and the body.
+    pub fn call(&self, text: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(&self.mgmt).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.write_all(text.as_bytes()).expect("it is taken");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok());
+        let body = answer.split_once("\r\n\r\n").map_or("", |found| found.1);
+        (status.unwrap_or_else(|| panic!("no status in {answer:?}")), body.to_owned())
+    }
+
+    /// The figures without their comments, once they hold this.
+    pub fn figures(&self, what: &str) -> String {
+        let began = Instant::now();
+        loop {
+            let (_, page) = self.call("GET /_vars HTTP/1.1\r\n\r\n");
+            let lines: Vec<&str> = page.lines().filter(|line| !line.starts_with('#')).collect();
+            if lines.contains(&what) {
+                return lines.join("\n").replace("edge_proxy_", "");
+            }
+            assert!(began.elapsed() < PATIENCE, "no {what} in {page}");
+        }
     }
 
     pub fn told(binary: &str, text: &str) -> Program {
@@ -405,7 +455,7 @@
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         let (tell, log) = channel();
         thread::spawn(move || lines.map_while(Result::ok).all(|line| tell.send(line).is_ok()));
-        Program { child, log, address: String::new(), told }
+        Program { child, log, address: String::new(), mgmt: String::new(), told }
     }
 
     /// Replaces the file that it was told by, one part of it by another, and has it read anew.
--- a/wire/src/http.rs
+++ b/wire/src/http.rs
@@ -127,14 +127,37 @@
     }
 }
 
+/// Why a server takes no request from what came.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Refused {
+    Senseless(String),
+    HeadTooLong,
+    BodyTooLong,
+    /// A body of which nothing tells the length beforehand.
+    NoLength,
+}
+
+impl From<Refused> for String {
+    fn from(refused: Refused) -> String {
+        match refused {
+            Refused::Senseless(cause) => cause,
+            Refused::HeadTooLong => "too long a head".to_owned(),
+            Refused::BodyTooLong => "too long a body".to_owned(),
+            Refused::NoLength => "no length".to_owned(),
+        }
+    }
+}
+
 /// A whole request at the front; `None` while it is not whole. Only bodies whose length is told are read.
-pub fn asked(bytes: &[u8], most_body: usize) -> Result<Option<Request>, String> {
+pub fn asked(bytes: &[u8], most_body: usize) -> Result<Option<Request>, Refused> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
-    let start = match head.parse(bytes).map_err(|cause| cause.to_string())? {
-        httparse::Status::Complete(start) => start,
-        httparse::Status::Partial if bytes.len() > MOST_HEAD => return Err("too long a head".to_owned()),
-        httparse::Status::Partial => return Ok(None),
+    let start = match head.parse(bytes) {
+        Err(httparse::Error::TooManyHeaders) => return Err(Refused::HeadTooLong),
+        Err(cause) => return Err(Refused::Senseless(cause.to_string())),
+        Ok(httparse::Status::Complete(start)) => start,
+        Ok(httparse::Status::Partial) if bytes.len() > MOST_HEAD => return Err(Refused::HeadTooLong),
+        Ok(httparse::Status::Partial) => return Ok(None),
     };
     let headers: Vec<(String, String)> = head
         .headers
@@ -144,9 +167,12 @@
         })
         .collect();
     let length = headers.iter().find(|header| header.0 == "content-length").map_or("0", |header| &header.1);
-    let length: usize = length.parse().map_err(|_| "no length".to_owned())?;
+    if headers.iter().any(|header| header.0 == "transfer-encoding") {
+        return Err(Refused::NoLength);
+    }
+    let length: usize = length.parse().map_err(|_| Refused::Senseless("no length".to_owned()))?;
     if length > most_body {
-        return Err("too long a body".to_owned());
+        return Err(Refused::BodyTooLong);
     }
     let Some(body) = bytes.get(start..start + length).map(Bytes::copy_from_slice) else { return Ok(None) };
     let (method, path) = (head.method.unwrap_or("").to_owned(), head.path.unwrap_or("").to_owned());
