The clients' listener is inherited; old and new process share the limits by seats

Ruled out: port reuse, which resets what is queued at the old socket when it closes. SIGTERM stops accepting at once where others accept, and no accepted connection is dropped with the accept loop any more (it was, while it waited for a descriptor).

--- a/balancer/src/budget.rs
+++ b/balancer/src/budget.rs
@@ -10,13 +10,16 @@
 const OWN: usize = 16;
 
 pub struct Budget {
-    free: Cell<usize>,
+    used: Cell<usize>,
+    most: Cell<usize>,
+    /// Descriptors that are no connections.
+    aside: usize,
     clients: Cell<usize>,
     /// Every op needs a connection to a host beside its client's. What hosts use counts into their half: were
     /// it kept free on top of that, clients would wait unheard while descriptors lie idle.
-    most_clients: usize,
+    most_clients: Cell<usize>,
     bytes: Cell<usize>,
-    most_bytes: usize,
+    most_bytes: Cell<usize>,
     /// Something came back.
     pub freed: Notify,
     /// Clients that stand idle are asked, one at a time, to make room.
@@ -32,7 +35,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let budget = &self.budget;
-        budget.free.set(budget.free.get() + 1);
+        budget.used.set(budget.used.get() - 1);
         budget.clients.set(budget.clients.get() - usize::from(self.client));
         budget.freed.notify_waiters();
     }
@@ -61,17 +64,34 @@
 impl Budget {
     /// With some of the descriptors set aside for others.
     pub fn new(descriptors: usize, aside: usize, memory: usize) -> Rc<Budget> {
-        let connections = descriptors.saturating_sub(OWN + aside).max(4);
-        Rc::new(Budget {
-            free: Cell::new(connections),
+        let budget = Budget {
+            used: Cell::new(0),
+            most: Cell::default(),
+            aside: OWN + aside,
             clients: Cell::new(0),
-            most_clients: connections / 2,
+            most_clients: Cell::default(),
             bytes: Cell::new(0),
-            // Values wait twice, as a request and as an answer, and hosts' buffers come on top.
-            most_bytes: memory / 4,
+            most_bytes: Cell::default(),
             freed: Notify::new(),
             shed: Notify::new(),
-        })
+        };
+        budget.allow(descriptors, memory);
+        Rc::new(budget)
+    }
+
+    /// So much is there from now on. What is held past that is given back by and by: see `over`.
+    pub fn allow(&self, descriptors: usize, memory: usize) {
+        let connections = descriptors.saturating_sub(self.aside).max(4);
+        self.most.set(connections);
+        self.most_clients.set(connections / 2);
+        // Values wait twice, as a request and as an answer, and hosts' buffers come on top.
+        self.most_bytes.set(memory / 4);
+        self.freed.notify_waiters();
+    }
+
+    /// How many connections there are more than there may be.
+    pub fn over(&self) -> usize {
+        self.used.get().saturating_sub(self.most.get())
     }
 
     pub fn take(self: &Rc<Budget>) -> Option<Permit> {
@@ -83,18 +103,20 @@
     }
 
     fn permit(self: &Rc<Budget>, client: bool) -> Option<Permit> {
-        let free = self.free.get().checked_sub(1)?;
-        self.free.set(free);
+        if self.used.get() >= self.most.get() {
+            return None;
+        }
+        self.used.set(self.used.get() + 1);
         self.clients.set(self.clients.get() + usize::from(client));
         Some(Permit { budget: self.clone(), client })
     }
 
     pub fn room_for_client(&self) -> bool {
-        self.free.get() > 0 && !self.clients_full()
+        self.used.get() < self.most.get() && !self.clients_full()
     }
 
     pub fn clients_full(&self) -> bool {
-        self.clients.get() >= self.most_clients
+        self.clients.get() >= self.most_clients.get()
     }
 
     pub fn hold(self: &Rc<Budget>) -> Held {
@@ -102,6 +124,6 @@
     }
 
     pub fn room_for_bytes(&self) -> bool {
-        self.bytes.get() < self.most_bytes
+        self.bytes.get() < self.most_bytes.get()
     }
 }
--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -46,11 +46,17 @@
 /// Between looks for room where descriptors are short.
 const SHORT: Duration = Duration::from_millis(20);
 
-/// Accepts for ever; each connection runs by itself. One is accepted before there is room for it, at the cost of a
+/// Accepts for as long as the phase lets it; each connection runs by itself. One is accepted before there is room for it, at the cost of a
 /// descriptor that the budget leaves aside: so none is closed for a client that is not there, and none waits unseen.
-pub async fn accept(desk: Rc<Desk>, listener: TcpListener, phase: watch::Receiver<Phase>) {
+pub async fn accept(desk: Rc<Desk>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
     loop {
-        match listener.accept().await {
+        // Never cut off between accepting and serving: a client that is let in must be heard.
+        let accepted = tokio::select! {
+            biased;
+            _ = phase.wait_for(|now| !now.accepts()) => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 desk.counters.clients.add();
                 let permit = room(&desk).await;
@@ -153,6 +159,8 @@
     // Or it had time enough to: one that has just come must not be sent away unheard.
     let mut settled = false;
     let came = Instant::now();
+    // The last answer went while another process took over.
+    let mut parting = false;
     loop {
         while last.is_none() && waiting.len() < most(&sending) {
             match resp::command(buffer.bytes()) {
@@ -187,6 +195,8 @@
         let ends = match *phase.borrow_and_update() {
             Phase::Starting | Phase::Serving => false,
             Phase::LameDuck | Phase::Draining => settled,
+            // Later ones go to the other process. A close that follows an answer crosses no request.
+            Phase::HandingOver => parting,
             Phase::Closing | Phase::Ended => true,
         };
         if idle && ends && buffer.is_empty() {
@@ -215,6 +225,7 @@
             wrote = writing.write(&sending.text), if !sending.is_empty() => match wrote {
                 Ok(count) if count > 0 => {
                     sending.sent(count);
+                    parting = *phase.borrow() == Phase::HandingOver;
                     until = until.filter(|_| !sending.is_empty());
                 }
                 _ => return Close::Now,
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -7,12 +7,14 @@
 mod counters;
 mod figures;
 mod list;
+mod listener;
 mod management;
 mod ops;
 mod origin;
 mod phase;
 mod phases;
 mod request;
+mod seats;
 mod servers;
 mod told;
 
--- a/balancer/src/phase.rs
+++ b/balancer/src/phase.rs
@@ -10,8 +10,16 @@
     LameDuck,
     /// Told to end: takes what still comes, answers it, closes connections once they were of use.
     Draining,
+    /// Told to end where another process accepts: each connection is closed after its next answer.
+    HandingOver,
     /// Nothing new is taken; connections are closed as soon as they are owed nothing.
     Closing,
     /// Nothing is owed any more.
     Ended,
 }
+
+impl Phase {
+    pub fn accepts(self) -> bool {
+        matches!(self, Phase::Starting | Phase::Serving | Phase::LameDuck | Phase::Draining)
+    }
+}
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -19,9 +19,11 @@
 use crate::counters::Counters;
 use crate::figures::Figures;
 use crate::list;
+use crate::listener;
 use crate::management::{self, Front};
 use crate::ops::Desk;
 use crate::phase::Phase;
+use crate::seats::{Seats, Share};
 use crate::servers::Servers;
 use crate::told::Told;
 
@@ -39,6 +41,8 @@
     listener: TcpListener,
     signals: Signals,
     last_answers: Duration,
+    /// The phase that a signal to end begins.
+    leaving: Phase,
     /// Where discovery is, for the watch.
     discovery: watch::Sender<SocketAddr>,
     /// What runs from start to exit. None of it ends by itself but by a fault of its own.
@@ -60,7 +64,9 @@
         let last_answers = longest.map_or(LAST_ANSWERS, |longest| span(longest).min(LAST_ANSWERS));
         let counters = Rc::new(Counters::default());
         let aside = told.mgmt.map_or(0, |_| management::DESCRIPTORS);
-        let budget = Budget::new(told.sockets, aside, told.memory);
+        // Where another process may be at work, the least until that is known.
+        let first = |whole| told.inherited.map_or(whole, |_| Share::Beginning.of(whole));
+        let budget = Budget::new(first(told.sockets), aside, first(told.memory));
         let pools = Pools::new(basaltwood_pools::Terms {
             seed: told.terms.seed,
             balancers: told.terms.balancers,
@@ -96,10 +102,17 @@
             reload: signal(SignalKind::hangup()).map_err(failed)?,
         };
         let known = list::take(&desk, told.known, true);
-        let listener = listen(told.listen).map_err(|cause| format!("listen on {}: {cause}", told.listen))?;
+        let listener = match told.inherited {
+            Some(descriptor) => listener::inherited(descriptor, told.listen)?,
+            None => listener::bound("listen", told.listen)?,
+        };
         let mut parts = JoinSet::new();
+        if told.inherited.is_some() {
+            let seats = Seats::take(told.folder.as_deref(), told.listen);
+            parts.spawn_local(share(desk.clone(), seats, told.sockets, told.memory));
+        }
         if let Some(address) = told.mgmt {
-            let listener = listen(address).map_err(|cause| format!("mgmt on {address}: {cause}"))?;
+            let listener = listener::bound("mgmt", address)?;
             log::info!("mgmt on {}", listener.local_addr().map_err(failed)?);
             parts.spawn_local(Front::new(desk.clone(), phase.clone()).accept(listener));
         }
@@ -110,18 +123,19 @@
         parts.spawn_local(tick(desk.clone()));
         parts.spawn_local(desk.clone().heed());
         log::info!("{} listens on {}", told.name, listener.local_addr().map_err(failed)?);
-        Ok(Phases { phase, desk, listener, signals, last_answers, discovery, parts })
+        let leaving = if told.inherited.is_some() { Phase::HandingOver } else { Phase::Draining };
+        Ok(Phases { phase, desk, listener, signals, last_answers, leaving, discovery, parts })
     }
 
     /// Goes through the phases that are left.
     pub async fn run(self) -> Result<(), String> {
-        let Phases { phase, desk, listener, mut signals, last_answers, discovery, mut parts } = self;
+        let Phases { phase, desk, listener, mut signals, last_answers, leaving, discovery, mut parts } = self;
         let enter = |now: Phase| {
             phase.send_replace(now);
             log::info!("{now:?}");
         };
         enter(Phase::Serving);
-        let accepting = parts.spawn_local(clients::accept(desk.clone(), listener, phase.subscribe()));
+        parts.spawn_local(clients::accept(desk.clone(), listener, phase.subscribe()));
         parts.spawn_local(print(desk.clone(), signals.print));
         parts.spawn_local(reload(signals.reload, discovery));
         let outcome = tokio::select! {
@@ -130,10 +144,8 @@
             // Without its timers or its list a balancer would limp on unnoticed.
             _ = parts.join_next() => Err("a part of the balancer failed; it ends".to_owned()),
         };
-        enter(Phase::Draining);
+        enter(leaving);
         sleep(STILL_COMING).await;
-        // This closes the listener too.
-        accepting.abort();
         enter(Phase::Closing);
         // Each connection holds a receiver for as long as it lives, and ends once it owes nothing.
         let _ = timeout(last_answers, phase.closed()).await;
@@ -143,12 +155,20 @@
     }
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    // A restart takes its address over at once.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(1024)
+/// Keeps to the part of the limits that is this process's while another of the same balancer lives.
+async fn share(desk: Rc<Desk>, seats: Seats, sockets: usize, memory: usize) {
+    let mut before = None;
+    loop {
+        let share = seats.share();
+        if before.replace(share) != Some(share) {
+            log::info!("of the limits: {share:?}");
+            desk.budget.allow(share.of(sockets), share.of(memory));
+        }
+        while desk.budget.over() > 0 && desk.servers.drop_idle() {}
+        // Clients that stand idle make room for the rest, each for one.
+        (0..desk.budget.over()).for_each(|_| desk.budget.shed.notify_one());
+        sleep(LOOK).await;
+    }
 }
 
 /// Prints the counters whenever it is asked to.
--- /dev/null
+++ b/balancer/src/seats.rs
@@ -0,0 +1,115 @@
+//! Two processes of one balancer, while one replaces the other, share its limits. Each takes a seat, a locked file in a folder
+//! that both see: the lock ends with its process, killed or not, where a file with its number would lie.
+
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// A new process keeps to what the old one left free until that has made room.
+const SETTLING: Duration = Duration::from_millis(500);
+/// At the start: a seat may be locked for a moment by the other's look.
+const TRIES: u32 = 20;
+const BETWEEN_TRIES: Duration = Duration::from_millis(2);
+
+/// How much of the limits this process may use now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Share {
+    /// All but what a new process begins with.
+    Alone,
+    /// What the old one left.
+    Beginning,
+    Half,
+}
+
+impl Share {
+    pub fn of(self, whole: usize) -> usize {
+        match self {
+            Share::Alone => whole - whole / 3,
+            Share::Beginning => whole / 3,
+            Share::Half => whole / 2,
+        }
+    }
+}
+
+pub struct Seats {
+    /// The own seat, locked, and the other's file; none where the folder can't serve.
+    taken: Option<(File, PathBuf)>,
+    since: Instant,
+}
+
+impl Seats {
+    /// Takes a seat of the balancer at this address in a folder. Without one nothing tells whether another process
+    /// lives, so half is all there is.
+    pub fn take(folder: Option<&Path>, address: SocketAddr) -> Seats {
+        let since = Instant::now();
+        let Some(folder) = folder else {
+            log::warn!("TMPDIR is not set; only half of the limits is used");
+            return Seats { taken: None, since };
+        };
+        let files = [0, 1].map(|seat| folder.join(format!("basaltwood-{address}-{seat}")));
+        for _ in 0..TRIES {
+            for own in 0..2 {
+                match lock(&files[own]) {
+                    Ok(Some(seat)) => return Seats { taken: Some((seat, files[1 - own].clone())), since },
+                    Ok(None) => {}
+                    Err(cause) => {
+                        log::warn!("{}: {cause}; only half of the limits is used", files[own].display());
+                        return Seats { taken: None, since };
+                    }
+                }
+            }
+            std::thread::sleep(BETWEEN_TRIES);
+        }
+        log::warn!("both seats in {} are taken; only half of the limits is used", folder.display());
+        Seats { taken: None, since }
+    }
+
+    pub fn share(&self) -> Share {
+        let Some((_, other)) = &self.taken else { return Share::Half };
+        match lock(other) {
+            Ok(Some(_)) => Share::Alone,
+            _ if self.since.elapsed() < SETTLING => Share::Beginning,
+            _ => Share::Half,
+        }
+    }
+}
+
+/// Locks a seat; `None` where another process has it.
+fn lock(path: &Path) -> io::Result<Option<File>> {
+    let file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
+    match file.try_lock() {
+        Ok(()) => Ok(Some(file)),
+        Err(std::fs::TryLockError::WouldBlock) => Ok(None),
+        Err(std::fs::TryLockError::Error(cause)) => Err(cause),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_seats_share_and_a_third_keeps_to_half() {
+        let folder = std::env::temp_dir().join(format!("basaltwood-seats-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let take = |folder: &Path| Seats::take(Some(folder), SocketAddr::from(([127, 0, 0, 1], 6379)));
+        let old = take(&folder);
+        assert_eq!(old.share(), Share::Alone);
+        let new = take(&folder);
+        assert_eq!(new.share(), Share::Beginning);
+        let later = old.since.checked_sub(SETTLING).expect("some time has passed");
+        let old = Seats { since: later, ..old };
+        assert_eq!(old.share(), Share::Half);
+        assert_eq!(take(&folder).share(), Share::Half);
+        drop(old);
+        assert_eq!(new.share(), Share::Alone);
+        assert_eq!(take(Path::new("/nonexistent")).share(), Share::Half);
+        std::fs::remove_dir_all(&folder).expect("it goes");
+        for whole in [32, 97, 384, 1024] {
+            assert!(Share::Alone.of(whole) + Share::Beginning.of(whole) <= whole);
+            assert!(2 * Share::Half.of(whole) <= whole);
+        }
+    }
+}
--- a/balancer/src/told.rs
+++ b/balancer/src/told.rs
@@ -1,6 +1,7 @@
 //! What a balancer is told at its start, from the file that PROXY_CONFIG names.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use basaltwood::types::{Place, Terms};
 use basaltwood_terms::{Bounds, Info, Words};
@@ -42,6 +43,10 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub mgmt: Option<SocketAddr>,
+    /// The clients' listening socket, where the platform holds it.
+    pub inherited: Option<u16>,
+    /// A folder that every process of this balancer sees.
+    pub folder: Option<PathBuf>,
     pub memory: usize,
     pub sockets: usize,
     pub known: Page,
@@ -62,8 +67,12 @@
         let address = |what: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{what} {text:?} is no address with a port"))
         };
-        let mgmt = file.mgmt.or_else(|| std::env::var("PROXY_MGMT").ok().filter(|text| !text.is_empty()));
+        let set = |name: &str| std::env::var(name).ok().filter(|text| !text.is_empty());
+        let mgmt = file.mgmt.or_else(|| set("PROXY_MGMT"));
         let mgmt = mgmt.map(|text| address("mgmt", &text)).transpose()?;
+        let inherited = set("PROXY_INHERITED_FD").map(|text| {
+            text.parse().map_err(|_| format!("PROXY_INHERITED_FD {text:?} is no descriptor's number"))
+        });
         let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| Place::of(&file.seed).0);
         if !(8.0..1e9).contains(&file.limits.memory_mb) || file.limits.sockets < 32 {
             return Err("limits: at least 8 MB and 32 sockets are needed".to_owned());
@@ -76,6 +85,8 @@
             listen: address("listen", &file.listen)?,
             discovery: address("discovery", &file.discovery)?,
             mgmt,
+            inherited: inherited.transpose()?,
+            folder: set("TMPDIR").map(PathBuf::from),
             memory: (file.limits.memory_mb * 1024.0 * 1024.0) as usize,
             sockets: file.limits.sockets,
             known: file.known,
--- a/balancer/tests/operators.rs
+++ b/balancer/tests/operators.rs
@@ -3,10 +3,14 @@
 #[path = "../../tests/common/mod.rs"]
 mod common;
 
+use std::collections::HashSet;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
+use std::thread::{spawn, JoinHandle};
 
 use common::*;
 use expect_test::expect;
@@ -189,3 +193,174 @@
         Some(1) mgmt on ADDRESS: Address already in use (os error 98)"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+/// The clients' listening socket as the platform holds it, and processes that inherit it.
+struct Platform {
+    listener: TcpListener,
+    folder: PathBuf,
+    told: String,
+}
+
+impl Platform {
+    fn new(name: &str, hosts: &[(&str, &Peer)]) -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let known: Vec<String> =
+            hosts.iter().map(|(name, peer)| entry(name, peer.address, "active")).collect();
+        let told = managed(&known, [192, 192])
+            .replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{address}""#));
+        let folder = std::env::temp_dir().join(format!("basaltwood-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        Platform { listener, folder, told }
+    }
+
+    /// Starts a process and waits until it says that it is ready.
+    fn start(&self) -> Program {
+        let program = self.start_in(&self.folder);
+        assert_eq!(program.call(READY).0, 200);
+        program
+    }
+
+    fn start_in(&self, folder: &Path) -> Program {
+        let mut program = Program::inheriting(BINARY, &self.told, &self.listener, folder);
+        program.mgmt = program.logged("mgmt on").rsplit(' ').next().expect("an address").to_owned();
+        program.address = self.listener.local_addr().expect("an address").to_string();
+        program.logged("Serving");
+        program
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Asks op after op until it is told to stop, on a new connection whenever the old one has ended after an answer;
+/// what went wrong, and how many were served.
+fn steady(address: String, name: usize, stop: Arc<AtomicBool>) -> JoinHandle<(Vec<String>, u32)> {
+    spawn(move || {
+        let (mut wrong, mut served) = (Vec::new(), 0);
+        let mut client = Client::at(&address);
+        while !stop.load(Ordering::Relaxed) {
+            let id = format!("c{name}-{served}");
+            let words = ["CACHE.GET", "k", &id, "c=once,d=900"];
+            let mut got = client.asks(&words);
+            if got == "closed" && !name.is_multiple_of(2) {
+                // A close may cross a request on a kept connection: it is unread, and goes once more on a new one.
+                client = Client::at(&address);
+                got = client.asks(&words);
+            }
+            if got != "v" {
+                wrong.push(format!("{id}: {got}"));
+            }
+            served += 1;
+            // Some keep their connection, some come anew.
+            if name.is_multiple_of(2) || client.over() {
+                client = Client::at(&address);
+            }
+        }
+        (wrong, served)
+    })
+}
+
+#[test]
+fn replaced_three_times_under_load_no_op_ends_at_the_door() {
+    let host = Peer::host(|_| hit("v"));
+    let platform = Platform::new("replaced", &[("a", &host)]);
+    let mut old = platform.start();
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..6).map(|name| steady(old.address.clone(), name, stop.clone())).collect();
+    for _ in 0..3 {
+        let new = platform.start();
+        new.logged("Beginning");
+        new.logged("Half");
+        old.signal("TERM");
+        assert_eq!(old.ended().code(), Some(0));
+        new.logged("Alone");
+        old = new;
+    }
+    // Killed outright it leaves nothing behind that the next one would stumble over.
+    stop.store(true, Ordering::Relaxed);
+    let mut served = 0;
+    for client in clients {
+        let (wrong, count) = client.join().expect("it ends");
+        assert_eq!(wrong, Vec::<String>::new());
+        served += count;
+    }
+    drop(old);
+    let next = platform.start();
+    next.logged("Alone");
+    assert_eq!(next.client().asks(&["CACHE.GET", "k", "last", "c=once,d=900"]), "v");
+    // Each op came to the host once, none twice.
+    let mut ids = HashSet::new();
+    while ids.len() <= served as usize {
+        let asked = host.next();
+        if asked != "closed" {
+            let id = asked.split(' ').nth(2).expect("an id").to_owned();
+            assert!(ids.insert(id), "{asked} came twice");
+        }
+    }
+}
+
+#[test]
+fn what_is_in_hand_or_idle_at_a_replacement_is_answered_before_its_connection_ends() {
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let host = Peer::host(move |asked| {
+        if asked.contains("slow") {
+            let _ = released.lock().expect("a lock").recv();
+        }
+        hit("v")
+    });
+    let platform = Platform::new("in-hand", &[("a", &host)]);
+    let mut old = platform.start();
+    let (mut slow, mut kept) = (old.client(), old.client());
+    assert_eq!(kept.asks(&["PING"]), "+PONG");
+    slow.get("slow", "id1", "c=read,d=1900");
+    host.next();
+    // Also in the midst of a drain.
+    old.call(ON);
+    assert_eq!(kept.answer(), "closed");
+    let new = platform.start();
+    old.signal("TERM");
+    old.logged("HandingOver");
+    // From now on the new one answers, and is in no drain.
+    let mut late = new.client();
+    let mut trace = vec![late.asks(&["PING"]), late.asks(&["CACHE.GET", "k", "id2", "c=once,d=900"])];
+    release.send(()).expect("it waits");
+    trace.extend([slow.answer(), slow.answer(), format!("{:?}", old.ended().code())]);
+    trace.push(late.asks(&["CACHE.GET", "k", "id3", "c=once,d=900"]));
+    assert_eq!(trace, ["+PONG", "v", "v", "closed", "Some(0)", "v"]);
+}
+
+#[test]
+fn without_a_folder_to_share_it_serves_with_half_of_the_limits() {
+    let host = Peer::host(|_| hit("v"));
+    let platform = Platform::new("no-folder", &[("a", &host)]);
+    let program = platform.start_in(Path::new("/nonexistent"));
+    program.logged("Half");
+    assert_eq!(program.client().asks(&["CACHE.GET", "k", "id1", "c=once,d=900"]), "v");
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_of_ours_ends_the_program_with_one_line() {
+    let platform = Platform::new("wrong", &[]);
+    let other = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let there = other.local_addr().expect("an address").to_string();
+    let mut lines = Vec::new();
+    for descriptor in ["5", "9", "five"] {
+        let mut program =
+            Program::inheriting_as(BINARY, &platform.told, &other, &platform.folder, descriptor);
+        let code = program.ended().code();
+        let line = program.rest().pop().expect("a line");
+        let told = platform.listener.local_addr().expect("an address").to_string();
+        let line = line.replace(&there, "THERE").replace(&told, "TOLD");
+        lines.push(format!("{code:?} {}", line.split_once("PROXY_INHERITED_FD").expect("it names it").1));
+    }
+    expect![[r#"
+        Some(1)  5: it listens on THERE, not on TOLD
+        Some(1)  9: it is no socket that listens
+        Some(1)  "five" is no descriptor's number"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,7 +5,8 @@
 use std::fmt::Write as _;
 use std::io::{self, BufRead, BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -445,11 +446,38 @@
     }
 
     pub fn told(binary: &str, text: &str) -> Program {
+        Program::spawned(Command::new(binary), Program::file(text))
+    }
+
+    fn file(text: &str) -> PathBuf {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let name = format!("basaltwood-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let told = std::env::temp_dir().join(name);
         std::fs::write(&told, text).expect("a file");
-        let mut command = Command::new(binary);
+        told
+    }
+
+    /// As a platform starts it that holds the clients' listening socket: inherited as descriptor 5.
+    pub fn inheriting(binary: &str, text: &str, listener: &TcpListener, folder: &Path) -> Program {
+        Program::inheriting_as(binary, text, listener, folder, "5")
+    }
+
+    /// The same with another number told.
+    pub fn inheriting_as(
+        binary: &str,
+        text: &str,
+        listener: &TcpListener,
+        folder: &Path,
+        named: &str,
+    ) -> Program {
+        let held = OwnedFd::from(listener.try_clone().expect("a second handle"));
+        let mut command = Command::new("sh");
+        command.args(["-c", "exec \"$0\" 5<&0 </dev/null", binary]).stdin(Stdio::from(held));
+        command.env("PROXY_INHERITED_FD", named).env("TMPDIR", folder);
+        Program::spawned(command, Program::file(text))
+    }
+
+    fn spawned(mut command: Command, told: PathBuf) -> Program {
         command.env("PROXY_CONFIG", &told).env("RUST_LOG", "info").stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
@@ -514,9 +542,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(&self.address).expect("it listens");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        Client { reading: BufReader::new(stream.try_clone().expect("a second handle")), writing: stream }
+        Client::at(&self.address)
     }
 }
 
@@ -534,6 +560,20 @@
 }
 
 impl Client {
+    pub fn at(address: &str) -> Client {
+        let stream = TcpStream::connect(address).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { reading: BufReader::new(stream.try_clone().expect("a second handle")), writing: stream }
+    }
+
+    /// Whether the other side has ended the connection by now.
+    pub fn over(&self) -> bool {
+        self.writing.set_nonblocking(true).expect("a socket");
+        let over = matches!(self.writing.peek(&mut [0]), Ok(0));
+        self.writing.set_nonblocking(false).expect("a socket");
+        over
+    }
+
     pub fn raw(&mut self, bytes: &[u8]) {
         self.writing.write_all(bytes).expect("it is taken");
     }
