--- a/balancer/src/budget.rs
+++ b/balancer/src/budget.rs
@@ -2,13 +2,23 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors that are no connections: standard streams, the runtime's, signals, the listener, and a client that is
 /// not yet counted. 12 were seen.
 const OWN: usize = 16;
 
+/// What room for long values is counted in.
+const UNIT: usize = 1024;
+/// Pieces of a stream at a time: one read, one handed over, one written.
+const WINDOW: usize = 3;
+const PIECES: std::ops::RangeInclusive<usize> = 4 * 1024..=64 * 1024;
+
+/// Memory for a long value, given back when dropped.
+pub type Room = OwnedSemaphorePermit;
+
 pub struct Budget {
     used: Cell<usize>,
     most: Cell<usize>,
@@ -20,6 +30,11 @@
     most_clients: Cell<usize>,
     bytes: Cell<usize>,
     most_bytes: Cell<usize>,
+    /// For long values that are read: the first come first served, each whole before its first byte.
+    long: Arc<Semaphore>,
+    most_long: usize,
+    streams: Cell<usize>,
+    most_windows: usize,
     /// Something came back.
     pub freed: Notify,
     /// Clients that stand idle are asked, one at a time, to make room.
@@ -61,6 +76,22 @@
     }
 }
 
+/// A value that streams.
+pub struct Stream(Rc<Budget>);
+
+impl Stream {
+    /// How much of it may be read at a time now.
+    pub fn piece(&self) -> usize {
+        (self.0.most_windows / WINDOW / self.0.streams.get()).clamp(*PIECES.start(), *PIECES.end())
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.0.streams.set(self.0.streams.get() - 1);
+    }
+}
+
 impl Budget {
     /// With some of the descriptors set aside for others.
     pub fn new(descriptors: usize, aside: usize, memory: usize) -> Rc<Budget> {
@@ -72,6 +103,10 @@
             most_clients: Cell::default(),
             bytes: Cell::new(0),
             most_bytes: Cell::default(),
+            long: Arc::new(Semaphore::new(memory / 3 / UNIT)),
+            most_long: memory / 3 / UNIT,
+            streams: Cell::new(0),
+            most_windows: memory / 6,
             freed: Notify::new(),
             shed: Notify::new(),
         };
@@ -84,7 +119,8 @@
         let connections = descriptors.saturating_sub(self.aside).max(4);
         self.most.set(connections);
         self.most_clients.set(connections / 2);
-        // Values wait twice, as a request and as an answer, and hosts' buffers come on top.
+        // Values wait twice, as a request and as an answer, and hosts' buffers come on top. Beside this quarter stand a
+        // third for long requests and a sixth for streams' windows; the last quarter is the process's own.
         self.most_bytes.set(memory / 4);
         self.freed.notify_waiters();
     }
@@ -123,6 +159,22 @@
         Held(self.clone(), 0)
     }
 
+    /// Whether a value of this length can ever be read.
+    pub fn bears(&self, length: usize) -> bool {
+        length.div_ceil(UNIT) <= self.most_long
+    }
+
+    /// Memory for a long value, once it is this one's turn.
+    pub async fn reserve(self: Rc<Budget>, length: usize) -> Option<Room> {
+        self.long.clone().acquire_many_owned(length.div_ceil(UNIT) as u32).await.ok()
+    }
+
+    /// One more value streams until this is dropped.
+    pub fn stream(self: &Rc<Budget>) -> Stream {
+        self.streams.set(self.streams.get() + 1);
+        Stream(self.clone())
+    }
+
     pub fn room_for_bytes(&self) -> bool {
         self.bytes.get() < self.most_bytes.get()
     }
--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -1,27 +1,31 @@
 //! Clients: accepts their connections, reads their commands, writes answers in the order of the commands.
 
 use std::collections::VecDeque;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use basaltwood::facade::Ask;
 use basaltwood::types::{Micros, Place};
+use basaltwood_wire::body::Body;
 use basaltwood_wire::buffer::Buffer;
 use basaltwood_wire::facts::fact;
-use basaltwood_wire::resp;
+use basaltwood_wire::resp::{self, Asked};
 use bytes::{Buf, Bytes};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use crate::budget::Permit;
+use crate::budget::{Permit, Room};
 use crate::figures::{Outcome, Taken};
 use crate::ops::{Answer, Desk, Final};
 use crate::phase::Phase;
 use crate::read;
-use crate::request::Request;
+use crate::request::{Long, Request, Value};
 
 /// Commands of one connection that wait for their answers; more are left unread.
 const PIPELINE: usize = 32;
@@ -29,9 +33,10 @@
 const BEHIND: usize = 4;
 /// A client that takes longer over one answer is cut off.
 const SLOW: Duration = Duration::from_secs(5);
-/// A command is whole by then, the first counted from when the connection came: clients that say nothing, or half
-/// of something, must not hold descriptors and memory of others.
-const WHOLE: Duration = Duration::from_secs(2);
+/// A command is whole by then but for its value, the first counted from when the connection came, and of a value something
+/// comes in every such time: clients that say nothing, or half of something, must not hold descriptors and memory of
+/// others.
+const WHOLE: Duration = Duration::from_millis(2_600);
 /// So long a connection that has just come is not closed to make room: it may be about to be heard.
 const UNHEARD: Duration = Duration::from_millis(250);
 /// What a connection may hold while others hold all the bytes: enough for commands without a value.
@@ -96,25 +101,130 @@
 #[derive(Default)]
 struct Sending {
     text: Bytes,
+    /// What follows the text, of a long value.
+    long: Option<Long>,
     ends: Option<(Taken, Outcome)>,
 }
 
 impl Sending {
     fn is_empty(&self) -> bool {
-        self.text.is_empty()
+        self.text.is_empty() && self.long.is_none()
     }
 
     /// So many bytes went. With the last one the op has ended for its client.
     fn sent(&mut self, count: usize) {
         self.text.advance(count);
-        if self.text.is_empty() {
-            if let Some((taken, outcome)) = self.ends.take() {
-                taken.ended(outcome);
+        if self.is_empty() {
+            self.end();
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some((taken, outcome)) = self.ends.take() {
+            taken.ended(outcome);
+        }
+    }
+
+    /// The next piece of a long value becomes the text, and its end after the last one; whether there was one. Where its
+    /// host does not give the rest the op has failed, and the client can tell by its connection's end.
+    async fn next(&mut self) -> bool {
+        let Some(long) = &mut self.long else { return std::future::pending().await };
+        if long.length == 0 {
+            (self.text, self.long) = (Bytes::from_static(resp::END), None);
+            return true;
+        }
+        let piece = long.pieces.recv().await;
+        match piece {
+            Some(piece) => {
+                long.length -= piece.len();
+                self.text = piece;
+                true
+            }
+            None => {
+                self.ends = self.ends.take().map(|(taken, _)| (taken, Outcome::Errors));
+                self.end();
+                false
             }
         }
     }
 }
 
+/// A command of which the value is being read.
+struct Coming {
+    words: Vec<Bytes>,
+    body: Body,
+    room: Wanted,
+}
+
+/// The memory for a value.
+enum Wanted {
+    /// A short one is read as any command is.
+    None,
+    Awaited(Pin<Box<dyn Future<Output = Option<Room>>>>),
+    Given(Room),
+}
+
+impl Coming {
+    fn new(desk: &Desk, words: Vec<Bytes>, length: usize) -> Coming {
+        let room = match length > resp::MOST_VALUE {
+            true => Wanted::Awaited(Box::pin(desk.budget.clone().reserve(length))),
+            false => Wanted::None,
+        };
+        Coming { words, body: Body::new(length), room }
+    }
+
+    fn awaits_room(&self) -> bool {
+        matches!(self.room, Wanted::Awaited(_))
+    }
+
+    fn long(&self) -> bool {
+        !matches!(self.room, Wanted::None)
+    }
+}
+
+/// What a connection's input came to.
+enum Input {
+    Read(io::Result<usize>),
+    /// The value that is coming has its memory now.
+    Roomy,
+}
+
+/// Reads once, into the value that is coming or else into the buffer; a long value waits for its memory first.
+async fn input(
+    from: &mut (impl AsyncRead + Unpin),
+    buffer: &mut Buffer,
+    coming: &mut Option<Coming>,
+) -> Input {
+    match coming {
+        Some(Coming { room, .. }) if matches!(room, Wanted::Awaited(_)) => {
+            if let Wanted::Awaited(awaited) = room {
+                // There is always an answer: the budget outlives every connection.
+                *room = awaited.await.map_or(Wanted::None, Wanted::Given);
+            }
+            Input::Roomy
+        }
+        Some(Coming { body, .. }) if body.left() > 0 => {
+            let read = from.read_buf(&mut body.room()).await;
+            Input::Read(read.inspect(|&count| body.filled(count)))
+        }
+        _ => Input::Read(read(from, buffer).await),
+    }
+}
+
+/// What a connection's output came to.
+enum Output {
+    Wrote(io::Result<usize>),
+    /// The next piece of a long value is there, or its host does not give it.
+    Piece(bool),
+}
+
+async fn output(to: &mut (impl AsyncWrite + Unpin), sending: &mut Sending) -> Output {
+    if sending.text.is_empty() {
+        return Output::Piece(sending.next().await);
+    }
+    Output::Wrote(to.write(&sending.text).await)
+}
+
 async fn serve(desk: Rc<Desk>, mut stream: TcpStream, permit: Permit, mut phase: watch::Receiver<Phase>) {
     let _permit = permit;
     let _ = stream.set_nodelay(true);
@@ -150,6 +260,8 @@
     let mut held = desk.budget.hold();
     let mut waiting: VecDeque<Waiting> = VecDeque::new();
     let mut sending = Sending::default();
+    // The value of a command that is not whole yet.
+    let mut coming: Option<Coming> = None;
     // By when the answer under way is to be taken, or the command begun to be whole.
     let mut until: Option<Instant> = None;
     // No more is read: the client asked to be let go, or broke the protocol.
@@ -163,16 +275,14 @@
     let mut parting = false;
     loop {
         while last.is_none() && waiting.len() < most(&sending) {
-            match resp::command(buffer.bytes()) {
-                Ok(Some((words, used))) => {
-                    buffer.consume(used);
-                    if !words.is_empty() {
-                        let goes = command(desk, words, *phase.borrow(), &mut waiting);
-                        last = (!goes).then_some(Close::Answered);
-                        (heard, settled) = (true, true);
-                    }
+            match next(desk, &mut buffer, &mut coming) {
+                Ok(Some((words, _))) if words.is_empty() => {}
+                Ok(Some((words, value))) => {
+                    let goes = command(desk, words, value, *phase.borrow(), &mut waiting);
+                    last = (!goes).then_some(Close::Answered);
+                    (heard, settled) = (true, true);
                 }
-                Ok(None) if !buffer.full() => break,
+                Ok(None) if coming.is_some() || !buffer.full() => break,
                 broken => {
                     last = Some(refuse(desk, &mut waiting, broken.err().unwrap_or("too long a command")));
                 }
@@ -182,10 +292,12 @@
             if let Some(Waiting::There(text)) =
                 waiting.pop_front_if(|first| matches!(first, Waiting::There(_)))
             {
-                (sending, until) = (Sending { text, ends: None }, None);
+                (sending, until) = (Sending { text, ..Sending::default() }, None);
             }
         }
-        held.set(buffer.size() + sending.text.len());
+        let short = coming.as_ref().filter(|coming| !coming.long()).map_or(0, |coming| coming.body.length());
+        let piece = if sending.long.is_some() { 0 } else { sending.text.len() };
+        held.set(buffer.size() + short + piece);
         let idle = waiting.is_empty() && sending.is_empty();
         if idle {
             if let Some(close) = last {
@@ -199,47 +311,55 @@
             Phase::HandingOver => parting,
             Phase::Closing | Phase::Ended => true,
         };
-        if idle && ends && buffer.is_empty() {
+        if idle && ends && buffer.is_empty() && coming.is_none() {
             return Close::Answered;
         }
         let limit = match idle {
-            _ if !sending.is_empty() => Some(SLOW),
-            true if !heard || !buffer.is_empty() => Some(WHOLE),
+            _ if !sending.text.is_empty() => Some(SLOW),
+            // It waits for its host, or for memory, and not for its client.
+            _ if !sending.is_empty() || coming.as_ref().is_some_and(Coming::awaits_room) => None,
+            true if coming.is_some() || !heard || !buffer.is_empty() => Some(WHOLE),
             _ => None,
         };
         until = limit.and_then(|limit| until.or_else(|| Some(Instant::now() + limit)));
-        let more = last.is_none() && waiting.len() < most(&sending);
+        let awaits_room = coming.as_ref().is_some_and(Coming::awaits_room);
+        let more = last.is_none() && waiting.len() < most(&sending) && !awaits_room;
         // Short of bytes, one that holds next to none is heard all the same: others must not silence it.
-        let room = desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
+        let long = coming.as_ref().is_some_and(Coming::long);
+        let room = long || desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
         tokio::select! {
             biased;
-            read = read(&mut reading, &mut buffer), if more && room => match read {
-                Ok(1..) => {}
-                _ => return Close::Now,
+            input = input(&mut reading, &mut buffer, &mut coming), if (more && room) || awaits_room => match input {
+                // What is in hand of a value is bound by its progress.
+                Input::Read(Ok(1..)) => until = until.filter(|_| coming.is_none()),
+                Input::Read(_) => return Close::Now,
+                Input::Roomy => until = None,
             },
             () = desk.budget.freed.notified(), if more && !room => {}
             answer = owed(&mut waiting), if sending.is_empty() => match answer {
                 Some(answer) => (sending, until) = (answer, None),
                 None => return Close::Now,
             },
-            wrote = writing.write(&sending.text), if !sending.is_empty() => match wrote {
-                Ok(count) if count > 0 => {
+            output = output(&mut writing, &mut sending), if !sending.is_empty() => match output {
+                Output::Wrote(Ok(count)) if count > 0 => {
                     sending.sent(count);
                     parting = *phase.borrow() == Phase::HandingOver;
-                    until = until.filter(|_| !sending.is_empty());
+                    until = until.filter(|_| !sending.is_empty() && sending.long.is_none());
                 }
-                _ => return Close::Now,
+                Output::Piece(true) => {}
+                Output::Wrote(_) | Output::Piece(false) => return Close::Now,
             },
             () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => {
                 desk.counters.clients_slow.add();
-                if buffer.is_empty() || !sending.is_empty() {
+                if (buffer.is_empty() && coming.is_none()) || !sending.is_empty() {
                     return Close::Now;
                 }
+                coming = None;
                 (last, until) = (Some(refuse(desk, &mut waiting, "no whole command in time")), None);
             }
             _ = phase.changed() => {}
             () = sleep_until(came + UNHEARD), if !settled => settled = true,
-            () = desk.budget.shed.notified(), if settled && idle && buffer.is_empty() => {
+            () = desk.budget.shed.notified(), if settled && idle && buffer.is_empty() && coming.is_none() => {
                 if !desk.budget.room_for_client() {
                     desk.counters.clients_shed.add();
                     return Close::Now;
@@ -249,6 +369,44 @@
     }
 }
 
+/// The next command that is whole: its words, and its value where that came apart from them.
+type Next = Option<(Vec<Bytes>, Option<(Vec<Bytes>, Wanted)>)>;
+
+/// Takes the next command from what was read; `None` while it is not whole. A value that is not there yet is read by itself.
+fn next(desk: &Desk, buffer: &mut Buffer, coming: &mut Option<Coming>) -> Result<Next, &'static str> {
+    if coming.is_none() {
+        match resp::asked(buffer.bytes())? {
+            None => return Ok(None),
+            Some(Asked::Whole(words, used)) => {
+                buffer.consume(used);
+                return Ok(Some((words, None)));
+            }
+            Some(Asked::Begun { words, used, length }) => {
+                // What can't be taken is refused before it comes.
+                if length > resp::MOST_VALUE
+                    && !(words[0].eq_ignore_ascii_case(b"CACHE.SET") && desk.budget.bears(length))
+                {
+                    return Err("too long a value");
+                }
+                buffer.consume(used);
+                *coming = Some(Coming::new(desk, words, length));
+            }
+        }
+    }
+    let Some(value) = coming.as_mut().filter(|coming| !coming.awaits_room()) else { return Ok(None) };
+    let taken = value.body.take(buffer.bytes());
+    buffer.consume(taken);
+    if value.body.left() > 0 {
+        return Ok(None);
+    }
+    match buffer.bytes().get(..resp::END.len()) {
+        None => return Ok(None),
+        Some(resp::END) => buffer.consume(resp::END.len()),
+        Some(_) => return Err("a bulk string without its end"),
+    }
+    Ok(coming.take().map(|Coming { words, body, room }| (words, Some((body.segments(), room)))))
+}
+
 /// The last answer to a client that does not keep to the protocol.
 fn refuse(desk: &Desk, waiting: &mut VecDeque<Waiting>, cause: &str) -> Close {
     desk.counters.malformed.add();
@@ -278,19 +436,33 @@
                 Answer::Nacked { .. } => Outcome::Shed,
                 Answer::DeadLettered => Outcome::Errors,
             };
-            Some(Sending { text: written(answer), ends: Some((taken, outcome)) })
+            let ends = Some((taken, outcome));
+            Some(match answer {
+                Answer::Acked(Value::Long(long)) => {
+                    Sending { text: resp::head(long.length), long: Some(long), ends }
+                }
+                answer => Sending { text: written(answer), long: None, ends },
+            })
         }
         _ => None,
     }
 }
 
 /// Takes one command; whether the connection goes on after it.
-fn command(desk: &Rc<Desk>, words: Vec<Bytes>, phase: Phase, waiting: &mut VecDeque<Waiting>) -> bool {
+fn command(
+    desk: &Rc<Desk>,
+    words: Vec<Bytes>,
+    value: Option<(Vec<Bytes>, Wanted)>,
+    phase: Phase,
+    waiting: &mut VecDeque<Waiting>,
+) -> bool {
     let name = words[0].to_ascii_uppercase();
     let text = match &name[..] {
         b"CACHE.GET" | b"CACHE.SET" => {
-            let size = words.iter().map(Bytes::len).sum();
-            match op(desk, words) {
+            let short =
+                value.iter().filter(|value| matches!(value.1, Wanted::None)).flat_map(|value| &value.0);
+            let size = words.iter().chain(short).map(Bytes::len).sum();
+            match op(desk, words, value) {
                 Ok((request, ask)) => {
                     let (answer, owed) = oneshot::channel();
                     let mut held = desk.budget.hold();
@@ -320,14 +492,18 @@
 }
 
 /// Reads a command's words into a request and what the facade is asked.
-fn op(desk: &Desk, words: Vec<Bytes>) -> Result<(Request, Ask), String> {
+fn op(desk: &Desk, words: Vec<Bytes>, apart: Option<(Vec<Bytes>, Wanted)>) -> Result<(Request, Ask), String> {
     let mut words = words.into_iter();
     let (Some(command), Some(key), Some(id), Some(facts)) =
         (words.next(), words.next(), words.next(), words.next())
     else {
         return Err("a key, an id and facts are needed".to_owned());
     };
-    let value = words.next();
+    let (value, room) = match (words.next(), apart) {
+        (Some(value), _) => (Some(vec![value]), None),
+        (None, Some((value, Wanted::Given(room)))) => (Some(value), Some(room)),
+        (None, apart) => (apart.map(|(value, _)| value), None),
+    };
     let write = command.eq_ignore_ascii_case(b"CACHE.SET");
     if value.is_some() != write || words.next().is_some() {
         return Err("wrong number of arguments".to_owned());
@@ -355,13 +531,14 @@
     if !desk.admit(&id) {
         return Err("an op with this id is open".to_owned());
     }
-    Ok((Request { command, key, id, facts, value, over: watch::Sender::new(false) }, ask))
+    Ok((Request { command, key, id, facts, value, _room: room, over: watch::Sender::new(false) }, ask))
 }
 
 /// A final answer in the protocol's words.
 fn written(answer: Answer) -> Bytes {
     match answer {
-        Answer::Acked(value) => resp::value(&value),
+        Answer::Acked(Value::Whole(value)) => resp::value(&value),
+        Answer::Acked(Value::Long(long)) => resp::head(long.length),
         Answer::Nacked { come_back: Some(span) } => Bytes::from(format!("-BUSY {}\r\n", span / 1000)),
         Answer::Nacked { come_back: None } => Bytes::from_static(b"-BUSY\r\n"),
         Answer::DeadLettered => resp::error("dead-lettered"),
--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -39,6 +39,8 @@
     // Pushes, and how they ended.
     pushes, push_acked, push_missed, push_error, push_turned_away, push_timed_out, push_unreachable,
     push_broken, push_severed, push_called_off, push_never_sent,
+    // Long values that their host did not give whole.
+    values_torn,
     // Connections to hosts: opened, used again, found closed.
     connections_opened, connections_reused, connections_stale,
     // The list; calls for it that were refused for now, came to nothing, or were answered with nonsense.
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -16,12 +16,12 @@
 use crate::counters::Counters;
 use crate::figures::Figures;
 use crate::origin;
-use crate::request::{Outcome, Request};
+use crate::request::{Outcome, Request, Value};
 use crate::servers::{Note, Servers};
 
 /// The final answer to an op, in no protocol's form.
 pub enum Answer {
-    Acked(Bytes),
+    Acked(Value),
     Nacked { come_back: Option<Micros> },
     DeadLettered,
 }
@@ -164,7 +164,7 @@
     answer: Option<oneshot::Sender<Final>>,
     tasks: JoinSet<(PushNo, Outcome)>,
     out: BTreeMap<PushNo, AbortHandle>,
-    value: Option<Bytes>,
+    value: Option<Value>,
 }
 
 impl UnderWay {
@@ -204,7 +204,7 @@
                 }
                 Decision::Ack(_) => {
                     counters.acked.add();
-                    let value = self.value.take().unwrap_or_default();
+                    let value = self.value.take().unwrap_or(Value::Whole(Bytes::new()));
                     self.finish(Answer::Acked(value));
                 }
                 Decision::Nack { come_back } => {
@@ -224,7 +224,8 @@
     fn finish(&mut self, last: Answer) {
         self.request.over.send_replace(true);
         if let (Some(answer), Some(mut held)) = (self.answer.take(), self.held.take()) {
-            held.set(if let Answer::Acked(value) = &last { value.len() } else { 0 });
+            // A long value is held by its stream's window alone.
+            held.set(if let Answer::Acked(Value::Whole(value)) = &last { value.len() } else { 0 });
             // A client that has just gone needs none.
             let _ = answer.send((last, held));
         }
--- a/balancer/src/origin.rs
+++ b/balancer/src/origin.rs
@@ -5,10 +5,10 @@
 
 use basaltwood::types::{End, HostId, Micros};
 use basaltwood_wire::http;
-use basaltwood_wire::resp::MOST_VALUE;
+use basaltwood_wire::resp::{LONGEST, MOST_VALUE};
 
-use crate::request::{Outcome, Request};
-use crate::servers::{Servers, Ticket};
+use crate::request::{Outcome, Request, Value};
+use crate::servers::{Found, Rest, Servers, Text, Ticket};
 
 /// One push of an op to the origin.
 pub async fn push(
@@ -23,16 +23,28 @@
     let facts = request.facts(within);
     let headers: [(&str, &[u8]); 2] = [("X-Correlation-Id", &request.id), ("X-Facts", &facts)];
     let method = if request.value.is_some() { "PUT" } else { "GET" };
-    let text = http::request(method, &path, &address.to_string(), &headers, request.value.as_deref());
-    servers.exchange(host, ticket, request, text, within, answer).await
+    let to = address.to_string();
+    let (text, long) = match (request.long(), &request.value) {
+        (Some(length), Some(value)) => {
+            (http::begun(method, &path, &to, &headers, Some(length)).freeze(), value.clone())
+        }
+        _ => (http::request(method, &path, &to, &headers, request.short().as_deref()), Vec::new()),
+    };
+    servers.exchange(host, ticket, request, Text(text, long), within, answer).await
 }
 
-fn answer(bytes: &[u8]) -> Result<Option<(Outcome, usize, bool)>, String> {
+fn answer(bytes: &[u8]) -> Result<Option<Found>, String> {
+    if let Some((answer, length)) = http::long(bytes, MOST_VALUE, LONGEST) {
+        if answer.status == 200 {
+            let (start, rest): (usize, Rest) = (answer.used, Box::new(move |_| Ok(Some((0, answer.keep)))));
+            return Ok(Some(Found::Long { start, length, rest }));
+        }
+    }
     let Some(answer) = http::answer(bytes, MOST_VALUE)? else { return Ok(None) };
     let outcome = match answer.status {
-        200 => (End::Acked, Some(answer.body)),
+        200 => (End::Acked, Some(Value::Whole(answer.body))),
         503 | 504 if answer.unprocessed => (End::TurnedAway, None),
         _ => (End::Error, None),
     };
-    Ok(Some((outcome, answer.used, answer.keep)))
+    Ok(Some(Found::Whole(outcome, answer.used, answer.keep)))
 }
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -2,11 +2,27 @@
 
 use basaltwood::types::{End, Micros};
 use basaltwood_wire::facts;
+use basaltwood_wire::resp::MOST_VALUE;
 use bytes::Bytes;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+
+use crate::budget::Room;
 
 /// How a push ended, and the value where it brought one.
-pub type Outcome = (End, Option<Bytes>);
+pub type Outcome = (End, Option<Value>);
+
+/// A value that a push brought.
+pub enum Value {
+    Whole(Bytes),
+    Long(Long),
+}
+
+/// A value past what is held whole: it comes in pieces, as they are taken. Where they end before its length is reached,
+/// the host did not give the rest.
+pub struct Long {
+    pub length: usize,
+    pub pieces: mpsc::Receiver<Bytes>,
+}
 
 /// What a client asked, in its own bytes.
 pub struct Request {
@@ -15,12 +31,30 @@
     pub id: Bytes,
     /// Names and values: the category, how long the client waits, and more.
     pub facts: Bytes,
-    pub value: Option<Bytes>,
+    /// What is to be written, in segments.
+    pub value: Option<Vec<Bytes>>,
+    /// The memory that a long one was given.
+    pub _room: Option<Room>,
     /// The op has its final answer, or nobody waits for one: nothing more may be sent.
     pub over: watch::Sender<bool>,
 }
 
 impl Request {
+    /// The value's length where it is too long to be copied into a command.
+    pub fn long(&self) -> Option<usize> {
+        let length = self.value.as_ref()?.iter().map(Bytes::len).sum();
+        Some(length).filter(|&length| length > MOST_VALUE)
+    }
+
+    /// The value in one piece, where it is short.
+    pub fn short(&self) -> Option<Bytes> {
+        let segments = self.value.as_ref().filter(|_| self.long().is_none())?;
+        Some(match &segments[..] {
+            [one] => one.clone(),
+            several => Bytes::from(several.concat()),
+        })
+    }
+
     /// Waits until the op is over.
     pub async fn ended(&self) {
         // The sender is our own, so this can't fail.
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -13,11 +13,11 @@
 use basaltwood_pools::{Counted, Failure, Fault, Grant, LinkId, Order, Pools};
 use basaltwood_terms::Bounds;
 use basaltwood_wire::buffer::Buffer;
-use basaltwood_wire::resp::{self, Reply, MOST};
-use bytes::Bytes;
-use tokio::io::AsyncWriteExt;
+use basaltwood_wire::resp::{self, LongReply, Reply, MOST};
+use bytes::{BufMut, Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{mpsc, Notify};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{timeout, timeout_at, Instant};
 
@@ -26,7 +26,7 @@
 use crate::counters::Counters;
 use crate::figures::Figures;
 use crate::read;
-use crate::request::{Outcome, Request};
+use crate::request::{Long, Outcome, Request, Value};
 
 /// A connection that this balancer opened. Dropping it closes it.
 pub struct Link {
@@ -35,9 +35,36 @@
     _permit: Permit,
 }
 
-/// Takes a whole answer from the front of a buffer: the outcome, how many bytes it took, and whether the connection may
-/// carry another.
-pub type Whole = fn(&[u8]) -> Result<Option<(Outcome, usize, bool)>, String>;
+/// What stands of an answer at the front of a buffer.
+pub enum Found {
+    /// All of it: the outcome, how many bytes it took, and whether the connection may carry another.
+    Whole(Outcome, usize, bool),
+    /// The head of one with a value of so many bytes that is too long to be held whole.
+    Long { start: usize, length: usize, rest: Rest },
+}
+
+pub type Read = fn(&[u8]) -> Result<Option<Found>, String>;
+
+/// Takes what follows a long value: how many bytes it took, and whether the connection may carry another answer.
+pub type Rest = Box<dyn Fn(&[u8]) -> Result<Option<(usize, bool)>, String>>;
+
+/// A request as it is written: its text, and the segments of a long value that follow it.
+pub struct Text(pub Bytes, pub Vec<Bytes>);
+
+impl Text {
+    async fn write(self, stream: &mut TcpStream) -> io::Result<()> {
+        stream.write_all(&self.0).await?;
+        for segment in self.1 {
+            stream.write_all(&segment).await?;
+        }
+        Ok(())
+    }
+}
+
+/// A host that gives nothing of a long value for so long will not give the rest.
+const STALLED: Duration = Duration::from_secs(5);
+/// What follows a long value is awaited so long: the client has its value already.
+const REST: Duration = Duration::from_millis(500);
 
 /// The push of an op, as the facade numbers it.
 pub type Ticket = (OpId, PushNo);
@@ -304,9 +331,9 @@
         host: HostId,
         ticket: Ticket,
         request: &Request,
-        text: Bytes,
+        text: Text,
         within: Micros,
-        whole: Whole,
+        find: Read,
     ) -> Outcome {
         let until = Instant::now() + span(within);
         // The host begins with the last byte: until that is written the push never ran. An op that is over
@@ -314,7 +341,7 @@
         let sent = async {
             let mut held = self.link(host, until).await?;
             let Some(link) = &mut held.link else { return Err(End::Void) };
-            match timeout_at(until, link.stream.write_all(&text)).await {
+            match timeout_at(until, text.write(&mut link.stream)).await {
                 Ok(Ok(())) => Ok(held),
                 _ => Err(End::Unreachable),
             }
@@ -328,7 +355,6 @@
             Ok(held) => held,
             Err(end) => return (end, None),
         };
-        drop(text);
         let id = held.id;
         self.pools.borrow_mut().sent(self.clock.now(), id);
         self.figures.tried();
@@ -342,7 +368,7 @@
                     let link = held.link.take();
                     let (_, listens) = self.pools.borrow_mut().silent(now, id);
                     if let Some(link) = link.filter(|_| listens) {
-                        self.listen(host, id, link, whole);
+                        self.listen(host, id, link, find);
                     }
                     return (End::TimedOut, None);
                 }
@@ -355,9 +381,17 @@
                 }
                 Ok(Ok(_)) => {}
             }
-            match whole(link.buffer.bytes()) {
+            match find(link.buffer.bytes()) {
                 Ok(None) => {}
-                Ok(Some((outcome, used, keep))) => {
+                Ok(Some(Found::Long { start, length, rest })) => {
+                    link.buffer.consume(start);
+                    self.pools.borrow_mut().begun(now, id);
+                    let (give, pieces) = mpsc::channel(1);
+                    let passing = Passing { host, id, link: held.link.take(), length, rest };
+                    spawn_local(self.clone().pass(passing, give));
+                    return (End::Acked, Some(Value::Long(Long { length, pieces })));
+                }
+                Ok(Some(Found::Whole(outcome, used, keep))) => {
                     link.buffer.consume(used);
                     let keep = keep && link.buffer.is_empty();
                     let link = held.link.take();
@@ -374,6 +408,58 @@
         }
     }
 
+    /// Passes a long value on, read only as its pieces are taken. Its op has ended for the module: what becomes of it tells
+    /// of the connection alone.
+    async fn pass(self: Rc<Servers>, passing: Passing, give: mpsc::Sender<Bytes>) {
+        let Passing { host, id, link, length, rest } = passing;
+        let mut held = Held { servers: &self, id, link };
+        let Some(link) = &mut held.link else { return };
+        let stream = self.budget.stream();
+        let mut left = length;
+        while left > 0 {
+            let most = stream.piece().min(left);
+            let piece = if link.buffer.is_empty() {
+                let mut piece = BytesMut::with_capacity(most);
+                let mut room = (&mut piece).limit(most);
+                match timeout(STALLED, link.stream.read_buf(&mut room)).await {
+                    Ok(Ok(1..)) => piece.freeze(),
+                    // The client can tell: its connection ends before the length that it was told.
+                    _ => {
+                        self.counters.values_torn.add();
+                        log::debug!("host {}: a value ended {left} bytes before its end", host.0);
+                        return;
+                    }
+                }
+            } else {
+                let there = link.buffer.bytes();
+                let piece = Bytes::copy_from_slice(&there[..most.min(there.len())]);
+                link.buffer.consume(piece.len());
+                piece
+            };
+            left -= piece.len();
+            if give.send(piece).await.is_err() {
+                return;
+            }
+        }
+        drop((give, stream));
+        let after = async {
+            loop {
+                match rest(link.buffer.bytes()) {
+                    Ok(Some(found)) => return Some(found),
+                    Ok(None) if matches!(read(&mut link.stream, &mut link.buffer).await, Ok(1..)) => {}
+                    _ => return None,
+                }
+            }
+        };
+        let Ok(Some((used, keep))) = timeout(REST, after).await else { return };
+        link.buffer.consume(used);
+        let keep = keep && link.buffer.is_empty();
+        let link = held.link.take();
+        if self.pools.borrow_mut().answered(self.clock.now(), id, keep) {
+            self.give_back(host, id, link);
+        }
+    }
+
     fn give_back(&self, host: HostId, id: LinkId, link: Option<Link>) {
         if let Some(link) = link {
             self.idle.borrow_mut().insert(id, link);
@@ -384,7 +470,7 @@
     }
 
     /// Reads on for what may come late: that tells that the host is there again, and the connection can carry pushes.
-    fn listen(self: &Rc<Servers>, host: HostId, id: LinkId, mut link: Link, whole: Whole) {
+    fn listen(self: &Rc<Servers>, host: HostId, id: LinkId, mut link: Link, find: Read) {
         const LONGEST: Duration = Duration::from_secs(60);
         let servers = self.clone();
         let listening = async move {
@@ -393,13 +479,14 @@
                     if !matches!(read(&mut link.stream, &mut link.buffer).await, Ok(1..)) {
                         return false;
                     }
-                    match whole(link.buffer.bytes()) {
+                    match find(link.buffer.bytes()) {
                         Ok(None) => {}
-                        Ok(Some((_, used, keep))) => {
+                        Ok(Some(Found::Whole(_, used, keep))) => {
                             link.buffer.consume(used);
                             return keep && link.buffer.is_empty();
                         }
-                        Err(_) => return false,
+                        // Nobody waits for a long value any more.
+                        Ok(Some(Found::Long { .. })) | Err(_) => return false,
                     }
                 }
             };
@@ -425,18 +512,41 @@
     ) -> Outcome {
         let facts = request.facts(within);
         let mut words: Vec<&[u8]> = vec![&request.command, &request.key, &request.id, &facts];
-        words.extend(request.value.as_deref());
-        self.exchange(host, ticket, request, resp::written(&words), within, reply).await
+        let short = request.short();
+        let text = match (request.long(), &request.value) {
+            (Some(length), Some(value)) => {
+                let segments = value.iter().cloned().chain([Bytes::from_static(resp::END)]);
+                Text(resp::begun(&words, length), segments.collect())
+            }
+            _ => {
+                words.extend(short.as_deref());
+                Text(resp::written(&words), Vec::new())
+            }
+        };
+        self.exchange(host, ticket, request, text, within, reply).await
     }
 }
 
-fn reply(bytes: &[u8]) -> Result<Option<(Outcome, usize, bool)>, String> {
+/// A long value on its way from a host.
+struct Passing {
+    host: HostId,
+    id: LinkId,
+    link: Option<Link>,
+    length: usize,
+    rest: Rest,
+}
+
+fn reply(bytes: &[u8]) -> Result<Option<Found>, String> {
+    if let Some(LongReply { start, length, more }) = resp::long_reply(bytes) {
+        let rest: Rest = Box::new(move |bytes| Ok(resp::rest(bytes, more)?));
+        return Ok(Some(Found::Long { start, length, rest }));
+    }
     let Some((reply, used, keep)) = resp::reply(bytes)? else { return Ok(None) };
     let outcome = match reply {
-        Reply::Value(place) => (End::Acked, Some(Bytes::copy_from_slice(&bytes[place]))),
+        Reply::Value(place) => (End::Acked, Some(Value::Whole(Bytes::copy_from_slice(&bytes[place])))),
         Reply::Miss => (End::Miss, None),
         Reply::Busy => (End::TurnedAway, None),
         Reply::Failed => (End::Error, None),
     };
-    Ok(Some((outcome, used, keep)))
+    Ok(Some(Found::Whole(outcome, used, keep)))
 }
--- /dev/null
+++ b/balancer/tests/long.rs
@@ -0,0 +1,206 @@
+//! Values past what is held whole, either way, over sockets.
+
+#[path = "../../tests/common/mod.rs"]
+mod common;
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread::spawn;
+
+use common::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
+const LONG: usize = 4 * 1024 * 1024;
+
+/// A host that gives each connection that brought a command to the test, which then writes the answer by hand.
+fn by_hand() -> (SocketAddr, Receiver<(String, TcpStream)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (tell, told) = channel();
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let tell = tell.clone();
+            spawn(move || {
+                let writing = stream.try_clone().expect("a second handle");
+                let mut reading = BufReader::new(stream);
+                while let Ok(asked) = read_command(&mut reading) {
+                    let _ = tell.send((asked, writing.try_clone().expect("a third handle")));
+                }
+            });
+        }
+    });
+    (address, told)
+}
+
+fn program_at(hosts: &[(&str, SocketAddr)], limits: [u32; 2]) -> Program {
+    let known: Vec<String> = hosts.iter().map(|(name, at)| entry(name, *at, "active")).collect();
+    Program::managed(BINARY, &known, limits)
+}
+
+fn head(length: usize) -> String {
+    format!("*3\r\n${length}\r\n")
+}
+
+/// Reads so many bytes of a raw answer.
+fn some(client: &mut TcpStream, count: usize) -> Vec<u8> {
+    let mut bytes = vec![0; count];
+    client.read_exact(&mut bytes).expect("they come");
+    bytes
+}
+
+fn get(program: &Program, key: &str, facts: &str) -> TcpStream {
+    let mut client = program.client();
+    client.get(key, &format!("id-{key}"), facts);
+    client.writing
+}
+
+#[test]
+fn a_long_answer_goes_on_as_it_comes_and_its_connection_carries_the_next() {
+    let (address, asked) = by_hand();
+    let program = program_at(&[("a", address)], [48, 192]);
+    let mut client = get(&program, "k", "c=once,d=900");
+    let (_, mut host) = asked.recv().expect("it asks");
+    host.write_all(format!("{}begin", head(LONG)).as_bytes()).expect("it is read");
+    // The first bytes are there while the host still has nearly all.
+    let first = format!("${LONG}\r\nbegin");
+    assert_eq!(some(&mut client, first.len()), first.as_bytes());
+    assert!(program.figures("edge_proxy_active 1").contains("ok{kind=\"once\"} 0"));
+    // Past its deadline too: only the first bytes are timed.
+    let rest: Vec<u8> = (0..LONG - 5).map(|at| at as u8).collect();
+    let taken = spawn(move || {
+        let all = some(&mut client, LONG - 5 + 2);
+        (all, client)
+    });
+    for part in rest.chunks(300_001) {
+        host.write_all(part).expect("it is read");
+    }
+    // What follows the value comes in pieces too.
+    for byte in b"\r\n$3\r\nhit\r\n$-1\r\n" {
+        host.write_all(&[*byte]).expect("it is read");
+    }
+    let (all, mut client) = taken.join().expect("it ends");
+    assert!(all[..LONG - 5] == rest[..] && all.ends_with(b"\r\n"), "the value came as it was");
+    assert!(program.figures("edge_proxy_active 0").contains("ok{kind=\"once\"} 1"));
+    program.counts("push_acked", 1);
+    client
+        .write_all(b"*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$3\r\nid2\r\n$12\r\nc=once,d=900\r\n")
+        .expect("open");
+    let (_, mut host) = asked.recv().expect("it asks");
+    host.write_all(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n").expect("it is read");
+    assert_eq!(some(&mut client, 7), b"$1\r\nv\r\n");
+    assert!(program.counts("acked", 2).contains("connections_opened=1 connections_reused=1"));
+}
+
+#[test]
+fn a_host_that_breaks_off_midway_ends_the_connection_and_no_push_goes_again() {
+    let (address, asked) = by_hand();
+    let other = Peer::host(|_| hit("from b"));
+    for category in ["read", "once"] {
+        let program = program_at(&[("a", address), ("b", other.address)], [48, 192]);
+        // A key whose home is the first.
+        let mut client = get(&program, "k2", &format!("c={category},d=900"));
+        let (_, mut host) = asked.recv().expect("it asks");
+        host.write_all(format!("{}half", head(100_000)).as_bytes()).expect("it is read");
+        assert_eq!(some(&mut client, 13), b"$100000\r\nhalf");
+        host.shutdown(std::net::Shutdown::Both).expect("open");
+        let mut rest = Vec::new();
+        let _ = client.read_to_end(&mut rest);
+        assert!(rest.is_empty(), "it is never filled up");
+        let page = program.figures(&format!("edge_proxy_errors{{kind=\"{category}\"}} 1"));
+        assert!(page.contains("tries 1") && page.contains("active 0"), "{page}");
+        program.counts("values_torn", 1);
+    }
+    assert!(other.quiet());
+}
+
+#[test]
+fn clients_that_read_nothing_hold_a_window_each_and_no_more() {
+    let value = "v".repeat(LONG);
+    let host = Peer::host(move |_| hit(&value));
+    let program = program_at(&[("a", host.address)], [32, 192]);
+    let begun = format!("${LONG}\r\nv").len();
+    let mut clients: Vec<TcpStream> = Vec::new();
+    for nth in 0..40 {
+        let mut client = get(&program, &format!("k{nth}"), "c=read,d=1900");
+        some(&mut client, begun);
+        clients.push(client);
+    }
+    // 160 MiB are on their way. One that goes then makes room, the others have all of it.
+    drop(clients.pop());
+    for mut client in clients {
+        assert!(some(&mut client, LONG - 1).iter().all(|&byte| byte == b'v'));
+        assert_eq!(some(&mut client, 2), b"\r\n");
+    }
+    assert!(program.memory() < 32, "{} MB", program.memory());
+}
+
+/// Begins a write of so many bytes, of which only the head is sent.
+fn begin(program: &Program, id: &str, length: usize) -> Client {
+    let mut client = program.client();
+    let facts = "c=put,d=1900,k=5c0f";
+    let (of_id, of_facts) = (id.len(), facts.len());
+    client.raw(
+        format!(
+            "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n${of_id}\r\n{id}\r\n${of_facts}\r\n{facts}\r\n${length}\r\n"
+        )
+        .as_bytes(),
+    );
+    client
+}
+
+#[test]
+fn long_writes_begun_at_once_never_wait_for_each_other_for_ever() {
+    let origin = Peer::http(|asked| {
+        let body = asked.rsplit(" | ").next().unwrap_or("");
+        http_answer(200, &format!("{} of {}", body.len(), &body[..2]))
+    });
+    let host = Peer::host(|_| miss());
+    let program = program_at(&[("a", host.address), ("origin", origin.address)], [32, 192]);
+    // More than memory holds, and each has sent a part before any is whole.
+    let mut writers: Vec<(String, Client)> = (0..12)
+        .map(|nth| {
+            let mut client = begin(&program, &format!("id{nth}"), LONG);
+            let value = format!("{nth:02}").repeat(LONG / 2);
+            client.raw(&value.as_bytes()[..10_000]);
+            (value, client)
+        })
+        .collect();
+    // Short ones have a part of their own.
+    let mut short = begin(&program, "short", 3);
+    short.raw(b"abc\r\n");
+    assert_eq!(short.answer(), "3 of ab");
+    // Some never go on: their room comes back.
+    writers.drain(..2).for_each(|(_, mut client)| {
+        assert_eq!(client.answer(), "-ERR Protocol error: no whole command in time");
+    });
+    let ends: Vec<_> = writers
+        .into_iter()
+        .map(|(value, mut client)| {
+            spawn(move || {
+                client.raw(&value.as_bytes()[10_000..]);
+                client.raw(b"\r\n");
+                (client.answer(), format!("{LONG} of {}", &value[..2]))
+            })
+        })
+        .collect();
+    for end in ends {
+        let (got, wanted) = end.join().expect("it ends");
+        assert_eq!(got, wanted);
+    }
+    assert!(program.memory() < 32, "{} MB", program.memory());
+}
+
+#[test]
+fn what_can_never_fit_is_refused_at_its_head() {
+    let host = Peer::host(|_| miss());
+    let program = program_at(&[("a", host.address)], [8, 192]);
+    for length in [LONG, LONG + 1, 60_000_000] {
+        let got = begin(&program, "id", length).answer();
+        assert!(got.starts_with("-ERR Protocol error: too long a"), "{length}: {got}");
+    }
+    let mut end = begin(&program, "id", 70_000);
+    end.raw(&vec![b'x'; 70_000]);
+    end.raw(b"xx");
+    assert_eq!(end.answer(), "-ERR Protocol error: a bulk string without its end");
+}
--- a/pools/src/lib.rs
+++ b/pools/src/lib.rs
@@ -344,6 +344,17 @@
         keep && known.is_some()
     }
 
+    /// The head of a long answer came: its host is well and has answered in this time. Pools hear of its end with
+    /// [`Pools::answered`] or [`Pools::abandoned`], and however long that takes it tells nothing of the host.
+    pub fn begun(&mut self, now: Micros, link: LinkId) {
+        self.with(link, |pool, id| {
+            pool.answered(id, now);
+            if let Some(link) = pool.links.get_mut(&id) {
+                (link.sent_at, link.reused_at_age) = (None, None);
+            }
+        });
+    }
+
     /// Its push was called off, or what came on it made no sense: it is closed, and nothing was learnt of its host.
     pub fn abandoned(&mut self, link: LinkId) {
         self.with(link, |pool, id| {
--- a/wire/src/http.rs
+++ b/wire/src/http.rs
@@ -36,8 +36,48 @@
     Err("too many interim answers".to_owned())
 }
 
+/// The head of an answer whose body of one told length is past `held`, too long to be held whole, and up to `most`: the
+/// answer without its body, `used` where that begins, and its length. `None` for any other, or while no head is whole.
+pub fn long(bytes: &[u8], held: usize, most: usize) -> Option<(Answer, usize)> {
+    let mut from = 0;
+    for _ in 0..MOST_INTERIM {
+        let (answer, framing) = head(&bytes[from..]).ok()??;
+        match framing {
+            Framing::None if answer.status / 100 == 1 && answer.status != 101 => from += answer.used,
+            Framing::Length(length) if (held + 1..=most).contains(&length) => {
+                return Some((Answer { used: from + answer.used, ..answer }, length));
+            }
+            _ => return None,
+        }
+    }
+    None
+}
+
+/// How the end of an answer is told.
+enum Framing {
+    None,
+    Length(usize),
+    Chunks,
+}
+
 /// The first answer, perhaps an interim one (1xx) that stands ahead of the one that counts.
 fn one(bytes: &[u8], most_body: usize) -> Result<Option<Answer>, String> {
+    let Some((answer, framing)) = head(bytes)? else { return Ok(None) };
+    let start = answer.used;
+    let found = match framing {
+        Framing::None => Some((Bytes::new(), start)),
+        Framing::Chunks => chunks(bytes, start, most_body)?,
+        Framing::Length(length) if length > most_body => return Err("too long a body".to_owned()),
+        Framing::Length(length) => {
+            let place = start..start + length;
+            bytes.get(place.clone()).map(|body| (Bytes::copy_from_slice(body), place.end))
+        }
+    };
+    Ok(found.map(|(body, used)| Answer { body, used, ..answer }))
+}
+
+/// An answer's head, `used` where its body begins; `None` while it is not whole.
+fn head(bytes: &[u8]) -> Result<Option<(Answer, Framing)>, String> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(bytes).map_err(|cause| cause.to_string())? {
@@ -69,19 +109,13 @@
             retry_after = text.parse().ok();
         }
     }
-    let found = match lengths[..] {
-        _ if chunked => chunks(bytes, start, most_body)?,
-        [] if status / 100 == 1 || status == 204 || status == 304 => Some((Bytes::new(), start)),
-        [length, ..] if lengths.iter().all(|other| *other == length) => {
-            if length > most_body {
-                return Err("too long a body".to_owned());
-            }
-            let place = start..start + length;
-            bytes.get(place.clone()).map(|body| (Bytes::copy_from_slice(body), place.end))
-        }
+    let framing = match lengths[..] {
+        _ if chunked => Framing::Chunks,
+        [] if status / 100 == 1 || status == 204 || status == 304 => Framing::None,
+        [length, ..] if lengths.iter().all(|other| *other == length) => Framing::Length(length),
         _ => return Err("no one length".to_owned()),
     };
-    Ok(found.map(|(body, used)| Answer { status, unprocessed, retry_after, keep, body, used }))
+    Ok(Some((Answer { status, unprocessed, retry_after, keep, body: Bytes::new(), used: start }, framing)))
 }
 
 fn chunks(bytes: &[u8], mut at: usize, most: usize) -> Result<Option<(Bytes, usize)>, String> {
@@ -220,7 +254,20 @@
     headers: &[(&str, &[u8])],
     body: Option<&[u8]>,
 ) -> Bytes {
-    let mut out = BytesMut::with_capacity(256 + body.map_or(0, <[u8]>::len));
+    let mut out = begun(method, path, host, headers, body.map(<[u8]>::len));
+    out.put_slice(body.unwrap_or_default());
+    out.freeze()
+}
+
+/// The same without its body, of so many bytes, which is to follow.
+pub fn begun(
+    method: &str,
+    path: &str,
+    host: &str,
+    headers: &[(&str, &[u8])],
+    body: Option<usize>,
+) -> BytesMut {
+    let mut out = BytesMut::with_capacity(256 + body.unwrap_or(0).min(64 * 1024));
     out.put_slice(format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n").as_bytes());
     for (name, value) in headers {
         out.put_slice(name.as_bytes());
@@ -228,12 +275,11 @@
         out.put_slice(value);
         out.put_slice(b"\r\n");
     }
-    if let Some(body) = body {
-        out.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    if let Some(length) = body {
+        out.put_slice(format!("Content-Length: {length}\r\n").as_bytes());
     }
     out.put_slice(b"\r\n");
-    out.put_slice(body.unwrap_or_default());
-    out.freeze()
+    out
 }
 
 /// A key as a path: all but unreserved characters are escaped.
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`buffer`]. A reader takes the front of a buffer and answers `Ok(None)` while that is not whole; a writer gives
 //! whole bytes. Nothing here opens, waits, reads a clock or knows what an op is.
 
+pub mod body;
 pub mod buffer;
 pub mod facts;
 pub mod http;
--- a/wire/src/resp.rs
+++ b/wire/src/resp.rs
@@ -4,9 +4,11 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
-/// The largest value that may pass.
+/// The largest value that is held whole before any of it goes on.
 pub const MOST_VALUE: usize = 64 * 1024;
-/// The largest command or reply.
+/// The largest value that may pass at all; past `MOST_VALUE` it goes on in pieces.
+pub const LONGEST: usize = 4 * 1024 * 1024;
+/// The largest command or reply that is held whole.
 pub const MOST: usize = MOST_VALUE + 16 * 1024;
 const MOST_WORD: usize = 8 * 1024;
 const MOST_WORDS: i64 = 16;
@@ -29,16 +31,21 @@
     text.parse().map_err(|_| "no number")
 }
 
-/// One bulk string at `from`: where its bytes stand (`None` for null) and what follows.
-type Bulk = (Option<Range<usize>>, usize);
-
-fn bulk(bytes: &[u8], from: usize, most: usize) -> Result<Option<Bulk>, &'static str> {
+/// The length that a bulk string's head tells, and where its bytes begin.
+fn bulk_length(bytes: &[u8], from: usize) -> Result<Option<(i64, usize)>, &'static str> {
     // What is no bulk string is found by its first byte: noise need not have an end to wait for.
     if bytes.get(from).is_some_and(|&first| first != b'$') {
         return Err("no bulk string");
     }
     let Some((head, start)) = line(bytes, from)? else { return Ok(None) };
-    let length = number(&head[1..])?;
+    Ok(Some((number(&head[1..])?, start)))
+}
+
+/// One bulk string at `from`: where its bytes stand (`None` for null) and what follows.
+type Bulk = (Option<Range<usize>>, usize);
+
+fn bulk(bytes: &[u8], from: usize, most: usize) -> Result<Option<Bulk>, &'static str> {
+    let Some((length, start)) = bulk_length(bytes, from)? else { return Ok(None) };
     if length == -1 {
         return Ok(Some((None, start)));
     }
@@ -56,12 +63,30 @@
 
 /// A whole command at the front: its words, and how many bytes it took. `None` while it is not whole.
 pub fn command(bytes: &[u8]) -> Result<Option<(Vec<Bytes>, usize)>, &'static str> {
+    match asked(bytes)? {
+        Some(Asked::Whole(words, used)) => Ok(Some((words, used))),
+        Some(Asked::Begun { length, .. }) if length > MOST_VALUE => Err("too long a bulk string"),
+        Some(Asked::Begun { .. }) | None => Ok(None),
+    }
+}
+
+/// What stands of a command at the front.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// Its words, and how many bytes it took.
+    Whole(Vec<Bytes>, usize),
+    /// All words but its value, of so many bytes, which begins after `used`. A line's end follows the value.
+    Begun { words: Vec<Bytes>, used: usize, length: usize },
+}
+
+/// A command at the front, also one of which the value is not there yet; `None` while less is.
+pub fn asked(bytes: &[u8]) -> Result<Option<Asked>, &'static str> {
     let Some(first) = bytes.first() else { return Ok(None) };
     if *first != b'*' {
         // A person at a terminal may write a command as a plain line.
         let Some((text, used)) = line(bytes, 0)? else { return Ok(None) };
         let words = text.split(u8::is_ascii_whitespace).filter(|word| !word.is_empty());
-        return Ok(Some((words.map(Bytes::copy_from_slice).collect(), used)));
+        return Ok(Some(Asked::Whole(words.map(Bytes::copy_from_slice).collect(), used)));
     }
     let Some((head, mut at)) = line(bytes, 0)? else { return Ok(None) };
     let count = number(&head[1..])?;
@@ -69,17 +94,28 @@
         return Err("no such number of words");
     }
     let mut places = Vec::with_capacity(count as usize);
+    // One copy that the words share: the buffer itself stays whole, so that it can be compacted in place.
+    let words = |places: Vec<Range<usize>>, used: usize| {
+        let whole = Bytes::copy_from_slice(&bytes[..used]);
+        places.into_iter().map(|place| whole.slice(place)).collect()
+    };
     for nth in 0..count {
-        // Only the fifth word of a command is a value.
-        let Some((place, next)) = bulk(bytes, at, if nth == 4 { MOST_VALUE } else { MOST_WORD })? else {
-            return Ok(None);
-        };
-        places.push(place.ok_or("a null word")?);
-        at = next;
+        // Only the fifth word of a command is a value, and only as the last one may it be long.
+        let value = nth == 4 && count == 5;
+        let most = if value { LONGEST } else { MOST_WORD };
+        if let Some((place, next)) = bulk(bytes, at, most)? {
+            places.push(place.ok_or("a null word")?);
+            at = next;
+            continue;
+        }
+        // Its length was just looked at, so it is one.
+        return Ok(bulk_length(bytes, at)?.filter(|_| value).map(|(length, used)| Asked::Begun {
+            words: words(places, used),
+            used,
+            length: length as usize,
+        }));
     }
-    // One copy that the words share: the buffer itself stays whole, so that it can be compacted in place.
-    let whole = Bytes::copy_from_slice(&bytes[..at]);
-    Ok(Some((places.into_iter().map(|place| whole.slice(place)).collect(), at)))
+    Ok(Some(Asked::Whole(words(places, at), at)))
 }
 
 /// What a cache host answered.
@@ -93,6 +129,52 @@
     Failed,
 }
 
+/// A reply of which the value is too long to be held whole: so many bytes that begin at `start`, then a line's end and so
+/// many more elements, which [`rest`] reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LongReply {
+    pub start: usize,
+    pub length: usize,
+    pub more: i64,
+}
+
+/// The head of a reply with a long value; `None` where the reply is another, or no head is whole yet.
+pub fn long_reply(bytes: &[u8]) -> Option<LongReply> {
+    let (head, start) = line(bytes, 0).ok()??;
+    let more = elements(head.strip_prefix(b"*").map(|_| head)?).ok()? - 1;
+    let (length, start) = bulk_length(bytes, start).ok()??;
+    let length = usize::try_from(length).ok().filter(|length| (MOST_VALUE + 1..=LONGEST).contains(length))?;
+    Some(LongReply { start, length, more })
+}
+
+/// What follows a long value, from its line's end on: how many bytes it took, and whether the connection may carry
+/// another. `None` while it is not whole.
+pub fn rest(bytes: &[u8], more: i64) -> Result<Option<(usize, bool)>, &'static str> {
+    match bytes.get(..2) {
+        Some(b"\r\n") => elements_after(bytes, 2, 1..more + 1),
+        Some(_) => Err("a bulk string without its end"),
+        None => Ok(None),
+    }
+}
+
+/// The elements of a reply past its value: where they end, and whether the connection may carry another.
+fn elements_after(
+    bytes: &[u8],
+    mut at: usize,
+    numbers: Range<i64>,
+) -> Result<Option<(usize, bool)>, &'static str> {
+    for nth in numbers {
+        match skip(bytes, at, 1) {
+            Ok(Some(next)) => at = next,
+            Ok(None) => return Ok(None),
+            // Past the value and how it went stands the host's load: a value is good whatever that says.
+            Err(_) if nth >= 2 => return Ok(Some((bytes.len(), false))),
+            Err(cause) => return Err(cause),
+        }
+    }
+    Ok(Some((at, true)))
+}
+
 /// A whole reply at the front, how many bytes it took, and whether the connection may carry another. `None`
 /// while it is not whole.
 pub fn reply(bytes: &[u8]) -> Result<Option<(Reply, usize, bool)>, &'static str> {
@@ -109,18 +191,9 @@
     if count == 0 {
         return Err("an array of nothing");
     }
-    let Some((value, mut at)) = bulk(bytes, start, MOST_VALUE)? else { return Ok(None) };
+    let Some((value, at)) = bulk(bytes, start, MOST_VALUE)? else { return Ok(None) };
     let reply = value.map_or(Reply::Miss, Reply::Value);
-    for nth in 1..count {
-        match skip(bytes, at, 1) {
-            Ok(Some(next)) => at = next,
-            Ok(None) => return Ok(None),
-            // Past the value and how it went stands the host's load: a value is good whatever that says.
-            Err(_) if nth >= 2 => return Ok(Some((reply, bytes.len(), false))),
-            Err(cause) => return Err(cause),
-        }
-    }
-    Ok(Some((reply, at, true)))
+    Ok(elements_after(bytes, at, 1..count)?.map(|(used, keep)| (reply, used, keep)))
 }
 
 /// How many elements an array's head announces. More than a few are no reply, and must not be waited for.
@@ -203,6 +276,23 @@
     }
 }
 
+/// A command of these words, and of a value of so many bytes of which only the head stands at its end: value and
+/// [`END`] are to follow.
+pub fn begun(words: &[&[u8]], value: usize) -> Bytes {
+    let mut out = BytesMut::with_capacity(words.iter().map(|word| word.len() + 16).sum::<usize>() + 32);
+    out.put_slice(format!("*{}\r\n", words.len() + 1).as_bytes());
+    words.iter().for_each(|word| put_bulk(&mut out, word));
+    out.put_slice(&head(value));
+    out.freeze()
+}
+
+/// The head of a value of so many bytes; value and [`END`] are to follow.
+pub fn head(length: usize) -> Bytes {
+    Bytes::from(format!("${length}\r\n"))
+}
+
+pub const END: &[u8] = b"\r\n";
+
 /// A command of these words.
 pub fn written(words: &[&[u8]]) -> Bytes {
     let length = words.iter().map(|word| word.len() + 16).sum::<usize>() + 16;
--- a/wire/tests/codecs.rs
+++ b/wire/tests/codecs.rs
@@ -1,5 +1,6 @@
 //! What is written reads as the same, whole or in parts, and no bytes make a panic.
 
+use basaltwood_wire::body::Body;
 use basaltwood_wire::facts::{fact, with_wait};
 use basaltwood_wire::{http, resp};
 use proptest::prelude::*;
@@ -11,6 +12,7 @@
     fn no_bytes_make_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = resp::command(&bytes);
         let _ = resp::reply(&bytes);
+        let _ = (resp::long_reply(&bytes), resp::rest(&bytes, 2), http::long(&bytes, 10, 100));
         let _ = resp::answer(&bytes);
         let _ = http::answer(&bytes, 100);
         let _ = http::asked(&bytes, 100);
@@ -84,4 +86,55 @@
         prop_assert_eq!(fact(&text, "d").map(str::to_owned), Some(ms.to_string()));
         prop_assert_eq!(text, format!("c={name},d={ms},k=5c0f,d2=7"));
     }
+
+    #[test]
+    fn a_value_is_the_same_whatever_pieces_it_comes_in(
+        value in proptest::collection::vec(any::<u8>(), 1..200_000),
+        pieces in proptest::collection::vec(1_usize..70_000, 1..20),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let text = resp::written(&[b"CACHE.SET", b"k", b"id", b"c=put", &value]);
+        let at = cut.index(text.len());
+        let (used, length) = match resp::asked(&text[..at]).expect("sense") {
+            // Less than the value's head is there.
+            None => return Ok(()),
+            Some(resp::Asked::Begun { words, used, length }) => {
+                prop_assert_eq!(&words[3][..], b"c=put");
+                (used, length)
+            }
+            Some(resp::Asked::Whole(..)) => panic!("not whole at {at} of {}", text.len()),
+        };
+        prop_assert_eq!(length, value.len());
+        let mut body = Body::new(length);
+        let mut from = used + body.take(&text[used..at]);
+        for piece in pieces.into_iter().cycle() {
+            if body.left() == 0 {
+                break;
+            }
+            from += body.take(&text[from..text.len().min(from + piece)]);
+        }
+        prop_assert_eq!(&text[from..], resp::END);
+        prop_assert_eq!(body.segments().concat(), value);
+    }
+
+    #[test]
+    fn a_long_answer_is_known_by_its_head_and_what_follows_it_by_its_end(
+        length in resp::MOST_VALUE + 1..=resp::LONGEST,
+        load in "[a-z=0-9,]{0,20}",
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let head = format!("*3\r\n${length}\r\n");
+        for end in 0..head.len() {
+            prop_assert_eq!(resp::long_reply(&head.as_bytes()[..end]), None);
+        }
+        let wanted = resp::LongReply { start: head.len(), length, more: 2 };
+        prop_assert_eq!(resp::long_reply(format!("{head}v").as_bytes()), Some(wanted));
+        let rest = format!("\r\n$3\r\nhit\r\n${}\r\n{load}\r\n", load.len());
+        prop_assert_eq!(resp::rest(rest.as_bytes(), 2), Ok(Some((rest.len(), true))));
+        let part = &rest.as_bytes()[..cut.index(rest.len())];
+        prop_assert_eq!(resp::rest(part, 2), Ok(None));
+        let head = format!("HTTP/1.1 102 so\r\n\r\nHTTP/1.1 200 so\r\nContent-Length: {length}\r\n\r\n");
+        let (answer, told) = http::long(head.as_bytes(), 10, resp::LONGEST).expect("a long one");
+        prop_assert!(answer.used == head.len() && answer.status == 200 && told == length);
+    }
 }
