A crowd's half-written connections make room, and keep no ending balancer away

Cause: only idle connections were closed for want of room, so 82 halves held all places of clients for up to 2.6 s and accepting stopped; and a process that was told to end stayed its longest deadline for them. Tests: two in balancer/tests/sockets.rs.

--- a/balancer/src/budget.rs
+++ b/balancer/src/budget.rs
@@ -1,6 +1,7 @@
 //! What all connections share: one budget of descriptors, and one of the bytes they hold.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -37,8 +38,21 @@
     most_windows: usize,
     /// Something came back.
     pub freed: Notify,
-    /// Clients that stand idle are asked, one at a time, to make room.
-    pub shed: Notify,
+    /// Clients that can make room, by when they fell silent: those that stand idle, and those with half a command or none.
+    idle: Standing,
+    halves: Standing,
+    next: Cell<u64>,
+}
+
+type Standing = RefCell<BTreeMap<u64, Rc<Notify>>>;
+
+/// Takes a client off the books of those that can make room.
+struct Stands<'a>(&'a Standing, u64);
+
+impl Drop for Stands<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
 }
 
 /// One descriptor, given back when dropped.
@@ -108,7 +122,9 @@
             streams: Cell::new(0),
             most_windows: memory / 6,
             freed: Notify::new(),
-            shed: Notify::new(),
+            idle: Standing::default(),
+            halves: Standing::default(),
+            next: Cell::new(0),
         };
         budget.allow(descriptors, memory);
         Rc::new(budget)
@@ -155,6 +171,24 @@
         self.clients.get() >= self.most_clients.get()
     }
 
+    /// Waits until this client is to make room, by its bell. Each wait begins a new silence.
+    pub async fn asked(&self, half: bool, bell: &Rc<Notify>) {
+        let number = self.next.replace(self.next.get() + 1);
+        let standing = if half { &self.halves } else { &self.idle };
+        let _stands = Stands(standing, number);
+        standing.borrow_mut().insert(number, bell.clone());
+        bell.notified().await;
+    }
+
+    /// Asks one client to make room: the one that stood idle longest, and only where none does one that is owed an end of
+    /// its silence. A crowd of halves must not keep others out.
+    pub fn shed(&self) {
+        let idle = self.idle.borrow_mut().pop_first();
+        if let Some((_, bell)) = idle.or_else(|| self.halves.borrow_mut().pop_first()) {
+            bell.notify_one();
+        }
+    }
+
     pub fn hold(self: &Rc<Budget>) -> Held {
         Held(self.clone(), 0)
     }
--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -37,7 +37,8 @@
 /// comes in every such time: clients that say nothing, or half of something, must not hold descriptors and memory of
 /// others.
 const WHOLE: Duration = Duration::from_millis(2_600);
-/// So long a connection that has just come is not closed to make room: it may be about to be heard.
+/// So long a connection that has just come, or of which a part of a command has just come, is not closed: it may be about to
+/// be heard.
 const UNHEARD: Duration = Duration::from_millis(250);
 /// What a connection may hold while others hold all the bytes: enough for commands without a value.
 const SMALL: usize = 4 * 1024;
@@ -85,7 +86,7 @@
         }
         if desk.budget.clients_full() || !desk.servers.drop_idle() {
             let freed = desk.budget.freed.notified();
-            desk.budget.shed.notify_one();
+            desk.budget.shed();
             let _ = timeout(SHORT, freed).await;
         }
     }
@@ -236,9 +237,10 @@
     if stream.shutdown().await.is_ok() {
         let mut rest = vec![0; 16 * 1024];
         let discard = async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} };
+        let bell = Rc::default();
         tokio::select! {
             _ = timeout(linger, discard) => {}
-            () = desk.budget.shed.notified() => {}
+            () = desk.budget.asked(false, &bell) => {}
         }
     }
 }
@@ -268,9 +270,9 @@
     let mut last: Option<Close> = None;
     // It has sent a command.
     let mut heard = false;
-    // Or it had time enough to: one that has just come must not be sent away unheard.
-    let mut settled = false;
-    let came = Instant::now();
+    // When something last came of it, the connection itself at first.
+    let mut came = Instant::now();
+    let bell = Rc::default();
     // The last answer went while another process took over.
     let mut parting = false;
     loop {
@@ -280,7 +282,7 @@
                 Ok(Some((words, value))) => {
                     let goes = command(desk, words, value, *phase.borrow(), &mut waiting);
                     last = (!goes).then_some(Close::Answered);
-                    (heard, settled) = (true, true);
+                    heard = true;
                 }
                 Ok(None) if coming.is_some() || !buffer.full() => break,
                 broken => {
@@ -304,25 +306,30 @@
                 return close;
             }
         }
+        let awaits_room = coming.as_ref().is_some_and(Coming::awaits_room);
+        let half = !buffer.is_empty() || coming.is_some();
+        let silent = !awaits_room && Instant::now() >= came + UNHEARD;
+        // One that has just come must not be sent away unheard.
+        let settled = heard || silent;
         let ends = match *phase.borrow_and_update() {
             Phase::Starting | Phase::Serving => false,
-            Phase::LameDuck | Phase::Draining => settled,
+            Phase::LameDuck | Phase::Draining => settled && !half,
             // Later ones go to the other process. A close that follows an answer crosses no request.
-            Phase::HandingOver => parting,
-            Phase::Closing | Phase::Ended => true,
+            Phase::HandingOver => parting && !half,
+            // Half a command that nothing is added to will not be whole, and a balancer must not stay away for it.
+            Phase::Closing | Phase::Ended => !half || silent,
         };
-        if idle && ends && buffer.is_empty() && coming.is_none() {
+        if idle && ends {
             return Close::Answered;
         }
         let limit = match idle {
             _ if !sending.text.is_empty() => Some(SLOW),
             // It waits for its host, or for memory, and not for its client.
-            _ if !sending.is_empty() || coming.as_ref().is_some_and(Coming::awaits_room) => None,
-            true if coming.is_some() || !heard || !buffer.is_empty() => Some(WHOLE),
+            _ if !sending.is_empty() || awaits_room => None,
+            true if half || !heard => Some(WHOLE),
             _ => None,
         };
         until = limit.and_then(|limit| until.or_else(|| Some(Instant::now() + limit)));
-        let awaits_room = coming.as_ref().is_some_and(Coming::awaits_room);
         let more = last.is_none() && waiting.len() < most(&sending) && !awaits_room;
         // Short of bytes, one that holds next to none is heard all the same: others must not silence it.
         let long = coming.as_ref().is_some_and(Coming::long);
@@ -331,7 +338,7 @@
             biased;
             input = input(&mut reading, &mut buffer, &mut coming), if (more && room) || awaits_room => match input {
                 // What is in hand of a value is bound by its progress.
-                Input::Read(Ok(1..)) => until = until.filter(|_| coming.is_none()),
+                Input::Read(Ok(1..)) => (until, came) = (until.filter(|_| coming.is_none()), Instant::now()),
                 Input::Read(_) => return Close::Now,
                 Input::Roomy => until = None,
             },
@@ -358,8 +365,8 @@
                 (last, until) = (Some(refuse(desk, &mut waiting, "no whole command in time")), None);
             }
             _ = phase.changed() => {}
-            () = sleep_until(came + UNHEARD), if !settled => settled = true,
-            () = desk.budget.shed.notified(), if settled && idle && buffer.is_empty() && coming.is_none() => {
+            () = sleep_until(came + UNHEARD), if idle && (half || !heard) && !silent && !awaits_room => {}
+            () = desk.budget.asked(half || !heard, &bell), if idle && (silent || (heard && !half)) => {
                 if !desk.budget.room_for_client() {
                     desk.counters.clients_shed.add();
                     return Close::Now;
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -166,7 +166,7 @@
         }
         while desk.budget.over() > 0 && desk.servers.drop_idle() {}
         // Clients that stand idle make room for the rest, each for one.
-        (0..desk.budget.over()).for_each(|_| desk.budget.shed.notify_one());
+        (0..desk.budget.over()).for_each(|_| desk.budget.shed());
         sleep(LOOK).await;
     }
 }
