A new process begins with the limits that the old one has learnt

Cause: nearly all nacks of upgrade+scrape fell in the first two seconds of each process, after a miss: the origin's limit begins at 6.

--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use basaltwood_knowledge as knowledge;
 use basaltwood_membership::{self as membership, Asking};
 use basaltwood_pools::Pools;
 
@@ -32,6 +33,8 @@
 /// Then what was taken is answered, for as long as the longest op may take, and no longer than this: operators
 /// kill a balancer 0.7 s after that time.
 const LAST_ANSWERS: Duration = Duration::from_millis(3_000);
+/// How often what was learnt is left for a process that may replace this one.
+const LEAVE: Duration = Duration::from_secs(1);
 /// Between looks at connections and timers at the most.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -109,6 +112,10 @@
         let mut parts = JoinSet::new();
         if told.inherited.is_some() {
             let seats = Seats::take(told.folder.as_deref(), told.listen);
+            match seats.found() {
+                Ok(learnt) => desk.facade.borrow_mut().recall(desk.clock.now(), learnt),
+                Err(cause) => log::warn!("{cause}; it begins with nothing learnt"),
+            }
             parts.spawn_local(share(desk.clone(), seats, told.sockets, told.memory));
         }
         if let Some(address) = told.mgmt {
@@ -158,8 +165,16 @@
 /// Keeps to the part of the limits that is this process's while another of the same balancer lives.
 async fn share(desk: Rc<Desk>, seats: Seats, sockets: usize, memory: usize) {
     let mut before = None;
+    let mut left = Instant::now();
     loop {
         let share = seats.share();
+        // Of two it is the old one that has learnt, and its last record stands for as long as it is of use.
+        if share == Share::Alone && left.elapsed() >= LEAVE {
+            left = Instant::now();
+            let record = knowledge::written(&desk.facade.borrow().learnt());
+            // Without it the next process learns anew; a full folder must not end this one.
+            seats.leave(&record).unwrap_or_else(|cause| log::debug!("what was learnt is not left: {cause}"));
+        }
         if before.replace(share) != Some(share) {
             log::info!("of the limits: {share:?}");
             desk.budget.allow(share.of(sockets), share.of(memory));
--- a/balancer/src/seats.rs
+++ b/balancer/src/seats.rs
@@ -7,8 +7,13 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use basaltwood::types::Learnt;
+use basaltwood_knowledge as knowledge;
+
 /// A new process keeps to what the old one left free until that has made room.
 const SETTLING: Duration = Duration::from_millis(500);
+/// What is older than this was left before a kill, or by nobody of this balancer.
+const FRESH: Duration = Duration::from_secs(3);
 /// At the start: a seat may be locked for a moment by the other's look.
 const TRIES: u32 = 20;
 const BETWEEN_TRIES: Duration = Duration::from_millis(2);
@@ -36,6 +41,8 @@
 pub struct Seats {
     /// The own seat, locked, and the other's file; none where the folder can't serve.
     taken: Option<(File, PathBuf)>,
+    /// What the process that sits alone has learnt.
+    learnt: PathBuf,
     since: Instant,
 }
 
@@ -46,24 +53,52 @@
         let since = Instant::now();
         let Some(folder) = folder else {
             log::warn!("TMPDIR is not set; only half of the limits is used");
-            return Seats { taken: None, since };
+            return Seats { taken: None, learnt: PathBuf::new(), since };
         };
+        let learnt = folder.join(format!("basaltwood-{address}-learnt"));
         let files = [0, 1].map(|seat| folder.join(format!("basaltwood-{address}-{seat}")));
         for _ in 0..TRIES {
             for own in 0..2 {
                 match lock(&files[own]) {
-                    Ok(Some(seat)) => return Seats { taken: Some((seat, files[1 - own].clone())), since },
+                    Ok(Some(seat)) => {
+                        return Seats { taken: Some((seat, files[1 - own].clone())), learnt, since }
+                    }
                     Ok(None) => {}
                     Err(cause) => {
                         log::warn!("{}: {cause}; only half of the limits is used", files[own].display());
-                        return Seats { taken: None, since };
+                        return Seats { taken: None, learnt, since };
                     }
                 }
             }
             std::thread::sleep(BETWEEN_TRIES);
         }
         log::warn!("both seats in {} are taken; only half of the limits is used", folder.display());
-        Seats { taken: None, since }
+        Seats { taken: None, learnt, since }
+    }
+
+    /// Leaves what was learnt for a process that may come, whole or not at all.
+    pub fn leave(&self, record: &[u8]) -> io::Result<()> {
+        let fresh = self.learnt.with_extension("new");
+        std::fs::write(&fresh, record)?;
+        std::fs::rename(&fresh, &self.learnt)
+    }
+
+    /// What another process left a moment ago; nothing where none did.
+    ///
+    /// # Errors
+    /// One line on what lies there and is of no use.
+    pub fn found(&self) -> Result<Vec<Learnt>, String> {
+        let named = |cause: &dyn std::fmt::Display| format!("{}: {cause}", self.learnt.display());
+        let Ok(file) = std::fs::metadata(&self.learnt) else { return Ok(Vec::new()) };
+        let age = file.modified().map(|at| at.elapsed().unwrap_or_default());
+        if age.map_err(|cause| named(&cause))? > FRESH {
+            return Err(named(&"too old to be of use"));
+        }
+        if file.len() > knowledge::LONGEST as u64 {
+            return Err(named(&"too long a record"));
+        }
+        let bytes = std::fs::read(&self.learnt).map_err(|cause| named(&cause))?;
+        knowledge::read(&bytes).map_err(|cause| named(&cause))
     }
 
     pub fn share(&self) -> Share {
--- a/balancer/tests/operators.rs
+++ b/balancer/tests/operators.rs
@@ -11,6 +11,7 @@
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread::{spawn, JoinHandle};
+use std::time::{Duration, Instant};
 
 use common::*;
 use expect_test::expect;
@@ -368,3 +369,23 @@
         Some(1)  "five" is no descriptor's number"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn what_was_learnt_is_left_for_the_next_and_nonsense_there_is_passed_over() {
+    let host = Peer::host(|_| hit("v"));
+    let platform = Platform::new("learnt", &[("a", &host)]);
+    let named = platform.listener.local_addr().expect("an address");
+    let record = platform.folder.join(format!("basaltwood-{named}-learnt"));
+    std::fs::write(&record, "nonsense").expect("a file");
+    let again = Program::inheriting(BINARY, &platform.told, &platform.listener, &platform.folder);
+    again.logged("a record that is not whole; it begins with nothing learnt");
+    // Once a second it leaves what it has learnt, whole or not at all.
+    let began = Instant::now();
+    while std::fs::read(&record).is_ok_and(|bytes| bytes == b"nonsense") {
+        assert!(began.elapsed() < Duration::from_secs(15), "nothing was left");
+        std::thread::yield_now();
+    }
+    let learnt = basaltwood_knowledge::read(&std::fs::read(&record).expect("a record")).expect("sense");
+    assert_eq!(learnt.len(), 1);
+    assert!(learnt[0].room > 1.0, "{learnt:?}");
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -86,6 +86,16 @@
         self.balancer.pool()
     }
 
+    /// What was learnt of hosts, for a process that replaces this one.
+    pub fn learnt(&self) -> Vec<Learnt> {
+        self.balancer.learnt()
+    }
+
+    /// The same from the process that this one replaces; hosts that are not listed are passed over.
+    pub fn recall(&mut self, now: Micros, learnt: Vec<Learnt>) {
+        self.hear(now, Heard::Learnt(learnt));
+    }
+
     pub fn pick(&mut self, now: Micros, ask: Ask) -> (OpId, Vec<Decision>) {
         let op = OpId(self.next);
         self.next = self.next.wrapping_add(1);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,6 +60,8 @@
     /// It answered on a connection from before its silence.
     Alive,
     Stopped(Micros),
+    /// How much could be in flight there at the process that this one replaces.
+    Learnt(f64),
     /// Time to judge; with the fleet's typical answer time, and the longest that can pass for the shortest.
     Sweep(f64, f64),
 }
@@ -134,6 +136,14 @@
         self.hosts.iter().filter(free).map(|host| host.id).collect()
     }
 
+    pub fn learnt(&self) -> Vec<Learnt> {
+        let learnt = |host: &Standing| {
+            let listed = host.listed.as_ref().filter(|_| host.up())?;
+            Some(Learnt { place: listed.place, room: host.limit.most })
+        };
+        self.desk.board.iter().filter_map(learnt).collect()
+    }
+
     /// How many cache hosts are listed, and how many of them get nothing now but what feels for their return.
     pub fn pool(&self) -> (usize, usize) {
         let desk = &self.desk;
@@ -274,6 +284,8 @@
                 self.well();
             }
             ToHost::Stopped(span) => self.out.values_mut().for_each(|sent| *sent += span),
+            // Both are one balancer: its clients bring no more now than a moment ago.
+            ToHost::Learnt(room) => self.standing.limit.most = room.clamp(LEAST_LIMIT, MOST_LIMIT),
             ToHost::Sweep(typical, bearable) => self.sweep(typical, bearable, post),
         }
         let warm = self.cold_since.map_or(1.0, |since| self.cold.surely(post.now - since));
@@ -600,6 +612,14 @@
                 self.ops.insert(op, held);
                 self.route(op, post);
             }
+            Heard::Learnt(learnt) => {
+                let place = |host: &Standing| host.listed.as_ref().map(|listed| listed.place);
+                for Learnt { place: at, room } in learnt {
+                    if let Some(host) = self.board.iter().position(|host| place(host) == Some(at)) {
+                        post.host(HostId(host as u32), ToHost::Learnt(room));
+                    }
+                }
+            }
             Heard::Streaming { op, push } => {
                 let Some(held) = self.ops.get_mut(&op) else { return };
                 held.streaming = true;
--- a/src/types.rs
+++ b/src/types.rs
@@ -187,6 +187,14 @@
     pub started: Option<Micros>,
 }
 
+/// What a process of this balancer has learnt of a host, for the one that replaces it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Learnt {
+    pub place: Place,
+    /// How much may be in flight there.
+    pub room: f64,
+}
+
 /// How a push ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -226,6 +234,8 @@
         whole: bool,
         entries: Vec<Listed>,
     },
+    /// What the process that this one replaces had learnt.
+    Learnt(Vec<Learnt>),
     /// A call for the list failed or the watch ended.
     ListRefused,
     Op {
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -142,3 +142,46 @@
         60 of 60 keys at the homes that the new names give"#]]
     .assert_eq(&trace.join("\n"));
 }
+
+#[test]
+fn limits_learnt_by_one_process_are_where_the_next_begins() {
+    // How many pushes go out at once before a nack, at one host, to an op that may fill all of it.
+    let room = |facade: &mut Facade| {
+        (0..)
+            .take_while(|nth| {
+                let decisions = facade.pick(0, ask(ONCE, &format!("k{nth}"))).1;
+                matches!(decisions[..], [Decision::Push { .. }])
+            })
+            .count()
+    };
+    let fresh = || {
+        let mut facade = Facade::new(&terms(), 1_000);
+        facade.list(0, true, vec![listed(0)]);
+        facade
+    };
+    let mut trace = vec![format!("fresh: {}", room(&mut fresh()))];
+    let place = listed(0).place;
+    for (name, place, limit) in [
+        ("learnt", place, 17.4),
+        ("another host's", listed(1).place, 17.4),
+        ("absurdly much", place, f64::INFINITY),
+        ("nothing", place, 0.0),
+        ("no number", place, f64::NAN),
+    ] {
+        let mut facade = fresh();
+        facade.recall(0, vec![Learnt { place, room: limit }]);
+        trace.push(format!("{name}: {}", room(&mut facade)));
+    }
+    let mut old = fresh();
+    old.recall(0, vec![Learnt { place, room: 17.4 }]);
+    trace.push(format!("{:?}", old.learnt().iter().map(|host| host.room).collect::<Vec<_>>()));
+    expect![[r#"
+        fresh: 6
+        learnt: 18
+        another host's: 6
+        absurdly much: 256
+        nothing: 1
+        no number: 1
+        [17.4]"#]]
+    .assert_eq(&trace.join("\n"));
+}
