A client that asks on without end is let go in a drain; pools keep to the process's share

Cause: a connection was closed only when nothing was owed, so one that asks before it has its answers stood for ever in a drain. After 3 s no more of it is read. Tests: that, a dark zone among the figures, descriptors of both processes under one limit.

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -47,6 +47,9 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// The same after a command was refused, of which any amount may still come.
 const DISCARD: Duration = Duration::from_secs(1);
+/// A client that is sent away and goes on asking before it has its answers is heard so long; what it asks then goes
+/// unread, and it asks anew elsewhere.
+const LEAVING: Duration = Duration::from_secs(3);
 /// What makes sense as a time to wait, in milliseconds: an hour at most.
 const LONGEST: std::ops::RangeInclusive<f64> = 0.0..=3_600_000.0;
 /// Between looks for room where descriptors are short.
@@ -275,6 +278,8 @@
     let bell = Rc::default();
     // The last answer went while another process took over.
     let mut parting = false;
+    // Since when clients are sent away.
+    let mut leaving: Option<Instant> = None;
     loop {
         while last.is_none() && waiting.len() < most(&sending) {
             match next(desk, &mut buffer, &mut coming) {
@@ -311,7 +316,10 @@
         let silent = !awaits_room && Instant::now() >= came + UNHEARD;
         // One that has just come must not be sent away unheard.
         let settled = heard || silent;
-        let ends = match *phase.borrow_and_update() {
+        let now = *phase.borrow_and_update();
+        leaving = leaving.or_else(|| Some(Instant::now())).filter(|_| now.sends_away());
+        let late = coming.is_none() && leaving.is_some_and(|since| Instant::now() >= since + LEAVING);
+        let ends = match now {
             Phase::Starting | Phase::Serving => false,
             Phase::LameDuck | Phase::Draining => settled && !half,
             // Later ones go to the other process. A close that follows an answer crosses no request.
@@ -319,7 +327,7 @@
             // Half a command that nothing is added to will not be whole, and a balancer must not stay away for it.
             Phase::Closing | Phase::Ended => !half || silent,
         };
-        if idle && ends {
+        if idle && (ends || late) {
             return Close::Answered;
         }
         let limit = match idle {
@@ -330,7 +338,7 @@
             _ => None,
         };
         until = limit.and_then(|limit| until.or_else(|| Some(Instant::now() + limit)));
-        let more = last.is_none() && waiting.len() < most(&sending) && !awaits_room;
+        let more = last.is_none() && waiting.len() < most(&sending) && !awaits_room && !late;
         // Short of bytes, one that holds next to none is heard all the same: others must not silence it.
         let long = coming.as_ref().is_some_and(Coming::long);
         let room = long || desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
@@ -365,6 +373,7 @@
                 (last, until) = (Some(refuse(desk, &mut waiting, "no whole command in time")), None);
             }
             _ = phase.changed() => {}
+            () = sleep_until(leaving.unwrap_or(came) + LEAVING), if leaving.is_some() && !late => {}
             () = sleep_until(came + UNHEARD), if idle && (half || !heard) && !silent && !awaits_room => {}
             () = desk.budget.asked(half || !heard, &bell), if idle && (silent || (heard && !half)) => {
                 if !desk.budget.room_for_client() {
--- a/balancer/src/phase.rs
+++ b/balancer/src/phase.rs
@@ -19,6 +19,11 @@
 }
 
 impl Phase {
+    /// Clients are to go elsewhere.
+    pub fn sends_away(self) -> bool {
+        !matches!(self, Phase::Starting | Phase::Serving)
+    }
+
     pub fn accepts(self) -> bool {
         matches!(self, Phase::Starting | Phase::Serving | Phase::LameDuck | Phase::Draining)
     }
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -178,6 +178,7 @@
         if before.replace(share) != Some(share) {
             log::info!("of the limits: {share:?}");
             desk.budget.allow(share.of(sockets), share.of(memory));
+            desk.servers.allow(share.of(sockets));
         }
         while desk.budget.over() > 0 && desk.servers.drop_idle() {}
         // Clients that stand idle make room for the rest, each for one.
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -185,6 +185,11 @@
         self.hosts.borrow().get(&host).filter(|place| place.origin).map(|place| place.address)
     }
 
+    /// So many descriptors are this process's from now on.
+    pub fn allow(&self, most: usize) {
+        self.pools.borrow_mut().allow(most);
+    }
+
     pub fn counted(&self) -> Counted {
         self.pools.borrow().counted()
     }
--- a/balancer/tests/operators.rs
+++ b/balancer/tests/operators.rs
@@ -51,6 +51,7 @@
         (["CACHE.GET", "k", "c=unheard-of,d=900"], "-ERR unknown category unheard-of"),
         (["CACHE.GET", "k", "c=read"], "-ERR no d: the time to wait is missing or absurd"),
         (["CACHE.GET", "busy", "c=read,d=900"], "-BUSY"),
+        (["CACHE.GET", "k", "r=1,c=read,d=900"], "v"),
     ]
     .into_iter()
     .enumerate()
@@ -67,7 +68,7 @@
     let page = program.figures("edge_proxy_active 0");
     release.send(()).expect("it waits");
     expect![[r#"
-        ok{kind="read"} 1
+        ok{kind="read"} 2
         ok{kind="put"} 0
         ok{kind="once"} 1
         shed{kind="read"} 1
@@ -76,7 +77,7 @@
         errors{kind="read"} 0
         errors{kind="put"} 0
         errors{kind="once"} 1
-        tries 6
+        tries 7
         active 0
         pool_size 1
         pool_ejected 0"#]]
@@ -173,6 +174,64 @@
     .assert_eq(&trace.join("\n"));
 }
 
+#[test]
+fn one_that_asks_on_before_it_has_its_answers_is_let_go_too() {
+    // Each op takes a while, so that there is always a next one under way.
+    let host = Peer::host(|asked| {
+        let nth =
+            asked.bytes().filter(u8::is_ascii_digit).fold(0, |all, digit| all + u64::from(digit - b'0'));
+        std::thread::sleep(Duration::from_millis(20 + nth % 5 * 30));
+        hit("v")
+    });
+    let program = managed_by(&[("a", &host)]);
+    let mut client = program.client();
+    let ask = |client: &mut Client, nth: u32| {
+        let id = format!("id{nth:08}");
+        let text = format!("*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$10\r\n{id}\r\n$12\r\nc=read,d=900\r\n");
+        client.writing.write_all(text.as_bytes()).is_ok()
+    };
+    let mut asked = 0;
+    while asked < 4 && ask(&mut client, asked) {
+        asked += 1;
+    }
+    program.call(ON);
+    let (began, mut answered) = (Instant::now(), 0);
+    loop {
+        match &client.answer()[..] {
+            "closed" => break,
+            "v" | "-BUSY 400" => answered += 1,
+            other => panic!("{other}"),
+        }
+        ask(&mut client, asked);
+        asked += 1;
+    }
+    assert!(answered >= 4 && began.elapsed() < Duration::from_secs(4), "{answered}, {:?}", began.elapsed());
+    program.figures("edge_proxy_active 0");
+}
+
+#[test]
+fn a_zone_that_went_dark_shows_as_avoided() {
+    let silent: Vec<Peer> = (0..4).map(|_| Peer::host(|_| Says::Nothing)).collect();
+    let other = Peer::host(|_| hit("v"));
+    let mut known: Vec<String> = silent
+        .iter()
+        .enumerate()
+        .map(|(nth, peer)| entry(&format!("dark{nth}"), peer.address, "active"))
+        .collect();
+    known.push(entry("light", other.address, "active").replace(r#""zone":"a""#, r#""zone":"b""#));
+    let program = Program::managed(BINARY, &known, [192, 1024]);
+    let asked: Vec<_> = (0..40)
+        .map(|nth| {
+            let mut client = program.client();
+            client.get(&format!("k{nth}"), &format!("id{nth}"), "c=read,d=400");
+            client
+        })
+        .collect();
+    // Three of them that lost a push leave the fourth under suspicion too.
+    assert!(program.figures("edge_proxy_pool_ejected 4").contains("pool_size 5"));
+    drop(asked);
+}
+
 #[test]
 fn an_address_for_operators_that_is_none_ends_the_program_with_one_line() {
     let taken = Peer::host(|_| hit("v"));
@@ -279,6 +338,8 @@
         let new = platform.start();
         new.logged("Beginning");
         new.logged("Half");
+        let both = old.descriptors() + new.descriptors();
+        assert!(both <= 192, "{both} descriptors");
         old.signal("TERM");
         assert_eq!(old.ended().code(), Some(0));
         new.logged("Alone");
--- a/pools/src/lib.rs
+++ b/pools/src/lib.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// So many descriptors may be taken from now on.
+    pub fn allow(&mut self, most: usize) {
+        self.terms.most = most;
+    }
+
     pub fn counted(&self) -> Counted {
         self.counted
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -530,6 +530,11 @@
         assert!(sent.expect("a shell").success());
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+
     /// The most memory that it has held so far, in MB.
     pub fn memory(&self) -> u32 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
