--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,10 @@
         orders
     }
 
+    pub fn learnt(&self) -> Vec<Learnt> {
+        self.balancer.learnt()
+    }
+
     pub fn op(&mut self, category: CategoryId, key: &str) -> (OpId, Vec<Order>) {
         self.op_of(category, key, None)
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -625,7 +625,8 @@
 /// Some thousand ops a second over all balancers, 25 hosts each with as much as it can bear, six of which are then started
 /// anew; with `hot`, a tenth of all reads turns to one key of such a host in the same instant. What the cold hosts got of
 /// what would push them over in their worst window, at most and on average, and the part of the ops that went nowhere.
-fn hosts_started_anew(balancers: u32, hot: bool) -> (f64, f64, f64) {
+/// Where one is `replaced`, another process takes over from the first balancer in the midst of the warming.
+fn hosts_started_anew(balancers: u32, hot: bool, replaced: bool) -> (f64, f64, f64) {
     const HOSTS: u32 = 25;
     let terms = Terms { balancers, ..terms() };
     let hosts: Vec<_> = (0..HOSTS).map(listed).collect();
@@ -641,6 +642,16 @@
     let mut out: VecDeque<(Micros, usize, OpId, HostId)> = VecDeque::new();
     for tick in 0..14_000 {
         let now = tick * MS;
+        if replaced && now == at + 900 * MS {
+            // It is told the list as it stands and what the old one had learnt; that one ends what it has out.
+            let entries = (0..HOSTS).map(anew).collect();
+            let mut new = Fleet::new(&Terms { seed: 901, ..terms.clone() }, entries);
+            new.now = now;
+            new.hear(Heard::Learnt(all[0].learnt()));
+            let old = std::mem::replace(&mut all[0], new);
+            all.push(old);
+            out.iter_mut().filter(|push| push.1 == 0).for_each(|push| push.1 = balancers as usize);
+        }
         while out.front().is_some_and(|next| next.0 <= now) {
             let (_, nth, op, host) = out.pop_front().expect("there is one");
             all[nth].now = now;
@@ -685,12 +696,34 @@
     (worst.iter().copied().fold(0.0, f64::max), worst.iter().sum::<f64>() / worst.len() as f64, nowhere)
 }
 
+#[test]
+fn a_process_that_takes_over_pushes_no_cold_host_over() {
+    let mut table = "balancers  hot key  most of what pushes over  mean  ops given up\n".to_owned();
+    for balancers in [1, 2, 20] {
+        for hot in [false, true] {
+            let (most, mean, nowhere) = hosts_started_anew(balancers, hot, true);
+            assert!(most < 1.0, "{balancers} balancers, hot key {hot}: {most}");
+            table += &format!("{balancers:<9}  {hot:<7}  {most:<24.2}  {mean:.2}  {nowhere:.3}\n");
+        }
+    }
+    expect![[r#"
+        balancers  hot key  most of what pushes over  mean  ops given up
+        1          false    0.45                      0.42  0.000
+        1          true     0.49                      0.37  0.000
+        2          false    0.51                      0.44  0.000
+        2          true     0.66                      0.43  0.000
+        20         false    0.58                      0.45  0.000
+        20         true     0.71                      0.45  0.000
+    "#]]
+    .assert_eq(&table);
+}
+
 #[test]
 fn cold_hosts_are_used_and_none_is_pushed_over_by_all_balancers_together() {
     let mut table = "balancers  hot key  most of what pushes over  mean  ops given up\n".to_owned();
     for balancers in [1, 2, 20, 100, 900] {
         for hot in [false, true] {
-            let (most, mean, nowhere) = hosts_started_anew(balancers, hot);
+            let (most, mean, nowhere) = hosts_started_anew(balancers, hot, false);
             assert!(most < 0.9, "{balancers} balancers, hot key {hot}: {most}");
             table += &format!("{balancers:<9}  {hot:<7}  {most:<24.2}  {mean:.2}  {nowhere:.3}\n");
         }
