Values in parts reserve their memory; halves are heard out where another process accepts

Found by reading: short values that come in parts past 4 KiB were read without regard to the bytes held, so 498 of them could take 32 MB, and with regard they would have waited for each other; they reserve a part of their own now. In a replacement silent halves were cut 0.85 s after SIGTERM, though nothing is gained by an early end there; they are heard out.

--- a/balancer/src/budget.rs
+++ b/balancer/src/budget.rs
@@ -5,19 +5,20 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use basaltwood_wire::resp::MOST_VALUE;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors that are no connections: standard streams, the runtime's, signals, the listener, and a client that is
 /// not yet counted. 12 were seen.
 const OWN: usize = 16;
 
-/// What room for long values is counted in.
+/// What room for values is counted in.
 const UNIT: usize = 1024;
 /// Pieces of a stream at a time: one read, one handed over, one written.
 const WINDOW: usize = 3;
 const PIECES: std::ops::RangeInclusive<usize> = 4 * 1024..=64 * 1024;
 
-/// Memory for a long value, given back when dropped.
+/// Memory for a value that is read, given back when dropped.
 pub type Room = OwnedSemaphorePermit;
 
 pub struct Budget {
@@ -31,8 +32,10 @@
     most_clients: Cell<usize>,
     bytes: Cell<usize>,
     most_bytes: Cell<usize>,
-    /// For long values that are read: the first come first served, each whole before its first byte.
+    /// For values that are read, each whole before its first byte, the first come first served: long ones, and short ones
+    /// that they must not keep waiting.
     long: Arc<Semaphore>,
+    short: Arc<Semaphore>,
     most_long: usize,
     streams: Cell<usize>,
     most_windows: usize,
@@ -118,6 +121,7 @@
             bytes: Cell::new(0),
             most_bytes: Cell::default(),
             long: Arc::new(Semaphore::new(memory / 3 / UNIT)),
+            short: Arc::new(Semaphore::new(memory / 12 / UNIT)),
             most_long: memory / 3 / UNIT,
             streams: Cell::new(0),
             most_windows: memory / 6,
@@ -136,7 +140,8 @@
         self.most.set(connections);
         self.most_clients.set(connections / 2);
         // Values wait twice, as a request and as an answer, and hosts' buffers come on top. Beside this quarter stand a
-        // third for long requests and a sixth for streams' windows; the last quarter is the process's own.
+        // third for long requests, a twelfth for short ones that come in parts, and a sixth for streams' windows, all
+        // three from the start on; the last sixth is the process's own.
         self.most_bytes.set(memory / 4);
         self.freed.notify_waiters();
     }
@@ -198,9 +203,10 @@
         length.div_ceil(UNIT) <= self.most_long
     }
 
-    /// Memory for a long value, once it is this one's turn.
+    /// Memory for a value, once it is this one's turn.
     pub async fn reserve(self: Rc<Budget>, length: usize) -> Option<Room> {
-        self.long.clone().acquire_many_owned(length.div_ceil(UNIT) as u32).await.ok()
+        let part = if length > MOST_VALUE { &self.long } else { &self.short };
+        part.clone().acquire_many_owned(length.div_ceil(UNIT) as u32).await.ok()
     }
 
     /// One more value streams until this is dropped.
--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -47,6 +47,11 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// The same after a command was refused, of which any amount may still come.
 const DISCARD: Duration = Duration::from_secs(1);
+/// Of a connection on which nothing was ever asked so much time passes before it is sent away: it may be about to be heard.
+const UNASKED: Duration = Duration::from_secs(1);
+/// Kept connections that stand idle are closed so long after another process took over: a close before that could cross
+/// a request.
+const KEPT: Duration = Duration::from_millis(600);
 /// A client that is sent away and goes on asking before it has its answers is heard so long; what it asks then goes
 /// unread, and it asks anew elsewhere.
 const LEAVING: Duration = Duration::from_secs(3);
@@ -162,7 +167,7 @@
 
 /// The memory for a value.
 enum Wanted {
-    /// A short one is read as any command is.
+    /// A small one is read as any command is.
     None,
     Awaited(Pin<Box<dyn Future<Output = Option<Room>>>>),
     Given(Room),
@@ -170,7 +175,7 @@
 
 impl Coming {
     fn new(desk: &Desk, words: Vec<Bytes>, length: usize) -> Coming {
-        let room = match length > resp::MOST_VALUE {
+        let room = match length > SMALL {
             true => Wanted::Awaited(Box::pin(desk.budget.clone().reserve(length))),
             false => Wanted::None,
         };
@@ -181,7 +186,8 @@
         matches!(self.room, Wanted::Awaited(_))
     }
 
-    fn long(&self) -> bool {
+    /// It has memory of its own, or will have.
+    fn apart(&self) -> bool {
         !matches!(self.room, Wanted::None)
     }
 }
@@ -193,7 +199,7 @@
     Roomy,
 }
 
-/// Reads once, into the value that is coming or else into the buffer; a long value waits for its memory first.
+/// Reads once, into the value that is coming or else into the buffer; a value that is not small waits for its memory first.
 async fn input(
     from: &mut (impl AsyncRead + Unpin),
     buffer: &mut Buffer,
@@ -302,7 +308,7 @@
                 (sending, until) = (Sending { text, ..Sending::default() }, None);
             }
         }
-        let short = coming.as_ref().filter(|coming| !coming.long()).map_or(0, |coming| coming.body.length());
+        let short = coming.as_ref().filter(|coming| !coming.apart()).map_or(0, |coming| coming.body.length());
         let piece = if sending.long.is_some() { 0 } else { sending.text.len() };
         held.set(buffer.size() + short + piece);
         let idle = waiting.is_empty() && sending.is_empty();
@@ -314,16 +320,17 @@
         let awaits_room = coming.as_ref().is_some_and(Coming::awaits_room);
         let half = !buffer.is_empty() || coming.is_some();
         let silent = !awaits_room && Instant::now() >= came + UNHEARD;
-        // One that has just come must not be sent away unheard.
-        let settled = heard || silent;
         let now = *phase.borrow_and_update();
         leaving = leaving.or_else(|| Some(Instant::now())).filter(|_| now.sends_away());
-        let late = coming.is_none() && leaving.is_some_and(|since| Instant::now() >= since + LEAVING);
+        let since = |from: Option<Instant>, span| from.is_some_and(|from| Instant::now() >= from + span);
+        let late = coming.is_none() && since(leaving, LEAVING);
         let ends = match now {
             Phase::Starting | Phase::Serving => false,
-            Phase::LameDuck | Phase::Draining => settled && !half,
+            // One that has just come must not be sent away unheard.
+            Phase::LameDuck => !half && (heard || since(Some(came), UNASKED)),
+            Phase::Draining => !half && (heard || silent),
             // Later ones go to the other process. A close that follows an answer crosses no request.
-            Phase::HandingOver => parting && !half,
+            Phase::HandingOver => !half && (parting || (heard && since(leaving, KEPT))),
             // Half a command that nothing is added to will not be whole, and a balancer must not stay away for it.
             Phase::Closing | Phase::Ended => !half || silent,
         };
@@ -340,8 +347,17 @@
         until = limit.and_then(|limit| until.or_else(|| Some(Instant::now() + limit)));
         let more = last.is_none() && waiting.len() < most(&sending) && !awaits_room && !late;
         // Short of bytes, one that holds next to none is heard all the same: others must not silence it.
-        let long = coming.as_ref().is_some_and(Coming::long);
-        let room = long || desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
+        let apart = coming.as_ref().is_some_and(Coming::apart);
+        let room = apart || desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
+        // When one of these times is over that nothing else tells of.
+        let spans = [
+            Some(came + UNHEARD),
+            Some(came + UNASKED),
+            leaving.map(|at| at + KEPT),
+            leaving.map(|at| at + LEAVING),
+        ];
+        let wanted = idle && (half || !heard || leaving.is_some());
+        let look = spans.into_iter().flatten().filter(|at| wanted && *at > Instant::now()).min();
         tokio::select! {
             biased;
             input = input(&mut reading, &mut buffer, &mut coming), if (more && room) || awaits_room => match input {
@@ -373,8 +389,7 @@
                 (last, until) = (Some(refuse(desk, &mut waiting, "no whole command in time")), None);
             }
             _ = phase.changed() => {}
-            () = sleep_until(leaving.unwrap_or(came) + LEAVING), if leaving.is_some() && !late => {}
-            () = sleep_until(came + UNHEARD), if idle && (half || !heard) && !silent && !awaits_room => {}
+            () = sleep_until(look.unwrap_or(came)), if look.is_some() => {}
             () = desk.budget.asked(half || !heard, &bell), if idle && (silent || (heard && !half)) => {
                 if !desk.budget.room_for_client() {
                     desk.counters.clients_shed.add();
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use basaltwood_knowledge as knowledge;
 use basaltwood_membership::{self as membership, Asking};
@@ -67,9 +67,12 @@
         let last_answers = longest.map_or(LAST_ANSWERS, |longest| span(longest).min(LAST_ANSWERS));
         let counters = Rc::new(Counters::default());
         let aside = told.mgmt.map_or(0, |_| management::DESCRIPTORS);
-        // Where another process may be at work, the least until that is known.
-        let first = |whole| told.inherited.map_or(whole, |_| Share::Beginning.of(whole));
-        let budget = Budget::new(first(told.sockets), aside, first(told.memory));
+        // Where another process may be at work, the least until that is known, and half of what can't change hands.
+        let (sockets, memory) = match told.inherited {
+            Some(_) => (Share::Beginning.of(told.sockets), Share::Half.of(told.memory)),
+            None => (told.sockets, told.memory),
+        };
+        let budget = Budget::new(sockets, aside, memory);
         let pools = Pools::new(basaltwood_pools::Terms {
             seed: told.terms.seed,
             balancers: told.terms.balancers,
@@ -152,10 +155,14 @@
             _ = parts.join_next() => Err("a part of the balancer failed; it ends".to_owned()),
         };
         enter(leaving);
-        sleep(STILL_COMING).await;
-        enter(Phase::Closing);
+        let end = Instant::now() + STILL_COMING + last_answers;
+        // Where others accept, nothing is gained by an early end, and halves are heard out.
+        if leaving == Phase::Draining {
+            sleep(STILL_COMING).await;
+            enter(Phase::Closing);
+        }
         // Each connection holds a receiver for as long as it lives, and ends once it owes nothing.
-        let _ = timeout(last_answers, phase.closed()).await;
+        let _ = timeout_at(end, phase.closed()).await;
         enter(Phase::Ended);
         log::info!("{} {}", desk.counters, desk.servers.counted());
         outcome
--- a/balancer/tests/long.rs
+++ b/balancer/tests/long.rs
@@ -191,6 +191,30 @@
     assert!(program.memory() < 32, "{} MB", program.memory());
 }
 
+#[test]
+fn short_writes_in_parts_never_wait_for_each_other_for_ever_either() {
+    let origin =
+        Peer::http(|asked| http_answer(200, &asked.rsplit(" | ").next().unwrap_or("").len().to_string()));
+    let host = Peer::host(|_| miss());
+    let program = program_at(&[("a", host.address), ("origin", origin.address)], [8, 192]);
+    let mut writers: Vec<Client> = (0..60)
+        .map(|nth| {
+            let mut client = begin(&program, &format!("id{nth}"), 60_000);
+            client.raw(&[b'x'; 1_000]);
+            client
+        })
+        .collect();
+    // All 60 are under way, more than a part for them holds; each is taken in its turn.
+    for client in &mut writers {
+        client.raw(&[b'x'; 59_000]);
+        client.raw(b"\r\n");
+    }
+    // An answer each; how many the origin bears at once is the module's to say.
+    let answers: Vec<String> = writers.iter_mut().map(Client::answer).collect();
+    assert!(answers.iter().all(|got| got == "60000" || got.starts_with("-BUSY")), "{answers:?}");
+    assert!(answers.iter().filter(|got| *got == "60000").count() > 20, "{answers:?}");
+}
+
 #[test]
 fn what_can_never_fit_is_refused_at_its_head() {
     let host = Peer::host(|_| miss());
