Where only draining binds, hosts that a list drops stay by their own answers

What else it guards against: shrunk, stale and empty lists of any cause; harm where a host is really gone: two lost pushes at each balancer. No constant of time: the evidence is the host's answers. Settings droppedStayOpen, keptPromises and tailMiss are read. Test: a trace in tests/decisions.rs that shows both.

--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -194,6 +194,9 @@
         "invariants":{"coldFrom":1,"warmWithinMs":1,"tipMultiple":1,"tipAfterMs":1}}}"#,
         r#"{"name":"n","listen":"here","discovery":"127.0.0.1:1","seed":"1","known":{"generation":1},
         "settings":{"categories":[],"invariants":{"coldFrom":1,"warmWithinMs":1,"tipMultiple":1,"tipAfterMs":1},"limits":{"maxPushes":1}}}"#,
+        r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"categories":[
+        {"name":"read","targetLatencyMs":1,"ttlMs":1,"semantics":"retryable"}],"limits":{"maxPushes":1},"objectiveMix":{"tailMiss":7},
+        "invariants":{"coldFrom":1,"warmWithinMs":1,"tipMultiple":1,"tipAfterMs":1}}}"#,
     ] {
         let mut program = Program::told(BINARY, text);
         let code = program.ended().code();
@@ -204,7 +207,8 @@
         Some(1) key must be a string at line 1 column 2
         Some(1) missing field `name` at line 1 column 2
         Some(1) read: 1e300 ms is no span of time
-        Some(1) no categories"#]]
+        Some(1) no categories
+        Some(1) objectiveMix.tailMiss is no part from 0 to 1"#]]
     .assert_eq(&lines.join("\n"));
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -107,7 +107,13 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             for id in (self.hosts.len() as u32..known as u32).map(HostId) {
-                self.hosts.push(Host::new(id, self.desk.cold.clone(), self.desk.fleet.growth));
+                let desk = &self.desk;
+                self.hosts.push(Host::new(
+                    id,
+                    desk.cold.clone(),
+                    desk.fleet.growth,
+                    desk.allowed.dropped_stay,
+                ));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -248,13 +254,16 @@
     /// When the last answer time came, and how long after the one before.
     measured_at: Micros,
     gap: Micros,
-    target: f64, // what the share of its keys that it keeps moves towards
+    target: f64,   // what the share of its keys that it keeps moves towards
+    drained: bool, // the list said so: that binds, whatever it says later
+    dropped: bool, // the list names it no more, and its own answers are what keeps it
+    dropped_stay: bool,
 }
 
 impl Host {
-    fn new(id: HostId, cold: ColdTerms, growth: f64) -> Host {
+    fn new(id: HostId, cold: ColdTerms, growth: f64, dropped_stay: bool) -> Host {
         let standing = Standing { share: 1.0, limit: Limit::new(FIRST_LIMIT, growth), ..Standing::default() };
-        Host { id, cold, standing, target: 1.0, ..Host::default() }
+        Host { id, cold, standing, target: 1.0, dropped_stay, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -262,7 +271,15 @@
             ToHost::Listed(listed) => {
                 // A number that was free stands for another host now.
                 if self.standing.listed.as_ref().is_some_and(|old| old.place != listed.place) {
-                    *self = Host::new(self.id, self.cold.clone(), self.standing.limit.growth);
+                    *self =
+                        Host::new(self.id, self.cold.clone(), self.standing.limit.growth, self.dropped_stay);
+                }
+                self.drained |= listed.lifecycle == Lifecycle::Draining;
+                // A list may be wrong: one that shrinks or empties must not empty the ring of hosts that answer.
+                let gone = listed.lifecycle == Lifecycle::Gone;
+                self.dropped = gone && self.dropped_stay && !self.drained && self.alive();
+                if self.dropped {
+                    return;
                 }
                 let before = self.standing.listed.as_ref().and_then(|old| old.started);
                 if listed.started.is_some() && listed.started != before {
@@ -288,6 +305,10 @@
             ToHost::Learnt(room) => self.standing.limit.most = room.clamp(LEAST_LIMIT, MOST_LIMIT),
             ToHost::Sweep(typical, bearable) => self.sweep(typical, bearable, post),
         }
+        if self.dropped && !self.alive() {
+            self.dropped = false;
+            self.standing.listed.as_mut().expect("it was listed").lifecycle = Lifecycle::Gone;
+        }
         let warm = self.cold_since.map_or(1.0, |since| self.cold.surely(post.now - since));
         let standing = &mut self.standing;
         standing.suspect = self.suspect_since.is_some();
@@ -299,6 +320,11 @@
         post.desk.push_back(ToDesk::Standing(self.id, Box::new(standing.clone())));
     }
 
+    /// By what it showed this balancer itself.
+    fn alive(&self) -> bool {
+        self.suspect_since.is_none() && self.standing.up() && self.standing.pulse.answered_at > 0
+    }
+
     fn well(&mut self) {
         self.suspect_since = None;
         self.strikes = 0.0;
--- a/src/types.rs
+++ b/src/types.rs
@@ -147,6 +147,8 @@
     pub max_pushes: u32,
     pub second_copies: bool,
     pub call_off: bool,
+    /// Only draining binds: a host that the list drops without that may still be sent to.
+    pub dropped_stay: bool,
 }
 
 /// What a balancer is told at its start.
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -139,6 +139,8 @@
     #[serde(default)]
     group_size: Option<u32>,
     invariants: Invariants,
+    #[serde(default)]
+    objective_mix: ObjectiveMix,
     limits: Limits,
     #[serde(default)]
     machine_types: Vec<String>,
@@ -183,6 +185,18 @@
     warm_within_ms: f64,
     tip_multiple: f64,
     tip_after_ms: f64,
+    #[serde(default)]
+    dropped_stay_open: bool,
+}
+
+/// Of what counts where the worst stretches count by themselves.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ObjectiveMix {
+    #[serde(default)]
+    kept_promises: Option<f64>,
+    #[serde(default)]
+    tail_miss: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -237,6 +251,12 @@
         if self.categories.is_empty() {
             return Err("no categories".to_owned());
         }
+        let mix = &self.objective_mix;
+        for (name, part) in [("keptPromises", mix.kept_promises), ("tailMiss", mix.tail_miss)] {
+            if part.is_some_and(|part| !(0.0..=1.0).contains(&part)) {
+                return Err(format!("objectiveMix.{name} is no part from 0 to 1"));
+            }
+        }
         let category = |category: &Category| {
             let name = &category.name;
             let window = category.window_ms.map(|ms| span(name, ms)).transpose()?;
@@ -272,6 +292,7 @@
                 max_pushes: self.limits.max_pushes,
                 second_copies: self.limits.may_duplicate,
                 call_off: self.limits.cancel,
+                dropped_stay: self.invariants.dropped_stay_open,
             },
             come_back: self
                 .limits
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
             max_pushes: 4,
             second_copies: true,
             call_off: true,
+            dropped_stay: false,
         },
         come_back: Some(2_000 * MS),
         tick: MS,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -227,6 +227,46 @@
     expect!["sent 4 of 50 at once"].assert_eq(&format!("sent {sent} of 50 at once"));
 }
 
+#[test]
+fn where_only_draining_binds_hosts_that_the_list_drops_stay_by_their_own_answers() {
+    let mut lines = Vec::new();
+    for dropped_stay in [false, true] {
+        let terms = Terms { allowed: Allowed { dropped_stay, ..terms().allowed }, ..terms() };
+        let mut fleet = Fleet::new(&terms, (0..4).map(listed).collect());
+        let fleet_of = |fleet: &mut Fleet| {
+            let mut homes: Vec<u32> =
+                keys(60).iter().flat_map(|key| fleet.served(key)).map(|host| host.0).collect();
+            homes.sort();
+            homes.dedup();
+            format!("{homes:?}")
+        };
+        let mut line = fleet_of(&mut fleet);
+        let drains = Listed { lifecycle: Lifecycle::Draining, ..listed(3) };
+        fleet.hear(Heard::List { whole: false, entries: vec![drains] });
+        fleet.hear(Heard::List { whole: true, entries: Vec::new() });
+        line += &format!(", emptied {}", fleet_of(&mut fleet));
+        // One that is really gone loses what it is sent, and is left until the list names it again.
+        let mut lost = 0;
+        for key in keys(300) {
+            let (op, orders) = fleet.op(READ, &key);
+            for (push, &host) in pushed(&orders).iter().enumerate() {
+                let end = if host == HostId(1) { End::Unreachable } else { End::Acked };
+                lost += usize::from(host == HostId(1));
+                fleet.end(op, push as u32, host, end, MS);
+            }
+            fleet.pass(50 * MS);
+        }
+        line += &format!(", one gone {} after {lost} pushes", fleet_of(&mut fleet));
+        fleet.hear(Heard::List { whole: true, entries: (0..3).map(listed).collect() });
+        line += &format!(", listed again {}", fleet_of(&mut fleet));
+        lines.push(line);
+    }
+    expect![[r#"
+        [0, 1, 2, 3], emptied [], one gone [] after 0 pushes, listed again [0, 1, 2]
+        [0, 1, 2, 3], emptied [0, 1, 2], one gone [0, 2] after 2 pushes, listed again [0, 1, 2]"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn a_silent_host_is_left_and_taken_back_as_cold() {
     let mut fleet = fleet(4);
