Ops of a key that fails wherever it goes get one push each, and blame no host

Ruled out: that hosts are bad (errors come from all alike). Evidence: errors from two hosts for one key, and no value since. What else it guards: poison keys of any cause; harm, see docs/design.md. Test: a trace in tests/decisions.rs.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -504,6 +504,7 @@
     tried: Vec<HostId>,
     may_have_run: Option<(HostId, Micros)>, // where and when the first such push went
     missed: bool,
+    failed_at: Option<HostId>, // where its last error came from
     streaming: bool,
 }
 
@@ -533,6 +534,7 @@
     ring: Ring,
     stale: bool,
     loads: Loads,
+    failing: BTreeSet<Place>, // keys whose ops got errors from two hosts, and no value since
     zones: Zones,
     ops: BTreeMap<OpId, Op>,
     retries: f64,
@@ -676,7 +678,9 @@
                         self.fleet.answered(took, 1.0, post.now);
                     }
                 }
-                post.host(host, ToHost::Ended(op, push, end, took));
+                // What fails wherever it goes tells of itself, and no host is blamed for it.
+                let own = end == End::Error && self.judge_op(op, host);
+                post.host(host, ToHost::Ended(op, push, if own { End::Void } else { end }, took));
                 self.ended(op, push, end, over, post);
             }
         }
@@ -740,7 +744,9 @@
     fn ended(&mut self, id: OpId, push: PushNo, end: End, over: bool, post: &mut Post) {
         let Some(op) = self.ops.get_mut(&id) else { return };
         let sent = op.out.iter().position(|out| out.0 == push).map(|at| op.out.remove(at));
+        let failing = op.key.is_some_and(|key| self.failing.contains(&key));
         if end == End::Acked {
+            op.key.map(|key| self.failing.remove(&key));
             self.retries = (self.retries + self.earned).min(RETRY_STORE);
             self.mends = (self.mends + self.earned).min(RETRY_STORE);
         }
@@ -758,6 +764,9 @@
         if let Some((_, host, at)) = sent.filter(|_| !end.proves_not_run()) {
             op.may_have_run = op.may_have_run.filter(|earlier| earlier.1 <= at).or(Some((host, at)));
         }
+        if failing && end == End::Error && op.out.is_empty() {
+            return self.close(id, false, post);
+        }
         // What reached no host has loaded none: going elsewhere is not paid for. A connection's fault is paid
         // for from a store of its own, and its host is as good as before.
         let severed = end == End::Severed && self.mends >= 1.0;
@@ -770,6 +779,19 @@
         self.again(id, post);
     }
 
+    /// An op got an error at a host; whether its key is known to get one wherever it goes.
+    fn judge_op(&mut self, id: OpId, host: HostId) -> bool {
+        let Some(op) = self.ops.get_mut(&id) else { return false };
+        let Some(key) = op.key else { return false };
+        if op.failed_at.replace(host).is_some_and(|before| before != host) {
+            if self.failing.len() >= KEYS {
+                self.failing.pop_first();
+            }
+            self.failing.insert(key);
+        }
+        self.failing.contains(&key)
+    }
+
     /// A push came to nothing: another one, if the op may have it and can still use it, or the end.
     fn again(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.get_mut(&id) else { return };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -267,6 +267,47 @@
     .assert_eq(&lines.join("\n"));
 }
 
+#[test]
+fn a_key_that_fails_wherever_it_goes_costs_one_push_and_blames_no_host() {
+    let mut fleet = fleet(4);
+    let mut lines = Vec::new();
+    // Every push of this op gets an error; how many it had, and how it ended.
+    let fails = |fleet: &mut Fleet, key: &str| {
+        let (op, mut orders) = fleet.op(READ, key);
+        let (mut pushes, mut last) = (0, Vec::new());
+        while let Some(&host) = pushed(&orders).first() {
+            orders = fleet.end(op, pushes, host, End::Error, MS);
+            pushes += 1;
+            last = orders.clone();
+        }
+        format!("{pushes} pushes, {}", trace(&last))
+    };
+    for nth in 0..8 {
+        let line = fails(&mut fleet, "bad");
+        fleet.pass(100 * MS);
+        lines.push(format!("bad {nth}: {line}, good ops at {} hosts", {
+            let mut homes = homes(&mut fleet, 60);
+            homes.sort();
+            homes.dedup();
+            homes.len()
+        }));
+    }
+    // A value ends it: the key is as good as any.
+    fleet.served("bad");
+    lines.push(format!("after a value: {}", fails(&mut fleet, "bad")));
+    expect![[r#"
+        bad 0: 2 pushes, dead letter, good ops at 4 hosts
+        bad 1: 1 pushes, dead letter, good ops at 4 hosts
+        bad 2: 1 pushes, dead letter, good ops at 4 hosts
+        bad 3: 1 pushes, dead letter, good ops at 4 hosts
+        bad 4: 1 pushes, dead letter, good ops at 4 hosts
+        bad 5: 1 pushes, dead letter, good ops at 4 hosts
+        bad 6: 1 pushes, dead letter, good ops at 4 hosts
+        bad 7: 1 pushes, dead letter, good ops at 4 hosts
+        after a value: 2 pushes, dead letter"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn a_silent_host_is_left_and_taken_back_as_cold() {
     let mut fleet = fleet(4);
