--- a/balancer/tests/operators.rs
+++ b/balancer/tests/operators.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread::{spawn, JoinHandle};
 use std::time::{Duration, Instant};
@@ -23,6 +23,19 @@
     Program::managed(BINARY, &known, [192, 1024])
 }
 
+/// A host that is held back at what is asked for the key `slow`, until the test releases it.
+fn gated_host() -> (Sender<()>, Peer) {
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let host = Peer::host(move |asked| {
+        if asked.contains("slow") {
+            let _ = released.lock().expect("a lock").recv();
+        }
+        hit("v")
+    });
+    (release, host)
+}
+
 const ON: &str = "POST /_lameduck/on HTTP/1.1\r\n\r\n";
 const OFF: &str = "POST /_lameduck/off HTTP/1.1\r\n\r\n";
 const READY: &str = "GET /_ready HTTP/1.1\r\n\r\n";
@@ -123,14 +136,7 @@
 
 #[test]
 fn a_drain_sends_clients_away_and_is_taken_back() {
-    let (release, released) = channel::<()>();
-    let released = Mutex::new(released);
-    let host = Peer::host(move |asked| {
-        if asked.contains("slow") {
-            let _ = released.lock().expect("a lock").recv();
-        }
-        hit("v")
-    });
+    let (release, host) = gated_host();
     let mut program = managed_by(&[("a", &host)]);
     let (mut idle, mut silent, mut busy) = (program.client(), program.client(), program.client());
     assert_eq!(idle.asks(&["PING"]), "+PONG");
@@ -371,14 +377,7 @@
 
 #[test]
 fn what_is_in_hand_or_idle_at_a_replacement_is_answered_before_its_connection_ends() {
-    let (release, released) = channel::<()>();
-    let released = Mutex::new(released);
-    let host = Peer::host(move |asked| {
-        if asked.contains("slow") {
-            let _ = released.lock().expect("a lock").recv();
-        }
-        hit("v")
-    });
+    let (release, host) = gated_host();
     let platform = Platform::new("in-hand", &[("a", &host)]);
     let mut old = platform.start();
     let (mut slow, mut kept) = (old.client(), old.client());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -275,7 +275,7 @@
                         Host::new(self.id, self.cold.clone(), self.standing.limit.growth, self.dropped_stay);
                 }
                 self.drained |= listed.lifecycle == Lifecycle::Draining;
-                // A list may be wrong: one that shrinks or empties must not empty the ring of hosts that answer.
+                // A list may be wrong: one that shrinks must not empty the ring of hosts that answer.
                 let gone = listed.lifecycle == Lifecycle::Gone;
                 self.dropped = gone && self.dropped_stay && !self.drained && self.alive();
                 if self.dropped {
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -1,8 +1,8 @@
 //! Zones that went dark: evidence from hosts that stand together. What to make of it `rules` decides.
 //!
-//! A balancer that meets each host every few seconds would lose an op at every single host of a lost zone before it
-//! had left them all. Several hosts that lost pushes, with no answer from anyone beside them since those were sent, say
-//! more than each for itself.
+//! A balancer that meets each host every few seconds would lose an op at every single host of a lost zone
+//! before it had left them all. Several hosts that lost pushes, with no answer from anyone beside them since
+//! those were sent, say more than each for itself.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -54,8 +54,8 @@
         self.dark.difference(&before).copied().collect()
     }
 
-    /// Whether to keep away from a host of this zone. One that lost a push itself and is taken back is the zone's
-    /// feeler: its answer, like any, brings the zone back.
+    /// Whether to keep away from a host of this zone. One that lost a push itself and is taken back is the
+    /// zone's feeler: its answer, like any, brings the zone back.
     pub fn dark(&self, zone: ZoneId, pulse: Pulse) -> bool {
         !pulse.lost() && self.dark.contains(&zone)
     }
