--- a/src/rules.rs
+++ b/src/rules.rs
@@ -107,13 +107,8 @@
         if let Heard::List { entries, .. } = &heard {
             let known = entries.iter().map(|entry| entry.host.0 as usize + 1).max().unwrap_or(0);
             for id in (self.hosts.len() as u32..known as u32).map(HostId) {
-                let desk = &self.desk;
-                self.hosts.push(Host::new(
-                    id,
-                    desk.cold.clone(),
-                    desk.fleet.growth,
-                    desk.allowed.dropped_stay,
-                ));
+                let (cold, allowed) = (self.desk.cold.clone(), self.desk.allowed);
+                self.hosts.push(Host::new(id, cold, self.desk.fleet.growth, allowed.dropped_stay));
                 self.post.hosts.push(VecDeque::new());
                 self.desk.board.push(Standing::default());
             }
@@ -199,6 +194,7 @@
     shortest: f64,
     peak: usize,
     fresh: bool, // answered since last judged: an old answer must not cut the limit again and again
+    known: bool, // it was cut once: until then what is borne is not known, and it doubles while it is used
 }
 
 impl Limit {
@@ -213,6 +209,7 @@
     /// The least is for all balancers together too: a jam fed by hundreds of them would never end.
     fn cut(&mut self, to: f64) {
         self.most = (self.most * to).max(LEAST_LIMIT * self.growth);
+        self.known |= to < 1.0;
     }
 
     fn answered(&mut self, took: Micros, weight: f64, now: Micros) {
@@ -224,12 +221,14 @@
     /// Follows the shortest answer time over the present one, from a time that is bearable anyway.
     fn judge(&mut self, present: Option<f64>, quarter: f64, bearable: f64, parts: f64, in_flight: usize) {
         let wanted = self.peak as f64 >= (self.most / 2.0).min(1.0) || self.most < 1.0;
-        let step = if wanted { (self.growth * parts).min(parts.max(1.0)) } else { -self.most * UNUSED };
+        let step = (self.growth * parts).min(parts.max(1.0));
         if let Some(present) = present.filter(|_| self.fresh && self.answers.total() >= SAMPLES) {
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
             self.shortest = (self.shortest * 1.005).min(present).min(quarter);
             self.cut(((SLOWER * self.shortest).max(bearable) / present).min(1.0));
-            self.most = (self.most + step).min(MOST_LIMIT);
+            let doubles = !self.known && self.peak as f64 >= self.most / 2.0;
+            let grown = if doubles { self.most.max(step) } else { step };
+            self.most = (self.most + if wanted { grown } else { -self.most * UNUSED }).min(MOST_LIMIT);
         } else if self.most < 1.0 {
             self.most = (self.most + step).min(1.0);
         }
@@ -302,7 +301,10 @@
             }
             ToHost::Stopped(span) => self.out.values_mut().for_each(|sent| *sent += span),
             // Both are one balancer: its clients bring no more now than a moment ago.
-            ToHost::Learnt(room) => self.standing.limit.most = room.clamp(LEAST_LIMIT, MOST_LIMIT),
+            ToHost::Learnt(room) => {
+                let limit = &mut self.standing.limit;
+                (limit.most, limit.known) = (room.clamp(LEAST_LIMIT, MOST_LIMIT), true);
+            }
             ToHost::Sweep(typical, bearable) => self.sweep(typical, bearable, post),
         }
         if self.dropped && !self.alive() {
