New connections and impatient clients are no longer taken for ill hosts

And a new connection whose first push gave up was closed, so that the next one was late alike.

Ruled out by logs and probes: the door, ill hosts, connect times, the handshakes' work, connections opened ahead (their first push takes as long), a PING first (the same).

Change: waits for first pushes are no sign of silence; their time counts for a limit only where kept connections told nothing for 2 s; a time-out shorter than the shortest answer cuts no limit; a new connection whose first push gave up is listened to where its host answers others.

--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -90,6 +90,7 @@
             let mut facade = self.facade.borrow_mut();
             match note {
                 Note::Doubt((op, push)) => facade.doubt(now, op, push),
+                Note::First((op, push)) => facade.first(now, op, push),
                 Note::Alive(host) => facade.alive(now, host),
                 Note::Stopped(span) => facade.stopped(now, span),
             }
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -72,6 +72,8 @@
 /// What connections tell of ops and hosts.
 pub enum Note {
     Doubt(Ticket),
+    /// It goes on a new connection.
+    First(Ticket),
     Alive(HostId),
     /// This process stood still for so long.
     Stopped(Micros),
@@ -271,7 +273,7 @@
 
     /// A connection for a push: one that is kept, or a new one. A push that gets none never ran; what is this balancer's
     /// own want must not be held against the host.
-    async fn link(&self, host: HostId, until: Instant) -> Result<Held<'_>, End> {
+    async fn link(&self, host: HostId, ticket: Ticket, until: Instant) -> Result<Held<'_>, End> {
         loop {
             let grant = self.pools.borrow_mut().grant(self.clock.now(), host);
             self.carry_out();
@@ -290,7 +292,10 @@
                     self.counters.connections_stale.add();
                     self.pools.borrow_mut().found_ended(id);
                 }
-                Grant::Open(id) => return self.opened(host, id, until).await,
+                Grant::Open(id) => {
+                    self.note(Note::First(ticket));
+                    return self.opened(host, id, until).await;
+                }
                 Grant::Later(at) => {
                     let freed = self.hosts.borrow().get(&host).map(|place| place.freed.clone());
                     let freed = freed.ok_or(End::Void)?;
@@ -344,7 +349,7 @@
         // The host begins with the last byte: until that is written the push never ran. An op that is over
         // meanwhile must not get that far, which says nothing of the host; its answer, once it has, is waited for.
         let sent = async {
-            let mut held = self.link(host, until).await?;
+            let mut held = self.link(host, ticket, until).await?;
             let Some(link) = &mut held.link else { return Err(End::Void) };
             match timeout_at(until, text.write(&mut link.stream)).await {
                 Ok(Ok(())) => Ok(held),
--- a/pools/src/lib.rs
+++ b/pools/src/lib.rs
@@ -390,11 +390,16 @@
         let Some(&host) = self.links.get(&link) else { return false };
         if whole {
             self.counted.late += 1;
-            self.with(link, |pool, id| {
+            let silent = self.with(link, |pool, id| {
+                let silent = pool.silent_since(id);
                 pool.answered(id, now);
                 pool.rests(id, now);
+                silent
             });
-            self.orders.push(Order::Alive(host));
+            // One that answers others all along is not told to be back.
+            if silent == Some(true) {
+                self.orders.push(Order::Alive(host));
+            }
             return true;
         }
         self.drop_link(link);
--- a/pools/src/pool.rs
+++ b/pools/src/pool.rs
@@ -230,16 +230,25 @@
         }
     }
 
+    /// Nothing was answered since the push on this one was sent.
+    pub fn silent_since(&self, id: LinkId) -> bool {
+        let sent = self.links.get(&id).and_then(|link| link.sent_at);
+        sent.is_some_and(|sent| self.answered_at.is_none_or(|at| at < sent))
+    }
+
     /// Whether a connection is listened to after its push gave up: where the whole host is silent it tells of its return.
     pub fn listens(&mut self, id: LinkId, now: Micros) -> bool {
         // A slow host that still answers is not listened to: it would work on what nobody waits for.
-        let sent = self.links.get(&id).and_then(|link| link.sent_at);
-        let nothing = sent.is_some_and(|sent| self.answered_at.is_none_or(|at| at < sent));
+        let nothing = self.silent_since(id);
         self.silent = if nothing { self.silent + 1 } else { 0 };
         let silent = self.silent >= SILENT;
-        let listening = self.links.values().filter(|link| link.state == State::Doubtful).count();
+        let silent_too =
+            |(id, link): &(&LinkId, &Link)| link.state == State::Doubtful && self.silent_since(**id);
+        let listening = self.links.iter().filter(silent_too).count();
         let Some(link) = self.links.get_mut(&id) else { return false };
-        if !silent || listening >= LISTEN {
+        // A new one whose first push gave up is warm once it answers: in its place another would be opened, and be late alike.
+        let warm = link.state == State::Warming && !nothing;
+        if !warm && (!silent || listening >= LISTEN) {
             return false;
         }
         (link.state, link.idle_since) = (State::Doubtful, now);
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -121,6 +121,14 @@
         self.mail(op)
     }
 
+    /// A push that is out goes on a connection that has carried nothing yet.
+    pub fn first(&mut self, now: Micros, op: OpId, push: PushNo) {
+        let out = self.tickets.get(&op).and_then(|ticket| ticket.out.get(&push));
+        if let Some(&(host, _)) = out {
+            self.hear(now, Heard::First { op, push, host });
+        }
+    }
+
     /// A push that is out is in doubt: others of its host answer, and it does not.
     pub fn doubt(&mut self, now: Micros, op: OpId, push: PushNo) {
         if self.tickets.get(&op).is_some_and(|ticket| !ticket.over && ticket.out.contains_key(&push)) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,6 +56,8 @@
 enum ToHost {
     Listed(Listed),
     Sent(OpId, PushNo),
+    /// That push goes on a new connection.
+    First(OpId, PushNo),
     Ended(OpId, PushNo, End, Micros),
     /// It answered on a connection from before its silence.
     Alive,
@@ -147,12 +149,9 @@
 
     /// How many cache hosts are listed, and how many of them get nothing now but what feels for their return.
     pub fn pool(&self) -> (usize, usize) {
-        let desk = &self.desk;
-        let here = |listed: &&Listed| listed.lifecycle != Lifecycle::Gone && !listed.origin;
-        let listed =
-            |host: &Standing| host.listed.as_ref().filter(here).map(|listed| desk.avoids(listed, host));
-        let avoided: Vec<bool> = desk.board.iter().filter_map(listed).collect();
-        (avoided.len(), avoided.iter().filter(|&&avoided| avoided).count())
+        let here = |listed: &Listed| listed.lifecycle != Lifecycle::Gone && !listed.origin;
+        let listed = self.desk.board.iter().filter(|host| host.listed.as_ref().is_some_and(here));
+        (listed.clone().count(), listed.filter(|host| self.desk.avoids(host)).count())
     }
 }
 
@@ -194,7 +193,6 @@
     shortest: f64,
     peak: usize,
     fresh: bool, // answered since last judged: an old answer must not cut the limit again and again
-    known: bool, // it was cut once: until then what is borne is not known, and it doubles while it is used
 }
 
 impl Limit {
@@ -209,7 +207,6 @@
     /// The least is for all balancers together too: a jam fed by hundreds of them would never end.
     fn cut(&mut self, to: f64) {
         self.most = (self.most * to).max(LEAST_LIMIT * self.growth);
-        self.known |= to < 1.0;
     }
 
     fn answered(&mut self, took: Micros, weight: f64, now: Micros) {
@@ -226,9 +223,7 @@
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
             self.shortest = (self.shortest * 1.005).min(present).min(quarter);
             self.cut(((SLOWER * self.shortest).max(bearable) / present).min(1.0));
-            let doubles = !self.known && self.peak as f64 >= self.most / 2.0;
-            let grown = if doubles { self.most.max(step) } else { step };
-            self.most = (self.most + if wanted { grown } else { -self.most * UNUSED }).min(MOST_LIMIT);
+            self.most = (self.most + if wanted { step } else { -self.most * UNUSED }).min(MOST_LIMIT);
         } else if self.most < 1.0 {
             self.most = (self.most + step).min(1.0);
         }
@@ -244,7 +239,7 @@
     id: HostId,
     cold: ColdTerms,
     standing: Standing,
-    out: BTreeMap<(OpId, PushNo), Micros>, // when each push that is out was sent
+    out: BTreeMap<(OpId, PushNo), (Micros, bool)>, // when each was sent, and whether on a new connection
     cold_since: Option<Micros>,
     suspect_since: Option<Micros>,
     strikes: f64,
@@ -288,10 +283,11 @@
                 self.standing.listed = Some(listed);
             }
             ToHost::Sent(op, push) => {
-                self.out.insert((op, push), post.now);
+                self.out.insert((op, push), (post.now, false));
                 let limit = &mut self.standing.limit;
                 limit.peak = limit.peak.max(self.out.len());
             }
+            ToHost::First(op, push) => drop(self.out.entry((op, push)).and_modify(|out| out.1 = true)),
             ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
             // What was assumed of it while it was silent, that it might be cold, does not hold.
             ToHost::Alive => {
@@ -299,12 +295,9 @@
                 self.standing.pulse.answered_at = post.now;
                 self.well();
             }
-            ToHost::Stopped(span) => self.out.values_mut().for_each(|sent| *sent += span),
+            ToHost::Stopped(span) => self.out.values_mut().for_each(|out| out.0 += span),
             // Both are one balancer: its clients bring no more now than a moment ago.
-            ToHost::Learnt(room) => {
-                let limit = &mut self.standing.limit;
-                (limit.most, limit.known) = (room.clamp(LEAST_LIMIT, MOST_LIMIT), true);
-            }
+            ToHost::Learnt(room) => self.standing.limit.most = room.clamp(LEAST_LIMIT, MOST_LIMIT),
             ToHost::Sweep(typical, bearable) => self.sweep(typical, bearable, post),
         }
         if self.dropped && !self.alive() {
@@ -333,12 +326,17 @@
     }
 
     fn ended(&mut self, op: OpId, push: PushNo, end: End, took: Micros, now: Micros) {
-        let Some(sent) = self.out.remove(&(op, push)) else { return };
+        let Some((sent, first)) = self.out.remove(&(op, push)) else { return };
         // One that was overtaken by far is lost by itself: those that went after it have their answers.
         if end == End::TimedOut && self.overtook - sent >= took / 2 {
             return;
         }
         self.standing.pulse.heard(end, sent, now);
+        // Of a connection's first push most is the connection's, which counts where nothing better is known, and
+        // a client that gives up before any answer can be there tells of itself.
+        let shortest = Some(self.standing.limit.shortest).filter(|&shortest| shortest < f64::MAX);
+        let first = first && ((now - self.measured_at) as f64) < STANDS_FOR * JUDGE as f64;
+        let own = !first && (end != End::TimedOut || took as f64 >= shortest.unwrap_or(0.0));
         match end {
             End::Acked | End::Miss => {
                 self.overtook = self.overtook.max(sent);
@@ -353,7 +351,7 @@
             End::Unreachable | End::Broken => self.strikes += STRIKE,
             // Too much is in flight; and silence, unless other answers came meanwhile.
             End::TimedOut => {
-                self.standing.limit.cut(BACK_OFF);
+                self.standing.limit.cut(if own { BACK_OFF } else { 1.0 });
                 // Where pushes are seldom no other is a witness: the host would lose it op after op.
                 if self.standing.pulse.answered_at < sent {
                     self.strikes += if self.out.is_empty() { 2.0 * STRIKE } else { STRIKE };
@@ -361,7 +359,7 @@
             }
             End::Severed | End::CalledOff | End::Void => {}
         }
-        if matches!(end, End::Acked | End::TimedOut) {
+        if matches!(end, End::Acked | End::TimedOut) && own {
             self.gap = now - self.measured_at;
             self.measured_at = now;
             // At a quiet balancer one answer stands for all that the host gave others meanwhile.
@@ -373,8 +371,9 @@
         let now = post.now;
         // Time-outs count as answer times: they must not make silence look like slowness.
         let own = self.standing.limit.answers.mean().unwrap_or(typical).max(typical).min(quarter);
-        let waits = self.out.values().filter(|&&sent| sent >= self.overtook);
-        let unanswered = waits.map(|&sent| (now - sent.max(self.standing.pulse.answered_at)) as f64 / own);
+        let waits = self.out.values().filter(|&&(sent, first)| sent >= self.overtook && !first);
+        let unanswered =
+            waits.map(|&(sent, _)| (now - sent.max(self.standing.pulse.answered_at)) as f64 / own);
         let evidence = self.strikes + unanswered.take(WITNESSES).sum::<f64>();
         if evidence > SILENT && self.suspect_since.is_none() && !self.standing.origin() {
             self.suspect_since = Some(now);
@@ -673,6 +672,7 @@
                 let up = (0..).map(HostId).zip(&self.board).filter(|(_, standing)| standing.up());
                 up.for_each(|(host, _)| post.host(host, ToHost::Stopped(span)));
             }
+            Heard::First { op, push, host } => post.host(host, ToHost::First(op, push)),
             Heard::Ended { op, push, host, took, end, over } => {
                 if !self.board[host.0 as usize].origin() {
                     self.abroad = self.abroad.saturating_sub(1);
@@ -703,8 +703,8 @@
         self.loads.over_since.resize(self.board.len(), None);
     }
 
-    fn avoids(&self, listed: &Listed, host: &Standing) -> bool {
-        host.suspect || self.zones.dark(listed.zone, host.pulse)
+    fn avoids(&self, host: &Standing) -> bool {
+        host.suspect || host.listed.as_ref().is_some_and(|listed| self.zones.dark(listed.zone, host.pulse))
     }
 
     fn sweep(&mut self, post: &mut Post) {
@@ -867,7 +867,7 @@
                 continue;
             }
             seen.push(host);
-            let silent = standing.listed.as_ref().is_some_and(|listed| self.avoids(listed, standing));
+            let silent = self.avoids(standing);
             if silent || !self.keeps(host, key) {
                 // With no better host left: the one with most to give, suspects last and one push at a time.
                 let worth = if silent { 0.0 } else { standing.share };
--- a/src/types.rs
+++ b/src/types.rs
@@ -255,6 +255,13 @@
         op: OpId,
         push: PushNo,
     },
+    /// A push goes on a connection that has carried nothing yet: it takes longer than its host does, so that waiting for
+    /// it tells nothing of the host.
+    First {
+        op: OpId,
+        push: PushNo,
+        host: HostId,
+    },
     Ended {
         op: OpId,
         push: PushNo,
