--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,7 +52,6 @@
 const RETRY_RATE: f64 = 0.2; // further pushes or spills earned by an acked op
 const FETCH_RATE: f64 = 0.02; // the same in through mode, where each of them may be one more fetch
 const RETRY_STORE: f64 = 20.0;
-const MENDS: f64 = 0.125; // of a measure of errors, replaced by each further push after one; the least it falls to
 
 enum ToHost {
     Listed(Listed),
@@ -537,7 +536,6 @@
     stale: bool,
     loads: Loads,
     failing: BTreeSet<Place>, // keys whose ops got errors from two hosts, and no value since
-    mended: f64,              // how often a further push after an error brought a value of late
     zones: Zones,
     ops: BTreeMap<OpId, Op>,
     retries: f64,
@@ -580,7 +578,6 @@
             shortest: shortest as f64,
             retries: RETRY_STORE,
             mends: RETRY_STORE,
-            mended: 1.0,
             earned: if terms.allowed.aside { RETRY_RATE } else { FETCH_RATE },
             ..Desk::default()
         }
@@ -749,9 +746,9 @@
     fn ended(&mut self, id: OpId, push: PushNo, end: End, over: bool, post: &mut Post) {
         let Some(op) = self.ops.get_mut(&id) else { return };
         let sent = op.out.iter().position(|out| out.0 == push).map(|at| op.out.remove(at));
+        let failing = op.key.is_some_and(|key| self.failing.contains(&key));
         if end == End::Acked {
             op.key.map(|key| self.failing.remove(&key));
-            self.mended += if op.failed_at.is_some() { (1.0 - self.mended) * MENDS } else { 0.0 };
             self.retries = (self.retries + self.earned).min(RETRY_STORE);
             self.mends = (self.mends + self.earned).min(RETRY_STORE);
         }
@@ -769,6 +766,9 @@
         if let Some((_, host, at)) = sent.filter(|_| !end.proves_not_run()) {
             op.may_have_run = op.may_have_run.filter(|earlier| earlier.1 <= at).or(Some((host, at)));
         }
+        if failing && end == End::Error && op.out.is_empty() {
+            return self.close(id, false, post);
+        }
         // What reached no host has loaded none: going elsewhere is not paid for. A connection's fault is paid
         // for from a store of its own, and its host is as good as before.
         let severed = end == End::Severed && self.mends >= 1.0;
@@ -781,20 +781,17 @@
         self.again(id, post);
     }
 
-    /// An op got an error at a host; whether that is its own: by its key, or as often as nothing mends one.
+    /// An op got an error at a host; whether its key is known to get one wherever it goes.
     fn judge_op(&mut self, id: OpId, host: HostId) -> bool {
         let Some(op) = self.ops.get_mut(&id) else { return false };
+        let Some(key) = op.key else { return false };
         if op.failed_at.replace(host).is_some_and(|before| before != host) {
-            self.mended *= 1.0 - MENDS;
             if self.failing.len() >= KEYS {
                 self.failing.pop_first();
             }
-            self.failing.extend(op.key);
+            self.failing.insert(key);
         }
-        let chance = self.chance.draw() as f64 / u64::MAX as f64;
-        let own = chance > self.mended.max(MENDS) || op.key.is_some_and(|key| self.failing.contains(&key));
-        op.spare *= u32::from(!own);
-        own
+        self.failing.contains(&key)
     }
 
     /// A push came to nothing: another one, if the op may have it and can still use it, or the end.
