--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -307,6 +307,38 @@
     .assert_eq(&lines.join("\n"));
 }
 
+#[test]
+fn bad_ops_with_nothing_in_common_hide_no_host_that_fails_everything() {
+    let mut fleet = fleet(4);
+    let ill = HostId(2);
+    let mut lines = Vec::new();
+    for round in 0..4 {
+        let (mut bad_pushes, mut at_ill, mut unserved) = (0, 0, 0);
+        for nth in 0..120 {
+            // Each third op gets an error wherever it goes, and its key comes once.
+            let bad = nth % 3 == 0;
+            let (op, mut orders) = fleet.op(READ, &format!("{round}-{nth}"));
+            let (mut push, mut served) = (0, false);
+            while let Some(&host) = pushed(&orders).first() {
+                fleet.pass(50 * MS);
+                let fails = bad || host == ill;
+                at_ill += usize::from(!bad && host == ill);
+                orders = fleet.end(op, push, host, if fails { End::Error } else { End::Acked }, 50 * MS);
+                (push, served) = (push + 1, !fails);
+            }
+            bad_pushes += if bad { push } else { 0 };
+            unserved += usize::from(!bad && !served);
+        }
+        lines.push(format!("{bad_pushes} pushes of 40 bad ops; of 80 good ones {at_ill} at the ill host, {unserved} unserved"));
+    }
+    expect![[r#"
+        56 pushes of 40 bad ops; of 80 good ones 5 at the ill host, 2 unserved
+        41 pushes of 40 bad ops; of 80 good ones 6 at the ill host, 6 unserved
+        40 pushes of 40 bad ops; of 80 good ones 5 at the ill host, 4 unserved
+        41 pushes of 40 bad ops; of 80 good ones 6 at the ill host, 6 unserved"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn a_silent_host_is_left_and_taken_back_as_cold() {
     let mut fleet = fleet(4);
