--- a/src/rules.rs
+++ b/src/rules.rs
@@ -332,8 +332,8 @@
             return;
         }
         self.standing.pulse.heard(end, sent, now);
-        // Of a connection's first push most is the connection's, which counts where nothing better is known, and
-        // a client that gives up before any answer can be there tells of itself.
+        // Of a connection's first push most is the connection's: it counts where no better is known. A client
+        // that gives up before any answer can be there tells of itself.
         let shortest = Some(self.standing.limit.shortest).filter(|&shortest| shortest < f64::MAX);
         let first = first && ((now - self.measured_at) as f64) < STANDS_FOR * JUDGE as f64;
         let own = !first && (end != End::TimedOut || took as f64 >= shortest.unwrap_or(0.0));
