A limit's step stands before its cut again; what a time-out tells of has a name of its own

In Host::ended the sentinel of a shortest answer time not known yet went through an Option and back; it is one condition now, called short, and what counts is called tells, since own means something else in the same file.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -218,12 +218,12 @@
     /// Follows the shortest answer time over the present one, from a time that is bearable anyway.
     fn judge(&mut self, present: Option<f64>, quarter: f64, bearable: f64, parts: f64, in_flight: usize) {
         let wanted = self.peak as f64 >= (self.most / 2.0).min(1.0) || self.most < 1.0;
-        let step = (self.growth * parts).min(parts.max(1.0));
+        let step = if wanted { (self.growth * parts).min(parts.max(1.0)) } else { -self.most * UNUSED };
         if let Some(present) = present.filter(|_| self.fresh && self.answers.total() >= SAMPLES) {
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
             self.shortest = (self.shortest * 1.005).min(present).min(quarter);
             self.cut(((SLOWER * self.shortest).max(bearable) / present).min(1.0));
-            self.most = (self.most + if wanted { step } else { -self.most * UNUSED }).min(MOST_LIMIT);
+            self.most = (self.most + step).min(MOST_LIMIT);
         } else if self.most < 1.0 {
             self.most = (self.most + step).min(1.0);
         }
@@ -334,9 +334,10 @@
         self.standing.pulse.heard(end, sent, now);
         // Of a connection's first push most is the connection's: it counts where no better is known. A client
         // that gives up before any answer can be there tells of itself.
-        let shortest = Some(self.standing.limit.shortest).filter(|&shortest| shortest < f64::MAX);
+        let shortest = self.standing.limit.shortest;
+        let short = end == End::TimedOut && shortest < f64::MAX && (took as f64) < shortest;
         let first = first && ((now - self.measured_at) as f64) < STANDS_FOR * JUDGE as f64;
-        let own = !first && (end != End::TimedOut || took as f64 >= shortest.unwrap_or(0.0));
+        let tells = !first && !short;
         match end {
             End::Acked | End::Miss => {
                 self.overtook = self.overtook.max(sent);
@@ -351,7 +352,7 @@
             End::Unreachable | End::Broken => self.strikes += STRIKE,
             // Too much is in flight; and silence, unless other answers came meanwhile.
             End::TimedOut => {
-                self.standing.limit.cut(if own { BACK_OFF } else { 1.0 });
+                self.standing.limit.cut(if tells { BACK_OFF } else { 1.0 });
                 // Where pushes are seldom no other is a witness: the host would lose it op after op.
                 if self.standing.pulse.answered_at < sent {
                     self.strikes += if self.out.is_empty() { 2.0 * STRIKE } else { STRIKE };
@@ -359,7 +360,7 @@
             }
             End::Severed | End::CalledOff | End::Void => {}
         }
-        if matches!(end, End::Acked | End::TimedOut) && own {
+        if matches!(end, End::Acked | End::TimedOut) && tells {
             self.gap = now - self.measured_at;
             self.measured_at = now;
             // At a quiet balancer one answer stands for all that the host gave others meanwhile.
