A limit stands at twice what was lately out and the first limit at most

Cause: Limit::judge takes a limit as used from a peak of one up, so that it never comes down from where it began. Change: it stands at FIRST_LIMIT and twice the last peak at most.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -235,6 +235,8 @@
         } else if self.most < 1.0 {
             self.most = (self.most + step).min(1.0);
         }
+        // What was never near its use tells nothing, and must not stand high when a jam begins.
+        self.most = self.most.min(FIRST_LIMIT + 2.0 * self.peak as f64);
         self.answers.fade(if self.answers.total() >= 2.0 * SAMPLES { 0.5 } else { FADING });
         (self.fresh, self.peak) = (false, in_flight);
     }
