--- a/src/rules.rs
+++ b/src/rules.rs
@@ -214,7 +214,9 @@
 
     /// The least is for all balancers together too: a jam fed by hundreds of them would never end.
     fn cut(&mut self, to: f64) {
-        self.most = (self.most * to).max(LEAST_LIMIT * self.growth);
+        // From where it is used: one that stands far above what is out would be cut for seconds to no effect.
+        let used = if to < 1.0 { FIRST_LIMIT + 2.0 * self.peak as f64 } else { MOST_LIMIT };
+        self.most = (self.most.min(used) * to).max(LEAST_LIMIT * self.growth);
     }
 
     fn answered(&mut self, took: Micros, weight: f64, now: Micros) {
@@ -235,8 +237,6 @@
         } else if self.most < 1.0 {
             self.most = (self.most + step).min(1.0);
         }
-        // What was never near its use tells nothing, and must not stand high when a jam begins.
-        self.most = self.most.min(FIRST_LIMIT + 2.0 * self.peak as f64);
         self.answers.fade(if self.answers.total() >= 2.0 * SAMPLES { 0.5 } else { FADING });
         (self.fresh, self.peak) = (false, in_flight);
     }
