--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -23,6 +23,8 @@
     text: String,
     out: u32,
     over: bool,
+    /// The push whose answer has begun: as on sockets that ends it for the module, and the client has the rest.
+    streams: Option<u32>,
 }
 
 impl Tickets {
@@ -30,7 +32,7 @@
         let op = OpId(self.next);
         self.next += 1;
         self.numbers.insert(text.clone(), op);
-        self.open.insert(op, Ticket { text, out: 0, over: false });
+        self.open.insert(op, Ticket { text, out: 0, over: false, streams: None });
         op
     }
 
@@ -38,6 +40,10 @@
         self.numbers.get(text).copied().ok_or_else(|| format!("unknown op {text}"))
     }
 
+    fn streams(&self, text: &str) -> Option<u32> {
+        self.open.get(self.numbers.get(text)?)?.streams
+    }
+
     fn note(&mut self, op: OpId, change: impl FnOnce(&mut Ticket)) {
         let Some(ticket) = self.open.get_mut(&op) else { return };
         change(ticket);
@@ -72,11 +78,12 @@
         lists: &HashMap<u32, Vec<ListEntry>>,
         outbox: &mut Vec<String>,
     ) -> Result<(), String> {
+        let begins = matches!(event, Event::FirstByte { .. });
         let Some(heard) = self.heard(event, lists)? else {
             return Ok(());
         };
         let ended = match &heard {
-            Heard::Ended { op, over, .. } => Some((*op, 1, *over)),
+            Heard::Ended { op, over, .. } => Some((*op, u32::from(!begins), *over)),
             Heard::Dropped { op } => Some((*op, 0, true)),
             _ => None,
         };
@@ -122,8 +129,17 @@
                     ttl_at: micros(drop_dead_ms),
                 }
             }
-            Event::FirstByte { ticket, hop } => {
-                Heard::Streaming { op: self.tickets.known(&ticket)?, push: PushNo(hop) }
+            Event::FirstByte { ticket, hop, host, wait_time_ms } => {
+                let op = self.tickets.known(&ticket)?;
+                self.tickets.note(op, |ticket| ticket.streams = Some(hop));
+                let host = HostId(self.words.hosts.known(&host, "host")?);
+                let took = micros(wait_time_ms);
+                Heard::Ended { op, push: PushNo(hop), host, took, end: End::Acked, over: true }
+            }
+            Event::Finished { ticket, hop, .. } if self.tickets.streams(&ticket) == Some(hop) => {
+                let op = self.tickets.known(&ticket)?;
+                self.tickets.note(op, |ticket| ticket.out -= 1);
+                return Ok(None);
             }
             Event::Finished { ticket, hop, wait_time_ms, rc, over, host } => Heard::Ended {
                 op: self.tickets.known(&ticket)?,
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -124,7 +124,7 @@
     fn malformed_input_ends_the_adapter_and_settings_without_sense_are_answered() {
         let mut lines = vec![Hosting::default().batch("{nonsense").unwrap_err()];
         lines.push(answers(&[r#"{"type":"DEMAND","ticket":"t/1"}"#]));
-        lines.push(answers(&[r#"{"type":"FIRST_BYTE","ticket":"t/9","hop":0}"#]));
+        lines.push(answers(&[r#"{"type":"FINISHED","ticket":"t/9","hop":0,"waitTimeMs":1.0,"rc":"success","over":true,"host":"a"}"#]));
         let bare = r#"{"timeMs":0,"parts":[{"who":1,"events":[{"type":"SPAWN","initSeed":1,"info":{"categories":[],
             "invariants":{"coldFrom":0.2,"warmWithinMs":9.0,"tipMultiple":3.0,"tipAfterMs":3.0},"limits":{"maxPushes":4}}}]}]}"#;
         lines.push(Hosting::default().batch(&bare.replace('\n', "")).expect("it is answered"));
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -50,10 +50,6 @@
         #[serde(default)]
         bits: Option<u32>,
     },
-    FirstByte {
-        ticket: String,
-        hop: u32,
-    },
     Finished {
         ticket: String,
         hop: u32,
@@ -68,7 +64,13 @@
     TickDue {
         ctx: String,
     },
-    /// Of no use to the decisions so far.
+    FirstByte {
+        ticket: String,
+        hop: u32,
+        host: String,
+        wait_time_ms: f64,
+    },
+    /// What probes and peers tell is not heeded, whatever it holds.
     StatusBack,
     PeerData,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,16 +3,18 @@
 //! `Balancer::hear(now, heard, &mut orders)` is told each event in turn and adds what is to be done, purely:
 //! no clock, no I/O, no global. The interface is in `types.rs`.
 //!
-//! Inside, each host is an actor with an inbox (`Host`), and so is the desk that holds the ops (`Desk`).
-//! They talk by notes only, and the loop in `hear` empties the inboxes. `Desk::push` and `Desk::close` are
-//! the gate: every push and every final answer passes there, and there the four rules are kept.
+//! Each host is an actor with an inbox (`Host`), and so is the desk that holds the ops (`Desk`): the loop in
+//! `hear` empties them. `Desk::push` and `Desk::close` are the gate, and there the four rules are kept.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::histogram::{Bucket, Counts, Histogram, Windows};
+use crate::ring::Ring;
 use crate::types::*;
 use crate::zones::{Pulse, Zones};
 
+mod views;
+
 // The ordinary path: ring and hot keys.
 const POINTS: f64 = 64.0; // per host of mean weight: arcs within about an eighth of their mean
 const ALPHA: f64 = 1.5; // overloaded: above so many times the mean load of the hosts used
@@ -40,9 +42,7 @@
 const JUDGE: Micros = 250_000; // how often a host's limit and share are set anew
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const STANDS_FOR: f64 = 8.0; // answers that one stands for at most, after a long gap
-const FADING: f64 = 0.99; // of answers, kept a step: one must not be held against a host for ever
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
-const UNUSED: f64 = 0.05; // of an unused limit, lost a step: it must not stand high when a jam begins
 const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
 const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
@@ -56,15 +56,13 @@
 enum ToHost {
     Listed(Listed),
     Sent(OpId, PushNo),
-    /// That push goes on a new connection.
-    First(OpId, PushNo),
+    First(OpId, PushNo), // that push goes on a new connection
     Ended(OpId, PushNo, End, Micros),
-    /// It answered on a connection from before its silence.
-    Alive,
+    Alive, // it answered on a connection from before its silence
     Stopped(Micros),
     Learnt(f64), // how much could be in flight there at the process that this one replaces
-    /// Time to judge: the fleet's typical answer time, the longest for the shortest, the time between pushes.
-    Sweep(f64, f64, Micros),
+    /// The fleet's typical answer time, the longest for the shortest, the time between pushes; if to judge.
+    Sweep(f64, f64, Micros, bool),
 }
 
 enum ToDesk {
@@ -128,32 +126,10 @@
         orders.append(&mut self.post.orders);
     }
 
-    /// Hosts that are gone and that nothing open names: their numbers may stand for others from now on.
-    pub fn free(&self) -> Vec<HostId> {
-        let gone = |listed: &Listed| listed.lifecycle == Lifecycle::Gone;
-        let named = |host: HostId| self.desk.ops.values().any(|op| op.tried.contains(&host));
-        let open = |host: &Host| !host.out.is_empty() || named(host.id);
-        let free = |host: &&Host| host.standing.listed.as_ref().is_some_and(gone) && !open(host);
-        self.hosts.iter().filter(free).map(|host| host.id).collect()
-    }
-
     /// Rule 3, for a push that waited for its connection after the gate.
     pub fn takes(&self, host: HostId) -> bool {
         self.desk.board.get(host.0 as usize).is_some_and(Standing::up)
     }
-
-    pub fn learnt(&self) -> Vec<Learnt> {
-        let up = self.desk.board.iter().filter(|host| host.up());
-        up.filter_map(|host| Some(Learnt { place: host.listed.as_ref()?.place, room: host.limit.most }))
-            .collect()
-    }
-
-    /// How many cache hosts are listed, and how many of them get nothing now but what feels for their return.
-    pub fn pool(&self) -> (usize, usize) {
-        let here = |listed: &Listed| listed.lifecycle != Lifecycle::Gone && !listed.origin;
-        let listed = self.desk.board.iter().filter(|host| host.listed.as_ref().is_some_and(here));
-        (listed.clone().count(), listed.filter(|host| self.desk.avoids(host)).count())
-    }
 }
 
 /// What a host shows the desk.
@@ -227,8 +203,7 @@
 
     /// Follows the shortest answer time over the present one, from a time that is bearable anyway.
     fn judge(&mut self, present: Option<f64>, quarter: f64, bearable: f64, parts: f64, in_flight: usize) {
-        let wanted = self.peak as f64 >= (self.most / 2.0).min(1.0) || self.most < 1.0;
-        let step = if wanted { (self.growth * parts).min(parts.max(1.0)) } else { -self.most * UNUSED };
+        let step = (self.growth * parts).min(parts.max(1.0));
         if let Some(present) = present.filter(|_| self.fresh && self.answers.total() >= SAMPLES) {
             // A host that was in a jam when first met must not pass its jam for its shortest answer time.
             self.shortest = (self.shortest * 1.005).min(present).min(quarter);
@@ -237,7 +212,7 @@
         } else if self.most < 1.0 {
             self.most = (self.most + step).min(1.0);
         }
-        self.answers.fade(if self.answers.total() >= 2.0 * SAMPLES { 0.5 } else { FADING });
+        self.answers.fade(if self.answers.total() >= 2.0 * SAMPLES { 0.5 } else { 1.0 });
         (self.fresh, self.peak) = (false, in_flight);
     }
 }
@@ -252,11 +227,9 @@
     cold_since: Option<Micros>,
     suspect_since: Option<Micros>,
     strikes: f64,
-    overtook: Micros, // when the last push of those that have a value or a miss was sent
-    judged_at: Micros,
+    overtook: Micros,    // when the last push of those that have a value or a miss was sent
     measured_at: Micros, // when the last answer time came
     gap: Micros,         // and how long after the one before
-    target: f64,         // what the share of its keys that it keeps moves towards
     drained: bool,       // the list said so: that binds, whatever it says later
     dropped: bool,       // the list names it no more, and its own answers are what keeps it
     dropped_stay: bool,
@@ -265,7 +238,7 @@
 impl Host {
     fn new(id: HostId, cold: ColdTerms, growth: f64, dropped_stay: bool) -> Host {
         let standing = Standing { share: 1.0, limit: Limit::new(FIRST_LIMIT, growth), ..Standing::default() };
-        Host { id, cold, standing, target: 1.0, dropped_stay, ..Host::default() }
+        Host { id, cold, standing, dropped_stay, ..Host::default() }
     }
 
     fn take(&mut self, note: ToHost, post: &mut Post) {
@@ -278,8 +251,8 @@
                 }
                 self.drained |= listed.lifecycle == Lifecycle::Draining;
                 // A list may be wrong: one that shrinks must not empty the ring of hosts that answer.
-                let gone = listed.lifecycle == Lifecycle::Gone;
-                self.dropped = gone && self.dropped_stay && !self.drained && self.alive();
+                self.dropped = self.dropped_stay && !self.drained && self.alive();
+                self.dropped &= listed.lifecycle == Lifecycle::Gone;
                 if self.dropped {
                     return;
                 }
@@ -306,7 +279,9 @@
             ToHost::Stopped(span) => self.out.values_mut().for_each(|out| out.0 += span),
             // Both are one balancer: its clients bring no more now than a moment ago.
             ToHost::Learnt(room) => self.standing.limit.most = room.clamp(LEAST_LIMIT, MOST_LIMIT),
-            ToHost::Sweep(typical, bearable, apart) => self.sweep(typical, bearable, apart, post),
+            ToHost::Sweep(typical, quarter, apart, judged) => {
+                self.sweep(typical, quarter, apart, judged, post)
+            }
         }
         if self.dropped && !self.alive() {
             self.dropped = false;
@@ -372,7 +347,7 @@
         }
     }
 
-    fn sweep(&mut self, typical: f64, quarter: f64, apart: Micros, post: &mut Post) {
+    fn sweep(&mut self, typical: f64, quarter: f64, apart: Micros, judged: bool, post: &mut Post) {
         let now = post.now;
         // Time-outs count as answer times: they must not make silence look like slowness.
         let own = self.standing.limit.answers.mean().unwrap_or(typical).max(typical).min(quarter);
@@ -390,73 +365,17 @@
             self.cold_since = Some(now);
             self.well();
         }
-        if now - self.judged_at < JUDGE {
+        if !judged {
             return;
         }
-        self.judged_at = now;
         let (bearable, parts) = if self.standing.origin() { (ORIGIN_BEARABLE, 2.0) } else { (1.0, 1.0) };
         let (mean, total) = (self.standing.limit.answers.mean(), self.standing.limit.answers.total());
         self.standing.limit.judge(mean, quarter, bearable * quarter, parts, self.out.len());
         // One time-out may be all that a quiet balancer hears; the fleet's typical time counts as one answer.
         let present = (mean.unwrap_or(0.0) * total + typical) / (total + 1.0);
-        self.target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
+        let target = (EVEN * typical / present).clamp(LEAST_SHARE, 1.0);
         self.standing.share +=
-            (self.target - self.standing.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
-    }
-}
-
-/// The ring of homes, built alike by every balancer from the hosts' names and weights.
-#[derive(Default)]
-struct Ring {
-    scale: f64,
-    weights: Vec<f64>,
-    /// Each host's points where its name put them, in the ring's order.
-    raw: Vec<(u64, HostId)>,
-    /// The same after Equation 1.
-    points: Vec<(u64, HostId)>,
-}
-
-impl Ring {
-    /// Takes the hosts as they now are. Only what came or went is sorted anew: in a large fleet that grows
-    /// the list tells of a few hosts again and again.
-    fn set(&mut self, hosts: &[(Place, HostId, f64)]) {
-        // A power of two near the mean weight, so that the scale rarely changes when a host comes or goes.
-        let mean = hosts.iter().map(|host| host.2).sum::<f64>() / hosts.len().max(1) as f64;
-        let scale = mean.max(1e-9).log2().round().exp2();
-        let known =
-            hosts.iter().map(|host| host.1 .0 as usize + 1).max().unwrap_or(0).max(self.weights.len());
-        let mut weights = vec![0.0; known];
-        hosts.iter().for_each(|host| weights[host.1 .0 as usize] = host.2);
-        self.weights.resize(known, 0.0);
-        let stays =
-            |host: HostId| scale == self.scale && weights[host.0 as usize] == self.weights[host.0 as usize];
-        self.raw.retain(|point| stays(point.1));
-        for &(place, host, weight) in hosts.iter().filter(|host| !stays(host.1)) {
-            let points = (POINTS * weight / scale).clamp(8.0, 8.0 * POINTS) as u64;
-            self.raw.extend((1..=points).map(|nth| (place.mixed(nth).0, host)));
-        }
-        (self.scale, self.weights) = (scale, weights);
-        self.raw.sort();
-        let (raw, count) = (&self.raw, self.raw.len());
-        let points = (0..count).map(|i| {
-            let (before, here, next) = (raw[(i + count - 1) % count], raw[i], raw[(i + 1) % count]);
-            // Equation 1: MH_i = (H_i + H_{i+1}) / 2 for a host weighted above its next.
-            let weight = |host: HostId| self.weights[host.0 as usize];
-            let moved = if here.1 != next.1 && weight(here.1) > weight(next.1) {
-                before.0.wrapping_add(next.0.wrapping_sub(before.0) / 2)
-            } else {
-                here.0
-            };
-            (moved, here.1)
-        });
-        self.points = points.collect();
-        self.points.sort();
-    }
-
-    /// The hosts clockwise from a place; a host comes once for each of its points.
-    fn walk(&self, from: Place) -> impl Iterator<Item = (u64, HostId)> + '_ {
-        let start = self.points.partition_point(|point| point.0 < from.0);
-        self.points[start..].iter().chain(&self.points[..start]).copied()
+            (target - self.standing.share) * (GAIN * self.gap.max(JUDGE) as f64 / JUDGE as f64).min(1.0);
     }
 }
 
@@ -480,10 +399,9 @@
         }
         let stays = |key: &Place, count: f64| self.hot.contains(key) && count >= BETA * mean;
         let comes = |count: f64, home: HostId| {
-            // A key that alone is past the bound needs no time to be told from chance.
-            let alone = count > ALPHA * mean;
             let part = BETA * self.counts.hosts[home.0 as usize];
-            count >= REPEATS.max(part) && (alone || self.overloaded(home, now))
+            // A key that alone is past the bound needs no time to be told from chance.
+            count >= REPEATS.max(part) && (count > ALPHA * mean || self.overloaded(home, now))
         };
         let keys = self.counts.keys.iter();
         let hot = keys.filter(|(key, &(count, home))| stays(key, count) || comes(count, home));
@@ -495,7 +413,7 @@
 /// What the desk keeps of a category's terms.
 struct Category {
     target: Micros, // less two ticks
-    useful: Micros, // an answer is of use for so long
+    late: bool,     // whether an answer past it is of use
     claim: f64,     // the part of a host's room that it may fill
     spare: u32,     // further pushes that an op may have
     repeats: Repeats,
@@ -515,7 +433,6 @@
     may_have_run: Option<(HostId, Micros)>, // where and when the first such push went
     missed: bool,
     failed_at: Option<HostId>, // where its last error came from
-    streaming: bool,
 }
 
 #[derive(Default)]
@@ -556,19 +473,15 @@
 impl Desk {
     fn new(terms: &Terms) -> Desk {
         let top = terms.categories.iter().map(|category| category.benefit).fold(0.0, f64::max);
-        let categories = terms.categories.iter().map(|category| {
-            let target = (category.target_latency - 2 * terms.tick).max(terms.tick);
-            Category {
-                target,
-                useful: if category.late_benefit > 0.0 { category.ttl } else { target },
-                claim: 0.6 + 0.4 * category.benefit / top.max(1e-9),
-                spare: 1 + (2.0 * category.benefit / top.max(1e-9)) as u32,
-                repeats: category.repeats,
-            }
+        let categories = terms.categories.iter().map(|category| Category {
+            target: (category.target_latency - 2 * terms.tick).max(terms.tick),
+            late: category.late_benefit > 0.0,
+            claim: 0.6 + 0.4 * category.benefit / top.max(1e-9),
+            spare: 1 + (2.0 * category.benefit / top.max(1e-9)) as u32,
+            repeats: category.repeats,
         });
         let shortest = terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(0);
         let part = 1.0 / f64::from(terms.balancers);
-        let rate = |customer: &CustomerTerms| customer.quota_per_s * part;
         let mut chance = Chance::new(terms.seed);
         Desk {
             salt: chance.draw(),
@@ -580,7 +493,7 @@
             come_back: terms.come_back.map(|longest| longest.min(shortest / 2)),
             excess_claim: 0.5 + 0.5 * terms.excess_benefit.clamp(0.0, 1.0),
             categories: categories.collect(),
-            customers: terms.customers.iter().map(|customer| Bucket::new(rate(customer))).collect(),
+            customers: terms.customers.iter().map(|of| Bucket::new(of.quota_per_s * part)).collect(),
             typical: shortest as f64 / 4.0,
             target: shortest as f64,
             shortest: shortest as f64,
@@ -641,7 +554,7 @@
                     category: category.0 as usize,
                     key,
                     write,
-                    give_up: ttl_at.min(post.now + terms.useful),
+                    give_up: if terms.late { ttl_at } else { ttl_at.min(post.now + terms.target) },
                     claim: terms.claim * if within && !again { 1.0 } else { self.excess_claim },
                     spare: terms.spare,
                     ..Op::default()
@@ -657,12 +570,6 @@
                     }
                 }
             }
-            Heard::Streaming { op, push } => {
-                let Some(held) = self.ops.get_mut(&op) else { return };
-                held.streaming = true;
-                let others = held.out.iter().filter(|out| self.allowed.call_off && out.0 != push);
-                post.orders.extend(others.map(|out| Order::CallOff { op, push: out.0 }));
-            }
             Heard::Dropped { op } => self.forget(op, post),
             Heard::Doubt { op, push } => {
                 let Some(held) = self.ops.get_mut(&op) else { return };
@@ -677,8 +584,7 @@
             }
             Heard::Alive { host } => post.host(host, ToHost::Alive),
             Heard::Stopped(span) => {
-                let up = (0..).map(HostId).zip(&self.board).filter(|(_, standing)| standing.up());
-                up.for_each(|(host, _)| post.host(host, ToHost::Stopped(span)));
+                (0..self.board.len()).for_each(|at| post.host(HostId(at as u32), ToHost::Stopped(span)));
             }
             Heard::First { op, push, host } => post.host(host, ToHost::First(op, push)),
             Heard::Ended { op, push, host, took, end, over } => {
@@ -705,9 +611,12 @@
             Some((listed.place, host, weight))
         });
         let hosts: Vec<_> = hosts.collect();
-        let came = |host: &HostId| self.ring.weights.get(host.0 as usize).is_none_or(|&weight| weight == 0.0);
-        self.loads.counts.meet(self.board.len(), hosts.iter().map(|host| host.1).filter(came));
-        self.ring.set(&hosts);
+        // A power of two near the mean weight, so that the scale rarely changes when a host comes or goes.
+        let mean = hosts.iter().map(|host| host.2).sum::<f64>() / hosts.len().max(1) as f64;
+        let scale = mean.max(1e-9).log2().round().exp2();
+        let came = hosts.iter().map(|host| host.1).filter(|host| !self.ring.holds(*host));
+        self.loads.counts.meet(self.board.len(), came);
+        self.ring.set(&hosts, |weight| (POINTS * weight / scale).clamp(8.0, 8.0 * POINTS) as u64);
         self.loads.over_since.resize(self.board.len(), None);
     }
 
@@ -747,7 +656,7 @@
         let due = |standing: &Standing| !standing.rests && (judged || standing.in_flight > 0);
         for (host, standing) in (0..).map(HostId).zip(&self.board).filter(|(_, standing)| due(standing)) {
             let target = if standing.cache() { self.target } else { self.shortest }; // all go to the origin
-            post.host(host, ToHost::Sweep(self.typical, target / 4.0, self.apart));
+            post.host(host, ToHost::Sweep(self.typical, target / 4.0, self.apart, judged));
         }
         post.orders.push(Order::Wake { after: SWEEP, wake: Wake::Sweep });
     }
@@ -806,7 +715,8 @@
     fn again(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.get_mut(&id) else { return };
         let room = op.give_up - post.now > (self.typical / 4.0) as Micros;
-        if !op.streaming && room && op.spare > 0 && self.retries >= 1.0 {
+        let free = op.out.is_empty() || self.allowed.second_copies;
+        if free && room && op.spare > 0 && self.retries >= 1.0 {
             op.spare -= 1;
             self.retries -= 1.0;
             self.route(id, post);
@@ -904,8 +814,7 @@
 
     /// The holders, one per equal range of the ring from the key's place; the home is the first.
     fn holders(&self, key: Place, now: Micros) -> Vec<HostId> {
-        let used = self.ring.weights.iter().filter(|&&weight| weight > 0.0).count() as f64;
-        let count = ((self.loads.counts.part(key) * used) as u64).max(HOLDERS);
+        let count = ((self.loads.counts.part(key) * self.ring.hosts() as f64) as u64).max(HOLDERS);
         let range = u64::MAX / count;
         let mut holders: Vec<HostId> = Vec::new();
         for nth in 0..count {
@@ -932,7 +841,7 @@
         let standing = &self.board[host.0 as usize];
         // Rule 1: nothing for an op that is over, out of time or out of pushes.
         // Rule 3: nothing new to a host that drains or is gone; the grace is not used.
-        if op.streaming || now >= op.give_up || op.pushes >= self.allowed.max_pushes || !standing.up() {
+        if now >= op.give_up || op.pushes >= self.allowed.max_pushes || !standing.up() {
             return false;
         }
         // Rule 2: nothing that could take effect twice, and two pushes at a time only where that is allowed.
@@ -997,7 +906,7 @@
 
     fn forget(&mut self, id: OpId, post: &mut Post) {
         let Some(op) = self.ops.remove(&id) else { return };
-        let out = op.out.iter().filter(|_| self.allowed.call_off && !op.streaming);
+        let out = op.out.iter().filter(|_| self.allowed.call_off);
         post.orders.extend(out.map(|out| Order::CallOff { op: id, push: out.0 }));
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -250,11 +250,6 @@
         again: bool,
         ttl_at: Micros,
     },
-    /// The answer has begun to stream; from now on the client owns the push.
-    Streaming {
-        op: OpId,
-        push: PushNo,
-    },
     /// A push goes on a connection that has carried nothing yet: it takes longer than its host does, so that waiting for
     /// it tells nothing of the host.
     First {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -519,7 +519,7 @@
         let to_hung = out.iter().filter(|push| hung(push.2)).count();
         sent.push((to_hung, out.len() - to_hung));
     }
-    expect!["pushes to hung hosts and to the other, by round: [(12, 6), (0, 5), (0, 4), (4, 5), (4, 3), (0, 5), (0, 6), (2, 4), (1, 5), (0, 6), (0, 6), (1, 5)]"].assert_eq(&format!("pushes to hung hosts and to the other, by round: {sent:?}"));
+    expect!["pushes to hung hosts and to the other, by round: [(12, 6), (0, 5), (0, 4), (4, 5), (4, 3), (0, 5), (0, 6), (2, 6), (1, 5), (0, 7), (0, 7), (1, 7)]"].assert_eq(&format!("pushes to hung hosts and to the other, by round: {sent:?}"));
 }
 
 #[test]
