The move on the program: settings checked, both shapes before the same hosts in two tests

Simulated (tests/mixed.rs): six balancers told of the old shape and six of the new before eight hosts of one core and a third more traffic than they bear, a drain and a start under way. Final answers for all, no effect twice, one push at a time at the new ones, nothing to the draining host, the cold one within its bound; reads served in time 0.62 at the old and 0.67 at the new, bound four fifths of each other. A kind that is made to heed no jam fails it: 0.33 and 1.00. On sockets (balancer/tests/mixed.rs): two programs, one home for a key, 100 of 100 each, an at-most-once op whose connection broke is dead-lettered at once with one push, nothing to a host both know to leave. Settings: prices, report and its columns, mayTell and probes are read and checked for adapter and program alike, keptPromises and tailMiss are passed on; a line tells what is allowed and not used. A setting of the wrong kind is named by its field (serde_path_to_error).

--- a/balancer/src/told.rs
+++ b/balancer/src/told.rs
@@ -63,7 +63,9 @@
     }
 
     fn parse(text: &str) -> Result<Told, String> {
-        let file: File = serde_json::from_str(text).map_err(|cause| cause.to_string())?;
+        // The line names the field too: a place in a file of one line helps nobody.
+        let reader = &mut serde_json::Deserializer::from_str(text);
+        let file: File = serde_path_to_error::deserialize(reader).map_err(|cause| cause.to_string())?;
         let address = |what: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{what} {text:?} is no address with a port"))
         };
@@ -78,6 +80,7 @@
             return Err("limits: at least 8 MB and 32 sockets are needed".to_owned());
         }
         let mut terms = file.settings.terms(seed)?;
+        file.settings.unused().iter().for_each(|what| log::info!("allowed and not used, {what}"));
         // Calling a push off closes its connection, since none can be told from the next on it: the host works on
         // all the same, and the next push waits for a new one. So a push runs on, and ends as what it was.
         terms.allowed.call_off = false;
--- /dev/null
+++ b/balancer/tests/mixed.rs
@@ -0,0 +1,110 @@
+//! The move on sockets: one program told of the old shape of deployment and one of the new, before the same hosts.
+
+#[path = "../../tests/common/mod.rs"]
+mod common;
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+use common::*;
+use expect_test::expect;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
+
+/// The new shape: one push at a time, late answers earn, a part of the result for what is in time, messages and probes.
+fn new_shape() -> String {
+    let late = SETTINGS.replace("\"semantics\"", "\"tardyBenefit\":0.4,\"semantics\"");
+    let limits =
+        late.replace("\"mayDuplicate\":true", "\"mayDuplicate\":false,\"mayTell\":true,\"probes\":true");
+    let more =
+        "\"report\":{\"source\":\"on_probe\",\"columns\":[\"eps\",\"util\"]},\"costs\":{\"probe\":0.01},\
+                \"objectiveMix\":{\"keptPromises\":0.2,\"tailMiss\":0.02}";
+    limits.replace("\"unheardOf\":{\"x\":1}", more)
+}
+
+/// A host that breaks its connection at the key `break`, counting these, and else answers with its name.
+fn host(name: &'static str, broken: &Arc<AtomicU32>) -> Peer {
+    let broken = broken.clone();
+    Peer::host(move |asked| {
+        if !asked.contains("break") {
+            return hit(name);
+        }
+        broken.fetch_add(1, Ordering::Relaxed);
+        Says::Last(String::new())
+    })
+}
+
+#[test]
+fn programs_of_both_shapes_serve_before_the_same_hosts_and_keep_the_rules() {
+    let broken = Arc::default();
+    let (a, b, discovery) = (host("from a", &broken), host("from b", &broken), Discovery::start());
+    let known = [entry("a", a.address, "active"), entry("b", b.address, "active")];
+    let old = Program::start_by(BINARY, discovery.peer.address, &known, [192, 1024], SETTINGS);
+    let new = Program::told(
+        BINARY,
+        &format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"2","limits":{{"cores":1.0,"memory_mb":192,
+            "sockets":1024}},"known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{}}}"#,
+            discovery.peer.address,
+            known.join(","),
+            new_shape()
+        ),
+    );
+    let mut trace = vec![];
+    for _ in 0..2 {
+        let line = new.logged("allowed and not used");
+        trace.push(line.split_once("not used, ").expect("what").1.to_owned());
+    }
+    let mut new = new;
+    new.address = new.logged("listens on").rsplit(' ').next().expect("an address").to_owned();
+    new.logged("Serving");
+    let mut clients = [old.client(), new.client()];
+    // Homes are the same for both.
+    for client in &mut clients {
+        client.get(HOME_A, "id0", "c=read,d=2000");
+        trace.push(format!("its home: {}", client.answer()));
+    }
+    // Like traffic: what one gets the other gets.
+    let mut served = [0, 0];
+    for nth in 0..100 {
+        for (client, served) in clients.iter_mut().zip(&mut served) {
+            client.get(&format!("key-{nth}"), &format!("id1-{nth}"), "c=read,d=2000");
+            *served += u32::from(client.answer().starts_with("from "));
+        }
+    }
+    trace.push(format!("served of 100: {served:?}"));
+    // What may have run and must not run twice is answered at once, and no other host sees it.
+    for (client, name) in clients.iter_mut().zip(["old", "new"]) {
+        client.get("break", &format!("once-{name}"), "c=once,d=2000");
+        trace.push(format!("{name}, an at-most-once op whose connection broke: {}", client.answer()));
+    }
+    assert_eq!(broken.load(Ordering::Relaxed), 2, "each was pushed once, wherever it went");
+    discovery.tell(&[entry("a", a.address, "leaving"), entry("b", b.address, "active")]);
+    // Once both were told, neither sends it anything more.
+    for (client, program) in clients.iter_mut().zip([&old, &new]) {
+        loop {
+            client.get(HOME_A, "told", "c=read,d=2000");
+            if client.answer() == "from b" {
+                break;
+            }
+        }
+        assert!(program.counts("ops", 1).contains("counters"));
+    }
+    while !a.quiet() {}
+    for client in &mut clients {
+        for nth in 0..20 {
+            client.get(&format!("after-{nth}"), "id", "c=read,d=2000");
+            assert_eq!(client.answer(), "from b");
+        }
+    }
+    assert!(a.quiet(), "nothing goes to a host that both know to leave");
+    expect![[r#"
+        messages between balancers: each decides alone
+        load reports to probes (eps, util): answer times tell enough
+        its home: from a
+        its home: from a
+        served of 100: [100, 100]
+        old, an at-most-once op whose connection broke: -ERR dead-lettered
+        new, an at-most-once op whose connection broke: -ERR dead-lettered"#]]
+    .assert_eq(&trace.join("\n"));
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -120,6 +120,15 @@
     pub quota_per_s: f64,
 }
 
+/// A part of the result that a category earns in full only while few of its ops miss the target latency.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Promise {
+    /// Its weight in the result.
+    pub weight: f64,
+    /// The part of the ops that may miss without loss; nothing is left at five times as much.
+    pub miss: f64,
+}
+
 /// How a host warms up and what makes it fall.
 #[derive(Clone, Debug, Default)]
 pub struct ColdTerms {
@@ -163,6 +172,7 @@
     pub tick: Micros,
     /// The part of the benefit left for ops past a customer's share.
     pub excess_benefit: f64,
+    pub promise: Option<Promise>,
     pub cold: ColdTerms,
     pub categories: Vec<CategoryTerms>,
     pub customers: Vec<CustomerTerms>,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -1,7 +1,7 @@
 //! The settings object as operators hand it out, read into `Terms` and the words for ids: once, for the
 //! simulator's adapter and for the balancer on sockets. The raw object is not kept.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use basaltwood::types::*;
 use serde::Deserialize;
@@ -141,6 +141,10 @@
     invariants: Invariants,
     #[serde(default)]
     objective_mix: ObjectiveMix,
+    #[serde(default)]
+    costs: BTreeMap<String, f64>,
+    #[serde(default)]
+    report: Report,
     limits: Limits,
     #[serde(default)]
     machine_types: Vec<String>,
@@ -206,6 +210,10 @@
     #[serde(default)]
     may_duplicate: bool,
     #[serde(default)]
+    may_tell: bool,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
     cancel: bool,
     #[serde(default)]
     retry_after: bool,
@@ -219,6 +227,16 @@
     most_held: Option<usize>,
 }
 
+/// What hosts tell of their load, and when.
+#[derive(Default, Deserialize)]
+struct Report {
+    #[serde(default)]
+    source: Option<String>,
+    /// None where a probe tells only that the host answers.
+    #[serde(default)]
+    columns: Vec<String>,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Tenant {
@@ -247,6 +265,15 @@
         }
     }
 
+    /// What the deployment allows and no decision makes use of, a line each.
+    pub fn unused(&self) -> Vec<String> {
+        let told = self.limits.may_tell.then(|| "messages between balancers: each decides alone".to_owned());
+        let probed = self.limits.probes && self.report.source.as_deref() == Some("on_probe");
+        let columns = self.report.columns.join(", ");
+        let load = probed.then(|| format!("load reports to probes ({columns}): answer times tell enough"));
+        told.into_iter().chain(load).collect()
+    }
+
     pub fn terms(&self, seed: u64) -> Result<Terms, String> {
         if self.categories.is_empty() {
             return Err("no categories".to_owned());
@@ -257,6 +284,13 @@
                 return Err(format!("objectiveMix.{name} is no part from 0 to 1"));
             }
         }
+        if let Some((name, price)) = self.costs.iter().find(|(_, price)| !(0.0..1e10).contains(*price)) {
+            return Err(format!("costs.{name} is {price:?}: a price is 0 or more, leave it out for none"));
+        }
+        let source = self.report.source.as_deref().unwrap_or("off");
+        if !["inline", "on_probe", "off"].contains(&source) {
+            return Err(format!("report.source is {source}: say inline, on_probe or off"));
+        }
         let category = |category: &Category| {
             let name = &category.name;
             let window = category.window_ms.map(|ms| span(name, ms)).transpose()?;
@@ -302,6 +336,10 @@
                 .transpose()?,
             tick: span("tickMs", self.tick_ms.unwrap_or(1.0))?,
             excess_benefit: self.excess_benefit.unwrap_or(1.0),
+            promise: mix
+                .kept_promises
+                .filter(|&weight| weight > 0.0)
+                .map(|weight| Promise { weight, miss: mix.tail_miss.unwrap_or(0.0) }),
             cold: ColdTerms {
                 from: self.invariants.cold_from,
                 warm_within: span("warmWithinMs", self.invariants.warm_within_ms)?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,6 +46,7 @@
         come_back: Some(2_000 * MS),
         tick: MS,
         excess_benefit: 0.1,
+        promise: None,
         cold: ColdTerms { from: 0.25, warm_within: 10_000 * MS, fall_multiple: 3.0, fall_window: 3_000 * MS },
         categories: vec![
             category(5.0, Repeats::Redeliverable),
--- /dev/null
+++ b/tests/mixed.rs
@@ -0,0 +1,270 @@
+//! A move under way: balancers told of the old shape of deployment and of the new one, before the same hosts, in
+//! simulated time. Hosts have one core and a queue; they are models, not measurements.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use basaltwood::types::*;
+use common::*;
+use expect_test::expect;
+
+const HOSTS: u32 = 8;
+const EACH: u32 = 6; // balancers of each kind
+const WORK: Micros = 30 * MS;
+const QUEUE: usize = 24;
+const DRAINED: u32 = 3;
+const STARTED: u32 = 5;
+const DRAIN_AT: Micros = 6_000 * MS;
+const START_AT: Micros = 9_000 * MS;
+const END: Micros = 20_000 * MS;
+const ANSWERED_WITHIN: Micros = 2_000 * MS; // every op's TTL
+
+/// As before the move: two pushes at a time, late answers worth nothing.
+fn old_shape() -> Terms {
+    let mut terms = Terms { balancers: 2 * EACH, ..terms() };
+    for category in &mut terms.categories {
+        if let Repeats::Deduplicated { group, .. } = &mut category.repeats {
+            *group = Group::All;
+        }
+    }
+    terms
+}
+
+/// As after it: one push at a time, late answers still earn.
+fn new_shape() -> Terms {
+    let mut terms = old_shape();
+    terms.allowed.second_copies = false;
+    terms.categories.iter_mut().for_each(|category| category.late_benefit = 0.4);
+    terms
+}
+
+/// What reaches a host: whose it is, and when it is done.
+struct Out {
+    kind: usize,
+    nth: usize,
+    op: OpId,
+    push: u32,
+    host: HostId,
+    sent: Micros,
+    ends: Micros,
+    end: End,
+}
+
+#[derive(Default)]
+struct Taken {
+    category: u16,
+    at: Micros,
+    answers: u32,
+    out: u32,
+    /// When it was begun at hosts.
+    runs: Vec<Micros>,
+}
+
+struct Move {
+    kinds: [Vec<Fleet>; 2],
+    free_at: Vec<Micros>,
+    out: Vec<Out>,
+    ops: BTreeMap<(usize, usize, OpId), Taken>,
+    /// By kind: reads taken, and answered within the target latency.
+    served: [(u32, u32); 2],
+    to_started: Vec<Micros>,
+    broken: Vec<String>,
+}
+
+impl Move {
+    fn listed_at(host: u32, now: Micros) -> Listed {
+        Listed {
+            lifecycle: if host == DRAINED && now >= DRAIN_AT { Lifecycle::Draining } else { Lifecycle::Up },
+            started: (host == STARTED && now >= START_AT).then_some(START_AT),
+            ..listed(host)
+        }
+    }
+
+    fn new(shapes: [Terms; 2]) -> Move {
+        let hosts: Vec<Listed> = (0..HOSTS).map(listed).collect();
+        let fleet = |terms: &Terms, seed: u32| {
+            Fleet::new(&Terms { seed: u64::from(seed), ..terms.clone() }, hosts.clone())
+        };
+        let kind = |nth: usize| (0..EACH).map(|seed| fleet(&shapes[nth], 10 * nth as u32 + seed)).collect();
+        Move {
+            kinds: [kind(0), kind(1)],
+            free_at: vec![0; HOSTS as usize],
+            out: Vec::new(),
+            ops: BTreeMap::new(),
+            served: [(0, 0); 2],
+            to_started: Vec::new(),
+            broken: Vec::new(),
+        }
+    }
+
+    fn carry_out(&mut self, kind: usize, nth: usize, now: Micros, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Push { op, host, timeout } => {
+                    let taken = self.ops.get_mut(&(kind, nth, op)).expect("an op that was taken");
+                    let push = self.out.iter().filter(|out| (out.kind, out.nth, out.op) == (kind, nth, op));
+                    if taken.answers > 0 {
+                        self.broken.push("a push after the final answer".to_owned());
+                    }
+                    if kind == 1 && push.count() > 0 {
+                        self.broken.push("two pushes of an op out".to_owned());
+                    }
+                    if host == HostId(DRAINED) && now >= DRAIN_AT {
+                        self.broken.push("a push to a host that drains".to_owned());
+                    }
+                    if host == HostId(STARTED) && now >= START_AT {
+                        self.to_started.push(now);
+                    }
+                    let free = &mut self.free_at[host.0 as usize];
+                    let (ends, end) = if *free - now > QUEUE as Micros * WORK {
+                        (now + MS, End::TurnedAway)
+                    } else {
+                        taken.runs.push((*free).max(now));
+                        *free = (*free).max(now) + WORK;
+                        if *free > now + timeout {
+                            (now + timeout, End::TimedOut)
+                        } else {
+                            (*free, End::Acked)
+                        }
+                    };
+                    let push = taken.out;
+                    taken.out += 1;
+                    self.out.push(Out { kind, nth, op, push, host, sent: now, ends, end });
+                }
+                Order::CallOff { op, push } => {
+                    let named =
+                        |out: &&mut Out| (out.kind, out.nth, out.op, out.push) == (kind, nth, op, push.0);
+                    // What waits or runs goes on: calling off proves nothing.
+                    if let Some(out) = self.out.iter_mut().find(named) {
+                        (out.ends, out.end) = (now + MS, End::CalledOff);
+                    }
+                }
+                Order::Nack { op, .. } | Order::DeadLetter { op } => {
+                    let taken = self.ops.get_mut(&(kind, nth, op)).expect("an op that was taken");
+                    taken.answers += 1;
+                    if matches!(order, Order::Nack { .. })
+                        && taken.category == ONCE.0
+                        && !taken.runs.is_empty()
+                    {
+                        self.broken.push("a nack of an at-most-once op that may have run".to_owned());
+                    }
+                }
+                Order::Wake { .. } | Order::Watch => {}
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Micros, chance: &mut Chance) {
+        let due = |out: &Out| out.ends <= now;
+        while let Some(at) = self.out.iter().position(due) {
+            let Out { kind, nth, op, push, host, sent, end, .. } = self.out.remove(at);
+            let taken = self.ops.get_mut(&(kind, nth, op)).expect("an op that was taken");
+            let over = taken.answers > 0;
+            if end == End::Acked && !over {
+                taken.answers += 1;
+                let in_time = taken.category == READ.0 && now - taken.at <= 800 * MS;
+                self.served[kind].1 += u32::from(in_time);
+            }
+            let fleet = &mut self.kinds[kind][nth];
+            fleet.now = now;
+            let over = over || end == End::Acked;
+            let heard = Heard::Ended { op, push: PushNo(push), host, took: now - sent, end, over };
+            let orders = fleet.hear(heard);
+            self.carry_out(kind, nth, now, orders);
+        }
+        for kind in 0..2 {
+            for nth in 0..EACH as usize {
+                let fleet = &mut self.kinds[kind][nth];
+                fleet.now = now;
+                let mut orders = Vec::new();
+                if now == DRAIN_AT || now == START_AT {
+                    let entries = (0..HOSTS).map(|host| Move::listed_at(host, now)).collect();
+                    orders.extend(fleet.hear(Heard::List { whole: true, entries }));
+                }
+                if (now / MS + 7 * nth as i64) % 50 == 0 {
+                    orders.extend(fleet.hear(Heard::Wake(Wake::Sweep)));
+                }
+                self.carry_out(kind, nth, now, orders);
+            }
+        }
+        // Like traffic for both kinds: a third more than all hosts bear.
+        if now >= END || chance.draw() % 1_000 >= 355 {
+            return;
+        }
+        let (kind, nth) = (chance.draw() as usize % 2, chance.draw() as usize % EACH as usize);
+        let category = match chance.draw() % 20 {
+            0 => KEYED,
+            1 => ONCE,
+            _ => READ,
+        };
+        let key = format!("key-{}", chance.draw() % 3_000);
+        self.served[kind].0 += u32::from(category == READ);
+        let next = self.ops.range((kind, nth, OpId(0))..=(kind, nth, OpId(u32::MAX))).count() as u32;
+        self.ops.insert((kind, nth, OpId(next)), Taken { category: category.0, at: now, ..Taken::default() });
+        let (op, orders) = self.kinds[kind][nth].op(category, &key);
+        assert_eq!(op, OpId(next));
+        self.carry_out(kind, nth, now, orders);
+    }
+
+    /// Plays the move; each kind's share of reads served in time, and what was broken.
+    fn play(shapes: [Terms; 2]) -> ([f64; 2], Vec<String>) {
+        let cold = shapes[0].cold.clone();
+        let mut world = Move::new(shapes);
+        let mut chance = Chance::new(11);
+        for tick in 0..(END + ANSWERED_WITHIN + 100 * MS) / MS {
+            world.tick(tick * MS, &mut chance);
+        }
+        for taken in world.ops.values() {
+            if taken.answers != 1 {
+                world.broken.push(format!("{} final answers", taken.answers));
+            }
+            let first = taken.runs.first().copied().unwrap_or(0);
+            let twice = match taken.category {
+                1 => taken.runs.iter().any(|run| run - first >= 1_000 * MS),
+                2 => taken.runs.len() > 1,
+                _ => false,
+            };
+            if twice {
+                world.broken.push("an effect twice".to_owned());
+            }
+        }
+        // What the host surely bears in the middle of a window, and its full capacity of one op for each WORK.
+        for from in (START_AT..END).step_by(250 * MS as usize) {
+            let got =
+                world.to_started.iter().filter(|at| (from..from + cold.fall_window).contains(at)).count();
+            let surely = cold.surely(from + cold.fall_window / 2 - START_AT);
+            if got as f64 > cold.fall_multiple * surely * (cold.fall_window / WORK) as f64 {
+                world.broken.push("a cold host pushed over".to_owned());
+            }
+        }
+        (world.served.map(|(taken, served)| f64::from(served) / f64::from(taken.max(1))), world.broken)
+    }
+}
+
+/// The bound: of like traffic neither kind may be served less than four fifths of what the other is.
+fn starves(shares: [f64; 2]) -> bool {
+    shares[0].min(shares[1]) < 0.8 * shares[0].max(shares[1])
+}
+
+#[test]
+fn balancers_of_both_shapes_keep_the_rules_and_neither_starves_the_other() {
+    let (shares, broken) = Move::play([old_shape(), new_shape()]);
+    assert_eq!(broken, Vec::<String>::new());
+    assert!(!starves(shares), "{shares:?}");
+    expect!["old 0.62, new 0.67"].assert_eq(&format!("old {:.2}, new {:.2}", shares[0], shares[1]));
+}
+
+/// The bound can fail: a kind that is made to heed no jam takes the hosts from the other.
+#[test]
+fn a_kind_that_heeds_no_jam_is_seen_to_starve_the_other() {
+    let mut greedy = new_shape();
+    for category in &mut greedy.categories {
+        category.target_latency = 200_000 * MS;
+        category.benefit = 10.0;
+    }
+    greedy.balancers = 1;
+    let (shares, _) = Move::play([old_shape(), greedy]);
+    assert!(starves(shares), "{shares:?}");
+    expect!["old 0.33, greedy 1.00"].assert_eq(&format!("old {:.2}, greedy {:.2}", shares[0], shares[1]));
+}
