Errors that took long count as answers for the limit of all hosts together

Checked (outcomes and refusals by two seconds in a log): the errors take 666 ms while the origin is in a jam and 30 ms once it has stopped; hosts of one slot wait with them; every refusal is the fleet's limit, at 1 to 1.8. Cause: Desk::heard lets acked, missed and timed out pushes tell the fleet's limit, so that a jam at the origin, which in through mode comes back as errors, is not heard of until it has spread. Change: an error that took more than a quarter of the target latency counts; quick ones tell nothing.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -265,8 +265,7 @@
             }
             ToHost::Sent(op, push) => {
                 self.out.insert((op, push), (post.now, false));
-                let limit = &mut self.standing.limit;
-                limit.peak = limit.peak.max(self.out.len());
+                self.standing.limit.peak = self.standing.limit.peak.max(self.out.len());
             }
             ToHost::First(op, push) => drop(self.out.entry((op, push)).and_modify(|out| out.1 = true)),
             ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
@@ -403,8 +402,7 @@
             // A key that alone is past the bound needs no time to be told from chance.
             count >= REPEATS.max(part) && (count > ALPHA * mean || self.overloaded(home, now))
         };
-        let keys = self.counts.keys.iter();
-        let hot = keys.filter(|(key, &(count, home))| stays(key, count) || comes(count, home));
+        let hot = self.counts.keys.iter().filter(|(key, &(n, home))| stays(key, n) || comes(n, home));
         self.hot = hot.map(|(&key, _)| key).collect();
         self.counts.halve(now, HALVING, LASTING);
     }
@@ -590,7 +588,9 @@
             Heard::Ended { op, push, host, took, end, over } => {
                 if !self.board[host.0 as usize].origin() {
                     self.abroad = self.abroad.saturating_sub(1);
-                    if matches!(end, End::Acked | End::Miss | End::TimedOut) {
+                    // An error that took long waited for an origin in a jam, and its host with it.
+                    let long = end == End::Error && took as f64 > self.target / 4.0;
+                    if long || matches!(end, End::Acked | End::Miss | End::TimedOut) {
                         self.fleet.answered(took, 1.0, post.now);
                     }
                 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -828,9 +828,9 @@
 /// anew; with `hot`, a tenth of all reads turns to one key of such a host in the same instant. What the cold hosts got of
 /// what would push them over in their worst window, at most and on average, and the part of the ops that went nowhere.
 /// Where one is `replaced`, another process takes over from the first balancer in the midst of the warming.
-fn hosts_started_anew(balancers: u32, hot: bool, replaced: bool) -> (f64, f64, f64) {
+fn hosts_started_anew(cold: &ColdTerms, balancers: u32, hot: bool, replaced: bool) -> (f64, f64, f64) {
     const HOSTS: u32 = 25;
-    let terms = Terms { balancers, ..terms() };
+    let terms = Terms { balancers, cold: cold.clone(), ..terms() };
     let hosts: Vec<_> = (0..HOSTS).map(listed).collect();
     let started = |host: u32| host.is_multiple_of(4) && host > 0;
     let at = 8_000 * MS;
@@ -883,27 +883,28 @@
         }
     }
     // As many as a host of full load bears in the window, by what it surely has in the middle of it.
-    let bears = 3_000.0 / f64::from(HOSTS);
+    let window = cold.fall_window;
+    let bears = (window / MS) as f64 / f64::from(HOSTS);
     let worst = |host: u32| {
-        let window = |from: Micros| {
+        let got_in = |from: Micros| {
             let got = pushes
                 .iter()
-                .filter(|push| push.1 == HostId(host) && (from..from + 3_000 * MS).contains(&push.0));
+                .filter(|push| push.1 == HostId(host) && (from..from + window).contains(&push.0));
             got.count() as f64
-                / (terms.cold.fall_multiple * terms.cold.surely(from + 1_500 * MS - at) * bears)
+                / (terms.cold.fall_multiple * terms.cold.surely(from + window / 2 - at) * bears)
         };
-        (0..6).map(|nth| window(at + nth * 500 * MS)).fold(0.0, f64::max)
+        (0..6).map(|nth| got_in(at + nth * 500 * MS)).fold(0.0, f64::max)
     };
     let worst: Vec<f64> = (0..HOSTS).filter(|&host| started(host)).map(worst).collect();
     (worst.iter().copied().fold(0.0, f64::max), worst.iter().sum::<f64>() / worst.len() as f64, nowhere)
 }
 
 /// The same as a table for so many balancers, with each figure under a bound.
-fn started_anew(balancers: &[u32], replaced: bool, under: f64) -> String {
+fn started_anew(cold: &ColdTerms, balancers: &[u32], replaced: bool, under: f64) -> String {
     let mut table = "balancers  hot key  most of what pushes over  mean  ops given up\n".to_owned();
     for &balancers in balancers {
         for hot in [false, true] {
-            let (most, mean, nowhere) = hosts_started_anew(balancers, hot, replaced);
+            let (most, mean, nowhere) = hosts_started_anew(cold, balancers, hot, replaced);
             assert!(most < under, "{balancers} balancers, hot key {hot}: {most}");
             table += &format!("{balancers:<9}  {hot:<7}  {most:<24.2}  {mean:.2}  {nowhere:.3}\n");
         }
@@ -913,7 +914,7 @@
 
 #[test]
 fn a_process_that_takes_over_pushes_no_cold_host_over() {
-    let table = started_anew(&[1, 2, 20], true, 1.0);
+    let table = started_anew(&terms().cold, &[1, 2, 20], true, 1.0);
     expect![[r#"
         balancers  hot key  most of what pushes over  mean  ops given up
         1          false    0.45                      0.42  0.000
@@ -928,7 +929,7 @@
 
 #[test]
 fn cold_hosts_are_used_and_none_is_pushed_over_by_all_balancers_together() {
-    let table = started_anew(&[1, 2, 20, 100, 900], false, 0.9);
+    let table = started_anew(&terms().cold, &[1, 2, 20, 100, 900], false, 0.9);
     expect![[r#"
         balancers  hot key  most of what pushes over  mean  ops given up
         1          false    0.56                      0.47  0.000
@@ -945,6 +946,28 @@
     .assert_eq(&table);
 }
 
+/// The bound by the cold figures of the two deployments that take the balancer on.
+#[test]
+fn the_cold_figures_of_a_quick_fall_and_of_a_slow_warm_up_keep_the_bound_too() {
+    let cold =
+        |from, warm_within| ColdTerms { from, warm_within, fall_multiple: 3.0, fall_window: 1_000 * MS };
+    let slowly = started_anew(&cold(0.12, 24_000 * MS), &[13, 117], false, 1.1);
+    let quickly = started_anew(&cold(0.3, 8_900 * MS), &[62, 420], false, 1.1);
+    expect![[r#"
+        balancers  hot key  most of what pushes over  mean  ops given up
+        13         false    0.90                      0.63  0.000
+        13         true     0.81                      0.55  0.000
+        117        false    0.57                      0.40  0.000
+        117        true     0.75                      0.45  0.000
+        balancers  hot key  most of what pushes over  mean  ops given up
+        62         false    0.69                      0.48  0.000
+        62         true     1.00                      0.54  0.000
+        420        false    0.44                      0.34  0.000
+        420        true     0.86                      0.34  0.000
+    "#]]
+    .assert_eq(&(slowly + &quickly));
+}
+
 #[test]
 fn overflow_and_what_the_gate_refuses_go_past_a_cold_host() {
     let mut hosts: Vec<_> = (0..4).map(listed).collect();
@@ -1051,3 +1074,26 @@
         met each 12000 ms: left for 12750 ms more"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+/// Balancers before an origin in a jam, in through mode: every answer is an error that took so long. How many may be out
+/// at a time after some seconds of it, over a few balancers of a large fleet.
+fn after_errors(took: Micros) -> usize {
+    let mut fleet = large(100, 20);
+    let keys = keys(20);
+    for round in 0..40 {
+        let (op, orders) = fleet.op(READ, &keys[round % 20]);
+        fleet.pass(took.max(50 * MS));
+        for (push, host) in pushed(&orders).into_iter().enumerate() {
+            fleet.end(op, push as u32, host, End::Error, took);
+        }
+        fleet.pass(50 * MS);
+    }
+    (0..20).filter(|&nth| !pushed(&fleet.op(READ, &format!("other-{nth}")).1).is_empty()).count()
+}
+
+#[test]
+fn errors_that_took_long_tell_of_a_jam_and_quick_ones_do_not() {
+    let line =
+        format!("after quick errors {}, after slow ones {}", after_errors(20 * MS), after_errors(600 * MS));
+    expect!["after quick errors 6, after slow ones 0"].assert_eq(&line);
+}
