A host taken back as cold is as it was once it brings a value sooner than it used to

Change: an acked push that was quicker than the shortest typical answer ends it: a cold host has no value sooner than before, and in aside mode no value at all.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -320,6 +320,10 @@
             End::Acked | End::Miss => {
                 self.overtook = self.overtook.max(sent);
                 self.well();
+                // Nothing that is cold has a value sooner than it used to: only the list's word stands then.
+                if end == End::Acked && self.standing.limit.too_short(took) {
+                    self.cold_since = self.standing.listed.as_ref().and_then(|listed| listed.started);
+                }
             }
             End::Error => self.strikes += STRIKE / 2.0,
             // One that does nothing else drains or is ending, whatever the list says.
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -28,11 +28,6 @@
             self.lost_at = self.lost_at.max(sent);
         }
     }
-
-    /// It lost a push, and has not answered since that was sent.
-    pub fn lost(&self) -> bool {
-        self.lost_at > self.answered_at
-    }
 }
 
 #[derive(Default)]
@@ -57,6 +52,6 @@
     /// Whether to keep away from a host of this zone. One that lost a push itself and is taken back is the
     /// zone's feeler: its answer, like any, brings the zone back.
     pub fn dark(&self, zone: ZoneId, pulse: Pulse) -> bool {
-        !pulse.lost() && self.dark.contains(&zone)
+        pulse.lost_at <= pulse.answered_at && self.dark.contains(&zone)
     }
 }
