--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -27,6 +27,9 @@
             return ExitCode::FAILURE;
         }
     }
+    if host.passed_by > 0 {
+        eprintln!("{} messages and answers to probes passed by", host.passed_by);
+    }
     ExitCode::SUCCESS
 }
 
@@ -35,6 +38,8 @@
 struct Hosting {
     lists: HashMap<u32, Vec<ListEntry>>,
     instances: HashMap<u64, Instance>,
+    /// What probes and other balancers told, sound or not: no decision heeds it.
+    passed_by: u64,
 }
 
 impl Hosting {
@@ -73,6 +78,7 @@
             Event::Detach => {
                 self.instances.remove(&who);
             }
+            Event::StatusBack | Event::PeerData => self.passed_by += 1,
             other => {
                 let Some(instance) = self.instances.get_mut(&who) else {
                     return Ok(()); // it was killed, or it never had settings that make sense
@@ -120,6 +126,35 @@
         ]));
     }
 
+    #[test]
+    fn what_peers_and_probes_tell_is_counted_and_changes_nothing() {
+        let long = "x".repeat(2_000);
+        let told = [
+            r#"{"type":"PEER_DATA","neighbour":2,"contents":"hi 7"}"#.to_owned(),
+            r#"{"type":"PEER_DATA","neighbour":2,"contents":"hi 7"}"#.to_owned(),
+            r#"{"type":"PEER_DATA","neighbour":-1,"contents":"9\u0000é"}"#.to_owned(),
+            format!(r#"{{"type":"PEER_DATA","neighbour":2,"contents":"{long}"}}"#),
+            r#"{"type":"PEER_DATA"}"#.to_owned(),
+            r#"{"type":"STATUS_BACK","rc":"timed_out","host":"nobody","waitTimeMs":75.0,"stats":null}"#
+                .to_owned(),
+            r#"{"type":"STATUS_BACK","rc":"success","host":"a","waitTimeMs":1.0,"stats":{"util":-7}}"#
+                .to_owned(),
+        ];
+        let mut events = vec![
+            r#"{"type":"MANIFEST","table":0,"elements":[{"host":"a","lifecycle":"up"},{"host":"b","lifecycle":"up"}]}"#,
+            r#"{"type":"UPDATE","scope":"remembered","revision":1,"table":0}"#,
+        ];
+        let op = r#"{"type":"DEMAND","ticket":"t/1","lane":"read","routeKey":"k","dropDeadMs":105.25,"bits":null}"#;
+        let without = answers(&[&events[..], &[op]].concat());
+        events.extend(told.iter().map(String::as_str));
+        events.push(op);
+        assert_eq!(answers(&events), without);
+        let mut hosting = Hosting::default();
+        let line = format!(r#"{{"timeMs":5.5,"parts":[{{"who":3,"events":[{}]}}]}}"#, told.join(","));
+        assert_eq!(hosting.batch(&line).as_deref(), Ok(r#"{"parts":[]}"#));
+        assert_eq!(hosting.passed_by, told.len() as u64);
+    }
+
     #[test]
     fn malformed_input_ends_the_adapter_and_settings_without_sense_are_answered() {
         let mut lines = vec![Hosting::default().batch("{nonsense").unwrap_err()];
