The mixed test has a host that hangs, so that each of its checks can fail

Seen by taking rules out one at a time: with nothing lost in the scene, a nack of an at-most-once op that may have run and a second push beside the first went unnoticed. With a host that takes ops and answers none for 4 s, each of these, a drain not heeded, an at-most-once op pushed again and a cold host without its gate fails the test.

--- a/tests/mixed.rs
+++ b/tests/mixed.rs
@@ -1,5 +1,5 @@
 //! A move under way: balancers told of the old shape of deployment and of the new one, before the same hosts, in
-//! simulated time. Hosts have one core and a queue; they are models, not measurements.
+//! simulated time: one host drains, one starts anew, one hangs. Hosts have one core and a queue; they are models, not measurements.
 
 mod common;
 
@@ -17,6 +17,8 @@
 const STARTED: u32 = 5;
 const DRAIN_AT: Micros = 6_000 * MS;
 const START_AT: Micros = 9_000 * MS;
+const HUNG: u32 = 6;
+const HANGS: std::ops::Range<Micros> = 12_000 * MS..16_000 * MS; // it takes ops and answers none
 const END: Micros = 20_000 * MS;
 const ANSWERED_WITHIN: Micros = 2_000 * MS; // every op's TTL
 
@@ -119,6 +121,9 @@
                     let free = &mut self.free_at[host.0 as usize];
                     let (ends, end) = if *free - now > QUEUE as Micros * WORK {
                         (now + MS, End::TurnedAway)
+                    } else if host == HostId(HUNG) && HANGS.contains(&now) {
+                        taken.runs.push(now);
+                        (now + timeout, End::TimedOut)
                     } else {
                         taken.runs.push((*free).max(now));
                         *free = (*free).max(now) + WORK;
@@ -252,7 +257,7 @@
     let (shares, broken) = Move::play([old_shape(), new_shape()]);
     assert_eq!(broken, Vec::<String>::new());
     assert!(!starves(shares), "{shares:?}");
-    expect!["old 0.62, new 0.67"].assert_eq(&format!("old {:.2}, new {:.2}", shares[0], shares[1]));
+    expect!["old 0.60, new 0.64"].assert_eq(&format!("old {:.2}, new {:.2}", shares[0], shares[1]));
 }
 
 /// The bound can fail: a kind that is made to heed no jam takes the hosts from the other.
@@ -266,5 +271,5 @@
     greedy.balancers = 1;
     let (shares, _) = Move::play([old_shape(), greedy]);
     assert!(starves(shares), "{shares:?}");
-    expect!["old 0.33, greedy 1.00"].assert_eq(&format!("old {:.2}, greedy {:.2}", shares[0], shares[1]));
+    expect!["old 0.32, greedy 0.98"].assert_eq(&format!("old {:.2}, greedy {:.2}", shares[0], shares[1]));
 }
