Read again: what was said twice is said once, and two steps that did nothing go

Behaviour as it was. A host's return by a quick value and by an old connection had the same lines: Host::as_it_was serves both. Histogram::fade was asked to keep all of it most of the time: halve_at is the one thing it did. The ring asked for a host's points twice. The rule for a host that the list drops is one line again. In the adapter a streamed push is one that is out once more, so that the flag beside it and the second look-up by name go. GROWTH's comment told of a condition that is gone.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -40,10 +40,6 @@
         self.numbers.get(text).copied().ok_or_else(|| format!("unknown op {text}"))
     }
 
-    fn streams(&self, text: &str) -> Option<u32> {
-        self.open.get(self.numbers.get(text)?)?.streams
-    }
-
     fn note(&mut self, op: OpId, change: impl FnOnce(&mut Ticket)) {
         let Some(ticket) = self.open.get_mut(&op) else { return };
         change(ticket);
@@ -78,12 +74,11 @@
         lists: &HashMap<u32, Vec<ListEntry>>,
         outbox: &mut Vec<String>,
     ) -> Result<(), String> {
-        let begins = matches!(event, Event::FirstByte { .. });
         let Some(heard) = self.heard(event, lists)? else {
             return Ok(());
         };
         let ended = match &heard {
-            Heard::Ended { op, over, .. } => Some((*op, u32::from(!begins), *over)),
+            Heard::Ended { op, over, .. } => Some((*op, 1, *over)),
             Heard::Dropped { op } => Some((*op, 0, true)),
             _ => None,
         };
@@ -131,24 +126,22 @@
             }
             Event::FirstByte { ticket, hop, host, wait_time_ms } => {
                 let op = self.tickets.known(&ticket)?;
-                self.tickets.note(op, |ticket| ticket.streams = Some(hop));
+                // It ends twice: here for the module, and for the wire when it is finished.
+                self.tickets.note(op, |ticket| (ticket.streams, ticket.out) = (Some(hop), ticket.out + 1));
                 let host = HostId(self.words.hosts.known(&host, "host")?);
                 let took = micros(wait_time_ms);
                 Heard::Ended { op, push: PushNo(hop), host, took, end: End::Acked, over: true }
             }
-            Event::Finished { ticket, hop, .. } if self.tickets.streams(&ticket) == Some(hop) => {
+            Event::Finished { ticket, hop, wait_time_ms, rc, over, host } => {
                 let op = self.tickets.known(&ticket)?;
-                self.tickets.note(op, |ticket| ticket.out -= 1);
-                return Ok(None);
+                if self.tickets.open[&op].streams == Some(hop) {
+                    self.tickets.note(op, |ticket| ticket.out -= 1);
+                    return Ok(None);
+                }
+                let host = HostId(self.words.hosts.known(&host, "host")?);
+                let took = micros(wait_time_ms);
+                Heard::Ended { op, push: PushNo(hop), host, took, end: end(rc), over }
             }
-            Event::Finished { ticket, hop, wait_time_ms, rc, over, host } => Heard::Ended {
-                op: self.tickets.known(&ticket)?,
-                push: PushNo(hop),
-                host: HostId(self.words.hosts.known(&host, "host")?),
-                took: micros(wait_time_ms),
-                end: end(rc),
-                over,
-            },
             // It may have been ended a moment ago.
             Event::Dropped { ticket } => match self.tickets.known(&ticket) {
                 Ok(op) => Heard::Dropped { op },
--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -23,10 +23,12 @@
         self.sum += weight * value as f64;
     }
 
-    /// Keeps so much of what it holds.
-    pub fn fade(&mut self, kept: f64) {
-        self.counts.iter_mut().for_each(|count| *count *= kept);
-        self.sum *= kept;
+    /// Halves what it holds once that is so many values.
+    pub fn halve_at(&mut self, many: f64) {
+        if self.total() >= many {
+            self.counts.iter_mut().for_each(|count| *count /= 2.0);
+            self.sum /= 2.0;
+        }
     }
 
     pub fn total(&self) -> f64 {
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -14,8 +14,8 @@
 }
 
 impl Ring {
-    /// Takes the hosts as they now are, each with its weight, and the points that a weight gets. Only what came or went is sorted
-    /// anew: in a large fleet that grows the list tells of a few hosts again and again.
+    /// Takes the hosts as they now are, each with its weight, and the points that a weight gets. Only what came
+    /// or went is sorted anew: in a large fleet that grows the list tells of a few hosts again and again.
     pub fn set(&mut self, hosts: &[(Place, HostId, f64)], points: impl Fn(f64) -> u64) {
         let known = hosts.iter().map(|host| host.1 .0 as usize + 1).max().unwrap_or(0).max(self.hosts.len());
         let mut now = vec![(0.0, 0); known];
@@ -23,8 +23,9 @@
         self.hosts.resize(known, (0.0, 0));
         let stays = |host: HostId| now[host.0 as usize] == self.hosts[host.0 as usize];
         self.raw.retain(|point| stays(point.1));
-        for &(place, host, weight) in hosts.iter().filter(|host| !stays(host.1)) {
-            self.raw.extend((1..=points(weight)).map(|nth| (place.mixed(nth).0, host)));
+        for &(place, host, _) in hosts.iter().filter(|host| !stays(host.1)) {
+            let points = now[host.0 as usize].1;
+            self.raw.extend((1..=points).map(|nth| (place.mixed(nth).0, host)));
         }
         self.hosts = now;
         self.raw.sort();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,7 +43,7 @@
 const SAMPLES: f64 = 4.0; // answers that make a measure
 const STANDS_FOR: f64 = 8.0; // answers that one stands for at most, after a long gap
 const BACK_OFF: f64 = 0.85; // of the limit, kept at each push that timed out
-const GROWTH: f64 = 2.0; // of a limit that is used, a step, over all balancers together
+const GROWTH: f64 = 2.0; // of a limit, a step that brought answers, over all balancers together
 const LEAST_LIMIT: f64 = 0.3;
 const FIRST_LIMIT: f64 = 6.0;
 const MOST_LIMIT: f64 = 256.0;
@@ -212,7 +212,7 @@
         } else if self.most < 1.0 {
             self.most = (self.most + step).min(1.0);
         }
-        self.answers.fade(if self.answers.total() >= 2.0 * SAMPLES { 0.5 } else { 1.0 });
+        self.answers.halve_at(2.0 * SAMPLES);
         (self.fresh, self.peak) = (false, in_flight);
     }
 }
@@ -251,8 +251,8 @@
                 }
                 self.drained |= listed.lifecycle == Lifecycle::Draining;
                 // A list may be wrong: one that shrinks must not empty the ring of hosts that answer.
-                self.dropped = self.dropped_stay && !self.drained && self.alive();
-                self.dropped &= listed.lifecycle == Lifecycle::Gone;
+                let gone = listed.lifecycle == Lifecycle::Gone;
+                self.dropped = gone && self.dropped_stay && !self.drained && self.alive();
                 if self.dropped {
                     return;
                 }
@@ -269,18 +269,11 @@
             }
             ToHost::First(op, push) => drop(self.out.entry((op, push)).and_modify(|out| out.1 = true)),
             ToHost::Ended(op, push, end, took) => self.ended(op, push, end, took, post.now),
-            // What was assumed of it while it was silent, that it might be cold, does not hold.
-            ToHost::Alive => {
-                self.cold_since = self.standing.listed.as_ref().and_then(|listed| listed.started);
-                self.standing.pulse.answered_at = post.now;
-                self.well();
-            }
+            ToHost::Alive => self.as_it_was(post.now),
             ToHost::Stopped(span) => self.out.values_mut().for_each(|out| out.0 += span),
             // Both are one balancer: its clients bring no more now than a moment ago.
             ToHost::Learnt(room) => self.standing.limit.most = room.clamp(LEAST_LIMIT, MOST_LIMIT),
-            ToHost::Sweep(typical, quarter, apart, judged) => {
-                self.sweep(typical, quarter, apart, judged, post)
-            }
+            ToHost::Sweep(typical, quarter, apart, judge) => self.sweep(typical, quarter, apart, judge, post),
         }
         if self.dropped && !self.alive() {
             self.dropped = false;
@@ -305,6 +298,13 @@
         self.strikes = 0.0;
     }
 
+    /// What its silence let assume, that it may be cold, does not hold; what the list says of it does.
+    fn as_it_was(&mut self, now: Micros) {
+        self.cold_since = self.standing.listed.as_ref().and_then(|listed| listed.started);
+        self.standing.pulse.answered_at = now;
+        self.well();
+    }
+
     fn ended(&mut self, op: OpId, push: PushNo, end: End, took: Micros, now: Micros) {
         let Some((sent, first)) = self.out.remove(&(op, push)) else { return };
         // One that was overtaken by far is lost by itself: those that went after it have their answers.
@@ -320,9 +320,9 @@
             End::Acked | End::Miss => {
                 self.overtook = self.overtook.max(sent);
                 self.well();
-                // Nothing that is cold has a value sooner than it used to: only the list's word stands then.
+                // Nothing that is cold has a value sooner than it used to.
                 if end == End::Acked && self.standing.limit.too_short(took) {
-                    self.cold_since = self.standing.listed.as_ref().and_then(|listed| listed.started);
+                    self.as_it_was(now);
                 }
             }
             End::Error => self.strikes += STRIKE / 2.0,
@@ -350,7 +350,7 @@
         }
     }
 
-    fn sweep(&mut self, typical: f64, quarter: f64, apart: Micros, judged: bool, post: &mut Post) {
+    fn sweep(&mut self, typical: f64, quarter: f64, apart: Micros, judge: bool, post: &mut Post) {
         let now = post.now;
         // Time-outs count as answer times: they must not make silence look like slowness.
         let own = self.standing.limit.answers.mean().unwrap_or(typical).max(typical).min(quarter);
@@ -368,7 +368,7 @@
             self.cold_since = Some(now);
             self.well();
         }
-        if !judged {
+        if !judge {
             return;
         }
         let (bearable, parts) = if self.standing.origin() { (ORIGIN_BEARABLE, 2.0) } else { (1.0, 1.0) };
