Every op open when the process ends has its final answer; a client's leaving is always seen

Cause: phases.rs waited 0.6 s and 3 s for connections to be owed nothing and then left whatever was open. Ruled out: answers cut midway.

Change: 0.2 s before the platform may kill the process the module closes every open op (Heard::Ending, its one gate for final answers: a nack where trying again is harmless, else dead-lettered), and what comes after is nacked.

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -14,10 +14,11 @@
 use basaltwood_wire::facts::fact;
 use basaltwood_wire::resp::{self, Asked};
 use bytes::{Buf, Bytes};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest};
+use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::budget::{Permit, Room};
@@ -57,18 +58,30 @@
 const LEAVING: Duration = Duration::from_secs(3);
 /// What makes sense as a time to wait, in milliseconds: an hour at most.
 const LONGEST: std::ops::RangeInclusive<f64> = 0.0..=3_600_000.0;
+/// Between looks whether a client has gone of which nothing more is read: what waits for it must not be sent on 0.3 s later.
+const LEFT: Duration = Duration::from_millis(50);
 /// Between looks for room where descriptors are short.
 const SHORT: Duration = Duration::from_millis(20);
 
 /// Accepts for as long as the phase lets it; each connection runs by itself. One is accepted before there is room for it, at the cost of a
 /// descriptor that the budget leaves aside: so none is closed for a client that is not there, and none waits unseen.
 pub async fn accept(desk: Rc<Desk>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
+    let mut ends = false;
     loop {
         // Never cut off between accepting and serving: a client that is let in must be heard.
         let accepted = tokio::select! {
             biased;
-            _ = phase.wait_for(|now| !now.accepts()) => return,
+            now = phase.wait_for(|now| !now.accepts()), if !ends => match now {
+                // The platform's socket goes on, and another process takes what waits there.
+                Ok(now) if *now == Phase::HandingOver => return,
+                _ => {
+                    ends = true;
+                    continue;
+                }
+            },
             accepted = listener.accept() => accepted,
+            // Whom the kernel had taken is heard: closing over them would reset them with what they asked.
+            () = yield_now(), if ends => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -78,6 +91,9 @@
             }
             Err(cause) => {
                 log::warn!("accept: {cause}");
+                if *phase.borrow() == Phase::LastAnswers {
+                    return;
+                }
                 desk.servers.drop_idle();
                 sleep(SHORT).await;
             }
@@ -197,22 +213,42 @@
     Read(io::Result<usize>),
     /// The value that is coming has its memory now.
     Roomy,
+    /// The client has gone.
+    Left,
+}
+
+/// Waits until the client has ended its side, or the connection broke. Seen without taking in what came before: while nothing
+/// more is read of a connection, its ops must not go on for nobody.
+async fn left(from: &ReadHalf<'_>) {
+    while from.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
+        // There is something unread, which nobody may take yet.
+        sleep(LEFT).await;
+    }
 }
 
 /// Reads once, into the value that is coming or else into the buffer; a value that is not small waits for its memory first.
+/// Where no more is to be read, only the client's end ends this.
 async fn input(
-    from: &mut (impl AsyncRead + Unpin),
+    from: &mut ReadHalf<'_>,
     buffer: &mut Buffer,
     coming: &mut Option<Coming>,
+    reads: bool,
 ) -> Input {
     match coming {
         Some(Coming { room, .. }) if matches!(room, Wanted::Awaited(_)) => {
             if let Wanted::Awaited(awaited) = room {
-                // There is always an answer: the budget outlives every connection.
-                *room = awaited.await.map_or(Wanted::None, Wanted::Given);
+                tokio::select! {
+                    // There is always an answer: the budget outlives every connection.
+                    given = awaited => *room = given.map_or(Wanted::None, Wanted::Given),
+                    () = left(from) => return Input::Left,
+                }
             }
             Input::Roomy
         }
+        _ if !reads => {
+            left(from).await;
+            Input::Left
+        }
         Some(Coming { body, .. }) if body.left() > 0 => {
             let read = from.read_buf(&mut body.room()).await;
             Input::Read(read.inspect(|&count| body.filled(count)))
@@ -332,10 +368,17 @@
             // Later ones go to the other process. A close that follows an answer crosses no request.
             Phase::HandingOver => !half && (parting || (heard && since(leaving, KEPT))),
             // Half a command that nothing is added to will not be whole, and a balancer must not stay away for it.
-            Phase::Closing | Phase::Ended => !half || silent,
+            Phase::Closing => silent || (!half && heard),
+            Phase::LastAnswers | Phase::Ended => true,
         };
         if idle && (ends || late) {
-            return Close::Answered;
+            // What came in the meantime is served: a close by a timer must cross as few requests as can be.
+            yield_now().await;
+            if late || !matches!(buffer.room().map(|room| reading.try_read_buf(room)), Ok(Ok(1..))) {
+                return Close::Answered;
+            }
+            came = Instant::now();
+            continue;
         }
         let limit = match idle {
             _ if !sending.text.is_empty() => Some(SLOW),
@@ -345,7 +388,8 @@
             _ => None,
         };
         until = limit.and_then(|limit| until.or_else(|| Some(Instant::now() + limit)));
-        let more = last.is_none() && waiting.len() < most(&sending) && !awaits_room && !late;
+        let takes = !late && now != Phase::LastAnswers;
+        let more = last.is_none() && waiting.len() < most(&sending) && !awaits_room && takes;
         // Short of bytes, one that holds next to none is heard all the same: others must not silence it.
         let apart = coming.as_ref().is_some_and(Coming::apart);
         let room = apart || desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
@@ -360,10 +404,10 @@
         let look = spans.into_iter().flatten().filter(|at| wanted && *at > Instant::now()).min();
         tokio::select! {
             biased;
-            input = input(&mut reading, &mut buffer, &mut coming), if (more && room) || awaits_room => match input {
+            input = input(&mut reading, &mut buffer, &mut coming, more && room) => match input {
                 // What is in hand of a value is bound by its progress.
                 Input::Read(Ok(1..)) => (until, came) = (until.filter(|_| coming.is_none()), Instant::now()),
-                Input::Read(_) => return Close::Now,
+                Input::Read(_) | Input::Left => return Close::Now,
                 Input::Roomy => until = None,
             },
             () = desk.budget.freed.notified(), if more && !room => {}
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -175,23 +175,23 @@
         let mut decisions: VecDeque<Decision> = decisions.into();
         while let Some(decision) = decisions.pop_front() {
             match decision {
-                Decision::Push { push, host, timeout } => {
+                Decision::Push { push, host, until } => {
                     counters.pushes.add();
                     log::debug!(
                         "op {} push {} to host {} for {} ms",
                         self.op.0,
                         push.0,
                         host.0,
-                        timeout / 1000
+                        (until - self.desk.clock.now()) / 1000
                     );
                     let (desk, request) = (self.desk.clone(), self.request.clone());
                     let ticket = (self.op, push);
                     let task = async move {
                         let outcome = match desk.servers.origin(host) {
                             Some(address) => {
-                                origin::push(&desk.servers, host, address, ticket, &request, timeout).await
+                                origin::push(&desk.servers, host, address, ticket, &request, until).await
                             }
-                            None => desk.servers.push(host, ticket, &request, timeout).await,
+                            None => desk.servers.push(host, ticket, &request, until).await,
                         };
                         (push, outcome)
                     };
--- a/balancer/src/origin.rs
+++ b/balancer/src/origin.rs
@@ -17,10 +17,10 @@
     address: SocketAddr,
     ticket: Ticket,
     request: &Request,
-    within: Micros,
+    until: Micros,
 ) -> Outcome {
     let path = format!("/{}", http::escaped(&request.key));
-    let facts = request.facts(within);
+    let facts = request.facts(until - servers.clock.now());
     let headers: [(&str, &[u8]); 2] = [("X-Correlation-Id", &request.id), ("X-Facts", &facts)];
     let method = if request.value.is_some() { "PUT" } else { "GET" };
     let to = address.to_string();
@@ -30,7 +30,7 @@
         }
         None => (http::request(method, &path, &to, &headers, request.short().as_deref()), Vec::new()),
     };
-    servers.exchange(host, ticket, request, Text(text, long), within, answer).await
+    servers.exchange(host, ticket, request, Text(text, long), until, answer).await
 }
 
 fn answer(bytes: &[u8]) -> Result<Option<Found>, String> {
--- a/balancer/src/phase.rs
+++ b/balancer/src/phase.rs
@@ -14,6 +14,8 @@
     HandingOver,
     /// Nothing new is taken; connections are closed as soon as they are owed nothing.
     Closing,
+    /// Whatever was open has its final answer, what still comes is nacked; connections are closed once those are written.
+    LastAnswers,
     /// Nothing is owed any more.
     Ended,
 }
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -30,9 +30,13 @@
 
 /// Clients go on coming for a while after SIGTERM; so long they are taken in.
 const STILL_COMING: Duration = Duration::from_millis(600);
-/// Then what was taken is answered, for as long as the longest op may take, and no longer than this: operators
-/// kill a balancer 0.7 s after that time.
+/// What was taken is answered for as long as the longest op may take, and no longer than this.
 const LAST_ANSWERS: Duration = Duration::from_millis(3_000);
+/// Operators kill a balancer so long after that time at the earliest.
+const KILLED: Duration = Duration::from_millis(700);
+/// So long before that every op still open gets its final answer: one that may take longer than the process has must not go
+/// without, and what ends in that very instant has to be written too.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 /// How often what was learnt is left for a process that may replace this one.
 const LEAVE: Duration = Duration::from_secs(1);
 /// Between looks at connections and timers at the most.
@@ -156,14 +160,20 @@
             _ = parts.join_next() => Err("a part of the balancer failed; it ends".to_owned()),
         };
         enter(leaving);
-        let end = Instant::now() + STILL_COMING + last_answers;
+        let end = Instant::now() + last_answers + KILLED - LAST_WORDS;
         // Where others accept, nothing is gained by an early end, and halves are heard out.
         if leaving == Phase::Draining {
-            sleep(STILL_COMING).await;
+            sleep_until(end.min(Instant::now() + STILL_COMING)).await;
             enter(Phase::Closing);
         }
         // Each connection holds a receiver for as long as it lives, and ends once it owes nothing.
-        let _ = timeout_at(end, phase.closed()).await;
+        if timeout_at(end, phase.closed()).await.is_err() {
+            enter(Phase::LastAnswers);
+            desk.facade.borrow_mut().end(desk.clock.now());
+            desk.ring();
+            // Only a client that does not take its answer is left to wait for, and that is cut off by itself.
+            phase.closed().await;
+        }
         enter(Phase::Ended);
         log::info!("{} {}", desk.counters, desk.servers.counted());
         outcome
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -94,7 +94,7 @@
     budget: Rc<Budget>,
     counters: Rc<Counters>,
     pub figures: Rc<Figures>,
-    clock: Rc<Clock>,
+    pub clock: Rc<Clock>,
 }
 
 struct Place {
@@ -364,10 +364,10 @@
         ticket: Ticket,
         request: &Request,
         text: Text,
-        within: Micros,
+        until: Micros,
         find: Read,
     ) -> Outcome {
-        let until = Instant::now() + span(within);
+        let until = self.clock.at(until);
         // Rule 3 again, at the one place that every push passes before its first byte: the module judged when it decided, and
         // leave to open, a handshake or a connection in use may have taken longer than the grace since. A host that was
         // announced as leaving meanwhile gets nothing, and the op hears so at once. Whatever the order in which its parts are
@@ -379,6 +379,9 @@
             granted = self.link(host, ticket, until) => granted,
         };
         let mut held = match granted {
+            // Rule 1 again: a connection may come up in the very turn in which the time is over, after a stop of this process
+            // long after it. Nothing is begun then.
+            Ok(_) if Instant::now() >= until => return (End::Void, None),
             Ok(held) => held,
             Err(end) => return (end, None),
         };
@@ -558,9 +561,9 @@
         host: HostId,
         ticket: Ticket,
         request: &Request,
-        within: Micros,
+        until: Micros,
     ) -> Outcome {
-        let facts = request.facts(within);
+        let facts = request.facts(until - self.clock.now());
         let mut words: Vec<&[u8]> = vec![&request.command, &request.key, &request.id, &facts];
         let short = request.short();
         let text = match request.long() {
@@ -573,7 +576,7 @@
                 Text(resp::written(&words), Vec::new())
             }
         };
-        self.exchange(host, ticket, request, text, within, reply).await
+        self.exchange(host, ticket, request, text, until, reply).await
     }
 }
 
--- /dev/null
+++ b/balancer/tests/endings.rs
@@ -0,0 +1,150 @@
+//! What is still owed when something ends: the process, a client's stay, a silent watch, an op's time. Each crossing is forced
+//! over sockets, and the program is seen from its peers' side.
+
+#[path = "../../tests/common/mod.rs"]
+mod common;
+
+use std::sync::mpsc::Sender;
+use std::time::{Duration, Instant};
+
+use common::*;
+use expect_test::expect;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
+
+/// A host goes on with so many requests that it holds; there may be fewer.
+fn let_go(release: &Sender<()>, count: u32) {
+    for _ in 0..count {
+        let _ = release.send(());
+    }
+}
+
+/// Ops may take longer than the process has once it is told to end.
+fn unhurried() -> String {
+    SETTINGS.replace("\"ttlMs\":2000.0", "\"ttlMs\":9000.0,\"tardyBenefit\":1.0")
+}
+
+fn program(host: &Peer, limits: [u32; 2], settings: &str) -> Program {
+    Program::start_by(BINARY, nowhere(), &[entry("a", host.address, "active")], limits, settings)
+}
+
+/// Operators kill a balancer 0.7 s after the longest time to live, and after 3.7 s where that is longer. What hosts that hang
+/// still owe by then is answered before: redeliverable ops are nacked, what may not run twice is dead-lettered.
+#[test]
+fn told_to_end_it_gives_every_op_its_final_answer_however_long_that_may_take() {
+    let host = Peer::host(|_| Says::Nothing);
+    let mut program = program(&host, [192, 1024], &unhurried());
+    let (mut read, mut once) = (program.client(), program.client());
+    read.get("k", "id1", "c=read,d=9000");
+    once.get("l", "id2", "c=once,d=9000");
+    let mut sent = [host.next(), host.next()];
+    sent.sort();
+    let began = Instant::now();
+    program.signal("TERM");
+    program.logged("LastAnswers");
+    // What is asked now is turned away, and the connection ends with what it is owed.
+    let mut trace = sent.to_vec();
+    trace.extend([read.answer(), once.answer(), read.answer(), once.answer()]);
+    trace.push(format!("{:?}", program.ended().code()));
+    // The phase begins 3.5 s after the signal; what is to be told apart here is the 9 s that the ops may take.
+    assert!(began.elapsed() < Duration::from_secs(8), "ended after {:?}", began.elapsed());
+    expect![[r#"
+        CACHE.GET k id1 c=read,d=..
+        CACHE.GET l id2 c=once,d=..
+        -BUSY 400
+        -ERR dead-lettered
+        closed
+        closed
+        Some(0)"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+/// Clients that the kernel had taken before the listener went, and that wait for descriptors of others until then.
+#[test]
+fn told_to_end_it_hears_those_whom_it_had_not_accepted_yet() {
+    let hosts: Vec<(Sender<()>, Peer)> = (0..4).map(|_| gated_host()).collect();
+    let known: Vec<String> = ["a", "b", "c", "d"]
+        .iter()
+        .zip(&hosts)
+        .map(|(name, host)| entry(name, host.1.address, "active"))
+        .collect();
+    let mut program = Program::start_by(BINARY, nowhere(), &known, [192, 32], &unhurried());
+    // As many as there is room for, each owed an answer.
+    let mut inside: Vec<Client> = (0..8).map(|_| program.client()).collect();
+    for (nth, client) in inside.iter_mut().enumerate() {
+        client.get(&format!("slow{nth}"), &format!("in{nth}"), "c=once,d=9000");
+    }
+    let line = program.counts("pushes", 8);
+    assert!(line.contains(" nacked=0 "), "{line}");
+    let mut outside: Vec<Client> = (0..4).map(|_| program.client()).collect();
+    for (nth, client) in outside.iter_mut().enumerate() {
+        client.get("k", &format!("out{nth}"), "c=read,d=9000");
+    }
+    program.signal("TERM");
+    program.logged("Closing");
+    hosts.iter().for_each(|host| let_go(&host.0, 8));
+    let mut answers: Vec<String> = inside.iter_mut().chain(&mut outside).map(Client::answer).collect();
+    // A final answer each; short of descriptors that may be a refusal, but no end without a word.
+    answers.retain(|answer| answer != "v" && !answer.starts_with("-BUSY"));
+    assert!(answers.is_empty(), "{answers:?}");
+    assert!(program.ended().success());
+}
+
+/// So many commands that not all are begun, in one piece, and then it goes: what waits at the host is dropped, and what has not
+/// been begun never is.
+#[test]
+fn one_that_sends_much_at_once_and_goes_has_nothing_begun_after_it() {
+    let (release, host) = gated_host();
+    let program = program(&host, [192, 1024], SETTINGS);
+    let mut client = program.client();
+    (0..100).for_each(|nth| client.get("slow", &format!("id{nth}"), "c=read,d=1900"));
+    program.counts("pushes", 1);
+    drop(client);
+    let line = program.counts("dropped", 1);
+    assert!(line.contains(" push_acked=0 "), "nothing was answered yet: {line}");
+    let_go(&release, 100);
+    // What is out runs on, and is answered to nobody.
+    program.counts("push_acked", 1);
+    assert_eq!(program.client().asks(&["PING"]), "+PONG");
+    let line = program.counts("ops", 32);
+    assert!(line.contains(" ops=32 "), "as many as may wait at a time, and none after: {line}");
+}
+
+/// After `QUIT` nothing more is read of a connection; its end is seen all the same.
+#[test]
+fn one_that_quits_and_goes_before_its_answer_is_waited_for_no_longer() {
+    let (release, host) = gated_host();
+    let program = program(&host, [192, 1024], SETTINGS);
+    let mut client = program.client();
+    client.get("slow", "id", "c=read,d=1900");
+    client.raw(b"QUIT\r\n");
+    host.next();
+    drop(client);
+    let line = program.counts("dropped", 1);
+    assert!(line.contains(" push_acked=0 ") && line.contains(" push_timed_out=0 "), "{line}");
+    drop(release);
+}
+
+/// While a value waits for memory that another holds nothing is read of its connection either.
+#[test]
+fn one_that_goes_while_its_value_waits_for_memory_is_waited_for_no_longer() {
+    let (release, host) = gated_host();
+    let program = program(&host, [8, 1024], SETTINGS);
+    let half = |client: &mut Client, id: &str| {
+        let head =
+            format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n${}\r\n{id}\r\n$10\r\nc=put,d=900\r\n", id.len());
+        client.raw(format!("{}${}\r\n", head.replace("$10", "$11"), 2_600_000).as_bytes());
+    };
+    let (mut holds, mut goes) = (program.client(), program.client());
+    half(&mut holds, "id1");
+    assert_eq!(program.client().asks(&["PING"]), "+PONG");
+    goes.get("slow", "id2", "c=read,d=1900");
+    host.next();
+    half(&mut goes, "id3");
+    assert_eq!(program.client().asks(&["PING"]), "+PONG");
+    drop(goes);
+    let line = program.counts("dropped", 1);
+    // The one that holds the memory has not been given up yet.
+    assert!(line.contains(" malformed=0 ") && line.contains(" push_timed_out=0 "), "{line}");
+    drop((release, holds));
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -25,7 +25,8 @@
     Push {
         push: PushNo,
         host: HostId,
-        timeout: Micros,
+        /// What has not ended by then has timed out, and nothing of it is sent later.
+        until: Micros,
     },
     /// Stop waiting for a push; it is still to be reported, as called off.
     CallOff(PushNo),
@@ -160,6 +161,15 @@
         self.mail(op)
     }
 
+    /// The process ends: every open op gets its final answer now, in its mailbox, and what is picked from now on is nacked.
+    pub fn end(&mut self, now: Micros) {
+        self.most = 0;
+        let open = self.tickets.iter().filter(|(_, ticket)| !ticket.over).map(|(&op, _)| op);
+        for op in open.collect::<Vec<_>>() {
+            self.hear(now, Heard::Ending { op });
+        }
+    }
+
     /// Runs the timers that are due; when the next one will be.
     pub fn tick(&mut self, now: Micros) -> Option<Micros> {
         while let Some(due) = self.timers.iter().position(|timer| timer.0 <= now) {
@@ -194,7 +204,7 @@
                     let push = PushNo(ticket.pushes);
                     ticket.pushes += 1;
                     ticket.out.insert(push, (host, now));
-                    (op, Decision::Push { push, host, timeout })
+                    (op, Decision::Push { push, host, until: now + timeout })
                 }
                 Order::Nack { op, come_back } => (op, Decision::Nack { come_back }),
                 Order::DeadLetter { op } => (op, Decision::DeadLetter),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -573,6 +573,7 @@
                 }
             }
             Heard::Dropped { op } => self.forget(op, post),
+            Heard::Ending { op } => self.close(op, true, post),
             Heard::Doubt { op, push } => {
                 let Some(held) = self.ops.get_mut(&op) else { return };
                 let Some(&(_, host, _)) = held.out.iter().find(|out| out.0 == push) else { return };
--- a/src/types.rs
+++ b/src/types.rs
@@ -280,6 +280,10 @@
     Dropped {
         op: OpId,
     },
+    /// The process ends, and can't wait for the op's pushes any longer.
+    Ending {
+        op: OpId,
+    },
     /// Its push may be lost with its connection: others that went to the host after it were answered.
     Doubt {
         op: OpId,
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -20,8 +20,8 @@
 
 fn words(decisions: &[Decision]) -> String {
     let word = |decision: &Decision| match decision {
-        Decision::Push { push, host, timeout } => {
-            format!("push {} to h{} for {}", push.0, host.0, timeout / MS)
+        Decision::Push { push, host, until } => {
+            format!("push {} to h{} until {}", push.0, host.0, until / MS)
         }
         Decision::CallOff(push) => format!("call off {}", push.0),
         Decision::Ack(push) => format!("ack with {}", push.0),
@@ -48,8 +48,8 @@
     trace.push(words(&facade.dropped(6 * MS, op)));
     trace.push(words(&Facade::new(&terms(), 8).pick(0, ask(READ, "k")).1));
     expect![[r#"
-        push 0 to h2 for 798
-        push 1 to h0 for 797
+        push 0 to h2 until 798
+        push 1 to h0 until 798
         nothing
         nothing
         ack with 1
@@ -89,9 +89,9 @@
     trace.push(words(&facade.mail(ops[0])));
     expect![[r#"
         rung for 3 of 3
-        push 1 to h0 for 448
-        push 1 to h0 for 448
-        push 1 to h0 for 448
+        push 1 to h0 until 798
+        push 1 to h0 until 798
+        push 1 to h0 until 798
         nothing"#]]
     .assert_eq(&trace.join("\n"));
 }
@@ -105,11 +105,11 @@
     trace.push(words(&facade.report(MS, picked[0].0, PushNo(0), End::Acked)));
     trace.push(words(&facade.pick(MS, ask(READ, "k")).1));
     expect![[r#"
-        push 0 to h0 for 798
-        push 0 to h0 for 798
+        push 0 to h0 until 798
+        push 0 to h0 until 798
         nack, back in 0
         ack with 0
-        push 0 to h0 for 798"#]]
+        push 0 to h0 until 799"#]]
     .assert_eq(&trace.join("\n"));
 }
 
