--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -201,9 +201,9 @@
     let Link { stream, buffer, .. } = match connection {
         Some(open) => open,
         None => {
-            let permit = desk.servers.permit().ok_or_else(|| mute("no descriptor left"))?;
             let until = Instant::now() + span(OVERDUE);
-            let opening = desk.servers.open(permit, discovery, until, MOST_BODY + 64 * 1024);
+            // Its descriptor is set aside: where clients and hosts hold all others, a drain must be heard still.
+            let opening = desk.servers.open(None, discovery, until, MOST_BODY + 64 * 1024);
             connection.insert(opening.await.map_err(silent)?)
         }
     };
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -32,7 +32,8 @@
 pub struct Link {
     pub stream: TcpStream,
     pub buffer: Buffer,
-    _permit: Permit,
+    /// None where its descriptor is set aside.
+    _permit: Option<Permit>,
 }
 
 /// What stands of an answer at the front of a buffer.
@@ -276,14 +277,14 @@
     }
 
     /// A descriptor for a connection, at the cost of an idle one where there is no other.
-    pub fn permit(&self) -> Option<Permit> {
+    fn permit(&self) -> Option<Permit> {
         self.budget.take().or_else(|| self.drop_idle().then(|| self.budget.take()).flatten())
     }
 
     /// A new connection, up by then; `most` bytes may stand in its buffer.
     pub async fn open(
         &self,
-        permit: Permit,
+        permit: Option<Permit>,
         address: SocketAddr,
         until: Instant,
         most: usize,
@@ -337,7 +338,7 @@
         let address = self.hosts.borrow().get(&host).map(|place| place.address).ok_or(End::Void)?;
         let permit = self.permit().ok_or(End::Void)?;
         let bound = Instant::now() + span(self.bounds.connect_within);
-        let outcome = self.open(permit, address, until.min(bound), MOST).await;
+        let outcome = self.open(Some(permit), address, until.min(bound), MOST).await;
         opening.1 = None;
         let now = self.clock.now();
         match outcome {
--- /dev/null
+++ b/balancer/tests/closed/mod.rs
@@ -0,0 +1,74 @@
+//! A host whose handshakes stay under way until the test lets them come to their end, and settings under which pushes wait.
+#![allow(dead_code)] // each test file uses its part
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread;
+use std::time::Duration;
+
+use socket2::{Domain, Socket, Type};
+
+use crate::common::{gate, hit, Peer, Says, SETTINGS};
+
+/// Waits of many seconds for pushes and connections, and a balancer among 300: it opens one connection a second at a host
+/// that has just broken one.
+pub fn patient() -> String {
+    let long = SETTINGS
+        .replace("\"targetLatencyMs\":800.0,\"ttlMs\":2000.0", "\"targetLatencyMs\":9000.0,\"ttlMs\":9500.0");
+    long.replace("\"groupSize\":2", "\"groupSize\":300")
+        .replace("\"connectTimeoutMs\":250.0", "\"connectTimeoutMs\":8000.0")
+}
+
+/// A host that ends its connection at the key `break`: after that one connection a second may be opened there. It holds an
+/// answer to the key `slow` back.
+pub fn breaking_host() -> (Sender<()>, Peer) {
+    let (release, wait) = gate();
+    let peer = Peer::host(move |asked| {
+        if asked.contains("break") {
+            return Says::Last(String::new());
+        }
+        wait(asked);
+        hit("from a")
+    });
+    (release, peer)
+}
+
+/// Listens and takes nobody: what connects from now on stays in its handshake until the test takes those before.
+pub struct Closed {
+    socket: Socket,
+    fillers: Vec<TcpStream>,
+    pub address: SocketAddr,
+}
+
+impl Closed {
+    pub fn start() -> Closed {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+        socket.listen(0).expect("it listens");
+        let address = socket.local_addr().expect("an address").as_socket().expect("of IPv4");
+        let short = Duration::from_millis(200);
+        let fillers = std::iter::from_fn(|| TcpStream::connect_timeout(&address, short).ok());
+        Closed { fillers: fillers.take(64).collect(), socket, address }
+    }
+
+    /// Takes all that come, and tells of those but the fillers, and of the first byte that any of them writes.
+    pub fn take_all(self) -> (Receiver<SocketAddr>, Receiver<SocketAddr>) {
+        let (here, came) = channel();
+        let (tell, wrote) = channel();
+        thread::spawn(move || {
+            let own: Vec<SocketAddr> = self.fillers.iter().filter_map(|one| one.local_addr().ok()).collect();
+            while let Ok((stream, from)) = self.socket.accept() {
+                let from = from.as_socket().expect("of IPv4");
+                let (mut stream, tell) = (TcpStream::from(stream), tell.clone());
+                if !own.contains(&from) {
+                    let _ = here.send(from);
+                    thread::spawn(move || {
+                        stream.read(&mut [0]).is_ok_and(|read| read > 0).then(|| tell.send(from))
+                    });
+                }
+            }
+        });
+        (came, wrote)
+    }
+}
--- /dev/null
+++ b/balancer/tests/crossings.rs
@@ -0,0 +1,180 @@
+//! Between a push's decision and its first byte: its client goes, or its time is over. Each way of waiting is forced, and nothing
+//! is written for nobody.
+
+mod closed;
+#[path = "../../tests/common/mod.rs"]
+mod common;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use closed::{breaking_host, patient, Closed};
+use common::*;
+use expect_test::expect;
+
+/// A key that holds a stand-in back, and whose home of the hosts a and b is a.
+const SLOW_AT_A: &str = "slow4";
+const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
+
+#[test]
+fn a_handshake_under_way_carries_nothing_once_its_client_has_gone() {
+    let a = Closed::start();
+    let known = [entry("a", a.address, "active")];
+    let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], &patient());
+    let mut client = program.client();
+    client.get("k", "id", "c=once,d=9000");
+    program.counts("pushes", 1);
+    drop(client);
+    program.counts("push_called_off", 1);
+    let (_, wrote) = a.take_all();
+    let mut other = program.client();
+    other.get("l", "id2", "c=once,d=9000");
+    // The one that comes is the other's: its port is not that of the first.
+    let ports = [wrote.recv().expect("the other's"), wrote.try_recv().unwrap_or(nowhere())];
+    assert_eq!(ports[1], nowhere(), "nobody else wrote");
+    let line = program.counts("pushes", 2);
+    assert!(line.contains(" dropped=1 ") && line.contains(" push_called_off=1 "), "{line}");
+}
+
+/// One push is out, and another waits there: for its connection, and for leave to open one beside it.
+#[test]
+fn one_that_waits_for_a_connection_is_not_sent_on_once_its_client_has_gone() {
+    let (release, a) = breaking_host();
+    let known = [entry("a", a.address, "active")];
+    let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], &patient());
+    let (mut first, mut slow, mut goes) = (program.client(), program.client(), program.client());
+    first.get("break", "id0", "c=read,d=9000");
+    let mut trace = vec![a.next(), a.next(), first.answer()];
+    slow.get("slow", "id1", "c=read,d=9000");
+    trace.push(a.next());
+    goes.get("k", "id2", "c=read,d=9000");
+    program.counts("ops", 3);
+    drop(goes);
+    program.counts("push_called_off", 1);
+    release.send(()).expect("it waits");
+    trace.push(slow.answer());
+    // The next that comes there is another op's.
+    trace.push(program.client().asks(&["CACHE.GET", "l", "id3", "c=read,d=9000"]));
+    trace.push(a.next());
+    expect![[r#"
+        CACHE.GET break id0 c=read,d=..
+        closed
+        -BUSY 2000
+        CACHE.GET slow id1 c=read,d=..
+        from a
+        from a
+        CACHE.GET l id3 c=read,d=.."#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+/// A miss that comes back after its client has gone fetches nothing at the origin, and an error is not tried elsewhere.
+#[test]
+fn what_a_push_brings_after_its_client_has_gone_leads_to_no_other() {
+    for (text, ended) in [("*3\r\n$-1\r\n$-1\r\n$-1\r\n", "push_missed"), ("-ERR failed\r\n", "push_error")] {
+        let (release, wait) = gate();
+        let host = Peer::host(move |asked| {
+            wait(asked);
+            Says::Text(text.to_owned())
+        });
+        let (other, origin) = (Peer::host(|_| hit("v")), Peer::http(|_| http_answer(200, "fetched")));
+        let at = [("a", &host), ("b", &other), ("origin", &origin)];
+        let known: Vec<String> = at.iter().map(|(name, peer)| entry(name, peer.address, "active")).collect();
+        let program = Program::start(BINARY, nowhere(), &known, 1024);
+        let mut client = program.client();
+        client.get(SLOW_AT_A, "id", "c=read,d=1900");
+        host.next();
+        drop(client);
+        program.counts("dropped", 1);
+        release.send(()).expect("it waits");
+        let line = program.counts(ended, 1);
+        assert!(line.contains(" pushes=1 ") && other.quiet() && origin.quiet(), "{ended}: {line}");
+    }
+}
+
+/// The connection comes up while this process is stopped, and the op's time is over when it goes on: both are there in one turn.
+#[test]
+fn nothing_is_begun_for_an_op_whose_time_was_over_while_this_process_stood_still() {
+    let a = Closed::start();
+    let known = [entry("a", a.address, "active")];
+    let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], &patient());
+    let mut client = program.client();
+    let began = Instant::now();
+    client.get("k", "id", "c=once,d=1500");
+    program.counts("pushes", 1);
+    program.signal("STOP");
+    let (came, _wrote) = a.take_all();
+    came.recv().expect("its handshake ends in the kernel");
+    // What has to pass is the op's time itself.
+    thread::sleep(Duration::from_millis(1_700).saturating_sub(began.elapsed()));
+    program.signal("CONT");
+    assert_eq!(client.answer(), "-ERR dead-lettered");
+    let line = program.counts("dead_lettered", 1);
+    assert!(line.contains(" push_timed_out=0 "), "nothing was written: {line}");
+}
+
+/// The same where it waits for a connection in use, which comes free while this process is stopped.
+#[test]
+fn nothing_is_begun_on_a_connection_that_comes_free_too_late() {
+    let (release, a) = breaking_host();
+    let known = [entry("a", a.address, "active")];
+    let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], &patient());
+    let (mut first, mut slow, mut late) = (program.client(), program.client(), program.client());
+    first.get("break", "id0", "c=read,d=9000");
+    assert_eq!([a.next(), a.next(), first.answer()].last().map(String::as_str), Some("-BUSY 2000"));
+    slow.get("slow", "id1", "c=read,d=9000");
+    a.next();
+    let began = Instant::now();
+    late.get("k", "id2", "c=once,d=300");
+    program.counts("ops", 3);
+    program.signal("STOP");
+    release.send(()).expect("it waits");
+    // What has to pass is the op's time itself.
+    thread::sleep(Duration::from_millis(500).saturating_sub(began.elapsed()));
+    program.signal("CONT");
+    assert_eq!([slow.answer(), late.answer()], ["from a", "-ERR dead-lettered"]);
+    let line = program.counts("dead_lettered", 1);
+    assert!(line.contains(" push_timed_out=0 "), "nothing was written: {line}");
+    // What else was said there is the end of a connection, if that was taken for it.
+    assert_ne!(a.seen(), Some("CACHE.GET k id2 c=once,d=..".to_owned()));
+}
+
+/// Clients and hosts hold every descriptor there is for connections when discovery comes back.
+#[test]
+fn the_list_is_heard_where_no_descriptor_is_left() {
+    let hosts: Vec<(Sender<()>, Peer)> = (0..4).map(|_| gated_host()).collect();
+    let known = ["a", "b", "c", "d"].iter().zip(&hosts);
+    let known: Vec<String> = known.map(|(name, host)| entry(name, host.1.address, "active")).collect();
+    let back = Arc::new(AtomicBool::new(false));
+    let there = back.clone();
+    let discovery = Peer::http(move |asked| match there.load(Ordering::Relaxed) {
+        true if asked.contains("from=2") => Says::Nothing,
+        true => http_answer(200, r#"{"generation":2,"reset":false,"instances":[]}"#),
+        false => Says::Last(String::new()),
+    });
+    let program = Program::start_by(BINARY, discovery.address, &known, [192, 32], &patient());
+    let mut clients: Vec<Client> = (0..8).map(|_| program.client()).collect();
+    let mut asked = 0;
+    for client in &mut clients {
+        loop {
+            let before = program.counts("ops", asked);
+            client.get(&format!("slow{asked}"), &format!("id{asked}"), "c=once,d=9000");
+            asked += 1;
+            // One that found the last descriptor taken is refused, and asks again.
+            let after = program.counts("ops", asked);
+            let count =
+                |line: &str| line.split(" nacked=").nth(1).map(|rest| rest.split(' ').next() == Some("0"));
+            if count(&before) == count(&after) {
+                break;
+            }
+            client.answer();
+        }
+    }
+    let line = program.counts("connections_opened", 8);
+    assert!(line.contains(" lists=1 "), "{line}");
+    back.store(true, Ordering::Relaxed);
+    let line = program.counts("lists", 2);
+    assert!(line.contains(" acked=0 ") && line.contains(" dead_lettered=0 "), "all is held still: {line}");
+}
--- a/balancer/tests/drains.rs
+++ b/balancer/tests/drains.rs
@@ -1,48 +1,23 @@
 //! Drains on sockets: a host is announced as leaving while pushes are between their decision and their first byte. None
 //! of them writes a byte to it, and each op gets its answer elsewhere at once.
 
+mod closed;
 #[path = "../../tests/common/mod.rs"]
 mod common;
 
-use std::io::Read;
-use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{channel, Receiver, Sender};
-use std::thread;
 use std::time::{Duration, Instant};
 
+use closed::{breaking_host, patient, Closed};
 use common::*;
 use expect_test::expect;
-use socket2::{Domain, Socket, Type};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
 
-/// Waits of many seconds for pushes and connections, and a balancer among 300: it opens one connection a second at a host
-/// that has just broken one.
-fn patient() -> String {
-    let long = SETTINGS
-        .replace("\"targetLatencyMs\":800.0,\"ttlMs\":2000.0", "\"targetLatencyMs\":9000.0,\"ttlMs\":9500.0");
-    long.replace("\"groupSize\":2", "\"groupSize\":300")
-        .replace("\"connectTimeoutMs\":250.0", "\"connectTimeoutMs\":8000.0")
-}
-
-/// A host that ends its connection at the key `break`, holds an answer to the key `slow` back, and else answers.
-fn host() -> (Sender<()>, Peer) {
-    let (release, wait) = gate();
-    let peer = Peer::host(move |asked| {
-        if asked.contains("break") {
-            return Says::Last(String::new());
-        }
-        wait(asked);
-        hit("from a")
-    });
-    (release, peer)
-}
-
 /// One push is out at `a`, and others wait there: no connection is free, and none may be opened for a second. What they
 /// get once the list says `told` of it.
 fn waiting_while(told: &str) -> String {
-    let (release, a) = host();
+    let (release, a) = breaking_host();
     let b = Peer::host(|_| hit("from b"));
     let discovery = Discovery::start();
     let known = [entry("a", a.address, "active")];
@@ -88,43 +63,6 @@
     assert_eq!(waiting_while(""), trace, "nor one that a whole list does not name");
 }
 
-/// Listens and takes nobody: what connects from now on stays in its handshake until the test takes those before.
-struct Closed {
-    socket: Socket,
-    fillers: Vec<TcpStream>,
-    address: SocketAddr,
-}
-
-impl Closed {
-    fn start() -> Closed {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
-        socket.listen(0).expect("it listens");
-        let address = socket.local_addr().expect("an address").as_socket().expect("of IPv4");
-        let short = Duration::from_millis(200);
-        let fillers = std::iter::from_fn(|| TcpStream::connect_timeout(&address, short).ok());
-        Closed { fillers: fillers.take(64).collect(), socket, address }
-    }
-
-    /// Takes all that come, and tells of the first byte that anyone but the fillers writes.
-    fn take_all(self) -> Receiver<SocketAddr> {
-        let (tell, wrote) = channel();
-        thread::spawn(move || {
-            let own: Vec<SocketAddr> = self.fillers.iter().filter_map(|one| one.local_addr().ok()).collect();
-            while let Ok((stream, from)) = self.socket.accept() {
-                let from = from.as_socket().expect("of IPv4");
-                let (mut stream, tell) = (TcpStream::from(stream), tell.clone());
-                if !own.contains(&from) {
-                    thread::spawn(move || {
-                        stream.read(&mut [0]).is_ok_and(|read| read > 0).then(|| tell.send(from))
-                    });
-                }
-            }
-        });
-        wrote
-    }
-}
-
 #[test]
 fn a_handshake_under_way_carries_nothing_once_its_host_leaves() {
     let a = Closed::start();
@@ -138,7 +76,7 @@
     discovery.tell(&[entry("a", a.address, "leaving"), entry("b", b.address, "active")]);
     program.counts("lists", 2);
     // From here on the handshake can come to its end.
-    let wrote = a.take_all();
+    let (_, wrote) = a.take_all();
     assert_eq!(client.answer(), "from b");
     assert!(wrote.try_recv().is_err(), "no byte goes to the host that leaves");
 }
@@ -160,7 +98,7 @@
         r#"{"instanceId":"a","hostPort":"::","lifecycle":"leaving","startedAtMs":1e300}"#,
         r#"{"instanceId":"a","hostPort":7,"zone":[],"weight":"much","lifecycle":"left"}"#,
     ] {
-        let (_release, a) = host();
+        let (_release, a) = breaking_host();
         let discovery = Discovery::start();
         let known = [entry("a", a.address, "active"), entry("b", b.address, "active")];
         let program = Program::start(BINARY, discovery.peer.address, &known, 1024);
@@ -175,7 +113,7 @@
 /// may know of a drain all the same.
 #[test]
 fn a_drain_is_heard_after_a_move_to_a_discovery_that_counts_from_less() {
-    let (_release, a) = host();
+    let (_release, a) = breaking_host();
     let b = Peer::host(|_| hit("from b"));
     let entries = [entry("a", a.address, "leaving"), entry("b", b.address, "active")].join(",");
     let list = format!(r#"{{"generation":3,"reset":true,"instances":[{entries}]}}"#);
@@ -242,7 +180,7 @@
 /// A watch that fell silent is broken: what it misses counts as told 6 s after, and the news have to be here by then.
 #[test]
 fn a_drain_is_heard_in_time_where_the_watch_has_fallen_silent() {
-    let (_release, a) = host();
+    let (_release, a) = breaking_host();
     let b = Peer::host(|_| hit("from b"));
     let entries = [entry("a", a.address, "leaving"), entry("b", b.address, "active")].join(",");
     let news = format!(r#"{{"generation":2,"reset":false,"instances":[{entries}]}}"#);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -243,7 +243,12 @@
     }
 
     pub fn quiet(&self) -> bool {
-        self.seen.try_recv().is_err()
+        self.seen().is_none()
+    }
+
+    /// What has come by now, if anything has.
+    pub fn seen(&self) -> Option<String> {
+        self.seen.try_recv().ok()
     }
 }
 
