--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -751,8 +751,7 @@
 
 #[test]
 fn want_of_descriptors_is_not_held_against_a_host() {
-    // 17 connections, five of them with clients and one with discovery, which holds its answer: as many pushes as there are
-    // others take the rest.
+    // 16 connections, five of them with clients; discovery's is set aside. As many pushes as there are others take the rest.
     let discovery = Discovery::start();
     let (release, wait) = gate();
     let origin = Peer::http(move |asked| {
@@ -760,7 +759,7 @@
         http_answer(200, "v")
     });
     let known = [entry("origin", origin.address, "active")];
-    let program = Program::start(BINARY, discovery.peer.address, &known, 33);
+    let program = Program::start(BINARY, discovery.peer.address, &known, 32);
     discovery.peer.next();
     let mut clients: Vec<Client> = (0..5).map(|_| program.client()).collect();
     for nth in 0..11 {
