A late copy of an answer serves nobody, and a handshake with an address that was left carries nothing

A host that answers twice may send the copy after the look before the write, and it was taken for the next op's: crossings.rs had "v2" served for k3. A host that was heard to say more than it was asked for is the sign (a copy right behind, or bytes on a connection that stood idle). For 10 s after it the same bytes as the answer before, for another key or a write, end the push as lost with its connection (it may have run: at-most-once ops are dead-lettered), and a connection is not kept after an answer that tells no two pushes apart (busy, miss, error). Open: the very first copy, with no sign before it; hosts whose values are alike cost a push each in those 10 s.

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -407,7 +407,11 @@
             input = input(&mut reading, &mut buffer, &mut coming, more && room) => match input {
                 // What is in hand of a value is bound by its progress.
                 Input::Read(Ok(1..)) => (until, came) = (until.filter(|_| coming.is_none()), Instant::now()),
-                Input::Read(_) | Input::Left => return Close::Now,
+                Input::Read(_) => return Close::Now,
+                Input::Left => {
+                    log::debug!("a client has gone of which nothing was read; {} commands wait", waiting.len());
+                    return Close::Now;
+                }
                 Input::Roomy => until = None,
             },
             () = desk.budget.freed.notified(), if more && !room => {}
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -2,8 +2,9 @@
 //! carries it, and when another is opened, the pools decide; this carries that out on sockets.
 //! One push at a time on each connection, so that calling it off closes nothing else.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,6 +35,27 @@
     pub buffer: Buffer,
     /// None where its descriptor is set aside.
     _permit: Option<Permit>,
+    /// The last answer that came on it.
+    last: Option<Stamp>,
+}
+
+const STAMPED: usize = 4 * 1024;
+
+/// An answer as it came, and the key that it was for.
+struct Stamp(u64, Bytes);
+
+impl Stamp {
+    /// By its length and its last bytes: all of a long one would cost more than it tells.
+    fn of(answer: &[u8], request: &Request) -> Stamp {
+        let mut hasher = DefaultHasher::new();
+        (answer.len(), &answer[answer.len().saturating_sub(STAMPED)..]).hash(&mut hasher);
+        Stamp(hasher.finish(), request.key.clone())
+    }
+
+    /// The same bytes for another key, or for a write, which has a receipt of its own.
+    fn repeated(&self, next: &Stamp, write: bool) -> bool {
+        self.0 == next.0 && (self.1 != next.1 || write)
+    }
 }
 
 /// What stands of an answer at the front of a buffer.
@@ -64,6 +86,8 @@
 
 /// A host that gives nothing of a long value for so long will not give the rest.
 const STALLED: Duration = Duration::from_secs(5);
+/// Hosts that were heard to say more than they were asked for are taken to answer twice for so long.
+const TWICE_FOR: Duration = Duration::from_secs(10);
 /// What follows a long value is awaited so long: the client has its value already.
 const REST: Duration = Duration::from_millis(500);
 
@@ -89,6 +113,8 @@
     listening: RefCell<BTreeMap<LinkId, AbortHandle>>,
     carrying: RefCell<BTreeMap<LinkId, Ticket>>,
     notes: RefCell<Vec<Note>>,
+    /// When a host last said more than it was asked for.
+    twice: Cell<Option<Instant>>,
     /// There are notes.
     pub noted: Notify,
     bounds: Bounds,
@@ -153,6 +179,7 @@
             listening: RefCell::default(),
             carrying: RefCell::default(),
             notes: RefCell::default(),
+            twice: Cell::default(),
             noted: Notify::new(),
             bounds,
             budget,
@@ -291,7 +318,7 @@
     ) -> io::Result<Link> {
         let stream = timeout_at(until, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream, buffer: Buffer::new(most), _permit: permit })
+        Ok(Link { stream, buffer: Buffer::new(most), _permit: permit, last: None })
     }
 
     /// A connection for a push: one that is kept, or a new one. A push that gets none never ran; what is this balancer's
@@ -308,10 +335,13 @@
                     };
                     // Whatever can be read now, its end above all, means that it can't carry a push.
                     let read = link.stream.try_read(&mut [0]);
-                    if matches!(read, Err(cause) if cause.kind() == ErrorKind::WouldBlock) {
+                    if matches!(&read, Err(cause) if cause.kind() == ErrorKind::WouldBlock) {
                         self.counters.connections_reused.add();
                         return Ok(Held { servers: self, id, link: Some(link) });
                     }
+                    if matches!(read, Ok(1..)) {
+                        self.twice.set(Some(Instant::now()));
+                    }
                     self.counters.connections_stale.add();
                     self.pools.borrow_mut().found_ended(id);
                 }
@@ -342,6 +372,11 @@
         opening.1 = None;
         let now = self.clock.now();
         match outcome {
+            // Its host has moved meanwhile: what stands at the old address may be another, or one that drains.
+            Ok(_) if self.hosts.borrow().get(&host).map(|place| place.address) != Some(address) => {
+                self.pools.borrow_mut().abandoned(id);
+                Err(End::Void)
+            }
             Ok(link) => {
                 self.counters.connections_opened.add();
                 self.pools.borrow_mut().opened(now, id);
@@ -441,8 +476,23 @@
                     return (End::Acked, Some(Value::Long(Long { length, pieces })));
                 }
                 Ok(Some(Found::Whole(outcome, used, keep))) => {
+                    let stamp = Stamp::of(&link.buffer.bytes()[..used], request);
                     link.buffer.consume(used);
-                    let keep = keep && link.buffer.is_empty();
+                    let more = !link.buffer.is_empty();
+                    if more {
+                        self.twice.set(Some(Instant::now()));
+                    }
+                    // Answers carry no id: of hosts that answer twice a copy may come after the look before the write, and be
+                    // taken for the next one's. The same answer as before is not served then, and what tells no two pushes
+                    // apart is the last on its connection.
+                    let twice = self.twice.get().is_some_and(|at| at.elapsed() < TWICE_FOR);
+                    let last = link.last.take().filter(|_| twice);
+                    if last.is_some_and(|last| last.repeated(&stamp, request.value.is_some())) {
+                        log::debug!("host {}: the same answer as to the push before", host.0);
+                        return (End::Severed, None);
+                    }
+                    link.last = Some(stamp);
+                    let keep = keep && !more && !(twice && outcome.1.is_none());
                     let link = held.link.take();
                     if self.pools.borrow_mut().answered(now, id, keep) {
                         self.give_back(host, id, link);
--- a/balancer/tests/crossings.rs
+++ b/balancer/tests/crossings.rs
@@ -178,3 +178,28 @@
     let line = program.counts("lists", 2);
     assert!(line.contains(" acked=0 ") && line.contains(" dead_lettered=0 "), "all is held still: {line}");
 }
+
+/// A host answers a push twice, and the copy comes after the next push is written: answers carry no id. Once hosts were heard to
+/// answer twice such a copy serves nobody, and what may have run does not go again.
+#[test]
+fn a_second_answer_that_comes_late_is_not_taken_for_the_next_ones() {
+    let text = |value: &str| format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len());
+    for (category, expected) in [("read", "v3"), ("once", "-ERR dead-lettered")] {
+        let late = AtomicBool::new(true);
+        let a = Peer::host(move |asked| match asked.split(' ').nth(1) {
+            // The sign: a copy right behind.
+            Some("k1") => Says::Text(text("v1") + &text("v1")),
+            Some("k3") if late.swap(false, Ordering::Relaxed) => Says::Text(text("v2") + &text("v3")),
+            key => Says::Text(text(&key.unwrap_or("").replace('k', "v"))),
+        });
+        let known = [entry("a", a.address, "active")];
+        let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], SETTINGS);
+        let mut client = program.client();
+        let mut asks = |key: &str| {
+            client.asks(&["CACHE.GET", key, &format!("id-{key}"), &format!("c={category},d=1900")])
+        };
+        assert_eq!([asks("k1"), asks("k2"), asks("k3")], ["v1", "v2", expected], "{category}");
+        // The same value for the same key, and for others from hosts that answer once, is no copy.
+        assert_eq!([asks("k4"), asks("k4"), asks("k5")], ["v4", "v4", "v5"], "{category}");
+    }
+}
--- a/balancer/tests/drains.rs
+++ b/balancer/tests/drains.rs
@@ -5,6 +5,8 @@
 #[path = "../../tests/common/mod.rs"]
 mod common;
 
+use std::io::Write;
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -180,6 +182,16 @@
 /// A watch that fell silent is broken: what it misses counts as told 6 s after, and the news have to be here by then.
 #[test]
 fn a_drain_is_heard_in_time_where_the_watch_has_fallen_silent() {
+    heard_in_time(|_| Says::Nothing);
+}
+
+/// What drips does not hold the look at silence up.
+#[test]
+fn a_drain_is_heard_in_time_where_the_list_only_drips() {
+    heard_in_time(|news| Says::Drips(news, Duration::from_secs(1)));
+}
+
+fn heard_in_time(first: fn(String) -> Says) {
     let (_release, a) = breaking_host();
     let b = Peer::host(|_| hit("from b"));
     let entries = [entry("a", a.address, "leaving"), entry("b", b.address, "active")].join(",");
@@ -187,6 +199,7 @@
     let calls = AtomicU32::new(0);
     // The first call is never answered, and neither is the one after the news.
     let discovery = Peer::http(move |_| match calls.fetch_add(1, Ordering::Relaxed) {
+        0 => first(format!("HTTP/1.1 200 so\r\nContent-Length: {}\r\n\r\n{news}", news.len())),
         1 => http_answer(200, &news),
         _ => Says::Nothing,
     });
@@ -194,15 +207,92 @@
     let program = Program::start(BINARY, discovery.address, &known, 1024);
     let mut trace = vec![discovery.next()];
     let silent = Instant::now();
-    trace.extend([discovery.next(), discovery.next(), discovery.next()]);
-    assert!(silent.elapsed() < Duration::from_secs(6), "asked anew after {:?}", silent.elapsed());
     program.counts("lists", 2);
+    assert!(silent.elapsed() < Duration::from_secs(6), "the news came after {:?}", silent.elapsed());
+    trace.extend([discovery.next(), discovery.next(), discovery.next()]);
     only_b_serves(&program, &a, "nothing goes to the host that leaves");
-    trace[1..3].sort();
+    // When it sees its connection's end is its own affair.
+    trace.sort();
     expect![[r#"
         GET /v1/servers?from=1&hold_ms=3000
         GET /v1/servers?from=1&hold_ms=3000
-        closed
-        GET /v1/servers?from=2&hold_ms=3000"#]]
+        GET /v1/servers?from=2&hold_ms=3000
+        closed"#]]
     .assert_eq(&trace.join("\n"));
 }
+
+/// The list as another may write it: indented, in chunks, byte by byte, with a host that leaves and was never told of before.
+#[test]
+fn a_drain_is_heard_however_its_list_is_written() {
+    let b = Peer::host(|_| hit("from b"));
+    for way in ["indented", "chunked", "dripping", "unheard of"] {
+        let (_release, a) = breaking_host();
+        let leaves = if way == "unheard of" { "c" } else { "a" };
+        let entries = [entry(leaves, a.address, "leaving"), entry("b", b.address, "active")].join(",\n  ");
+        let list =
+            format!("{{\n\t\"generation\" : 2,\r\n \"reset\": false, \"instances\":\n [ {entries} ]\n}}\n");
+        let head = "HTTP/1.1 200 so\r\n";
+        let whole = match way {
+            "chunked" => {
+                let (one, two) = list.split_at(list.len() / 2);
+                let chunk = |part: &str| format!("{:x}\r\n{part}\r\n", part.len());
+                format!("{head}Transfer-Encoding: chunked\r\n\r\n{}{}0\r\n\r\n", chunk(one), chunk(two))
+            }
+            _ => format!("{head}Content-Length: {}\r\n\r\n{list}", list.len()),
+        };
+        let discovery = Peer::http(move |asked| match asked.contains("from=1&") {
+            true if way == "dripping" => Says::Drips(whole.clone(), Duration::from_millis(1)),
+            true => Says::Text(whole.clone()),
+            false => Says::Nothing,
+        });
+        let known = if leaves == "a" { vec![entry("a", a.address, "active")] } else { Vec::new() };
+        let known = [known, vec![entry("b", b.address, "active")]].concat();
+        let program = Program::start(BINARY, discovery.address, &known, 1024);
+        let line = program.counts("lists", 2);
+        assert!(line.contains(" list_senseless=0 "), "{way}: {line}");
+        only_b_serves(&program, &a, way);
+    }
+}
+
+/// A host's address changes while a handshake with the old one is under way: another may stand there now.
+#[test]
+fn a_handshake_under_way_carries_nothing_once_its_host_has_moved() {
+    let a = Closed::start();
+    let (b, c) = (Peer::host(|_| hit("from b")), Peer::host(|_| hit("from c")));
+    let discovery = Discovery::start();
+    let known = [entry("a", a.address, "active")];
+    let program = Program::start_by(BINARY, discovery.peer.address, &known, [192, 1024], &patient());
+    let mut client = program.client();
+    client.get("k", "id", "c=once,d=9000");
+    program.counts("pushes", 1);
+    discovery.tell(&[entry("a", b.address, "active"), entry("c", c.address, "active")]);
+    program.counts("lists", 2);
+    let (_, wrote) = a.take_all();
+    assert_eq!(client.answer(), "from c");
+    assert!(wrote.try_recv().is_err(), "no byte goes to the old address");
+}
+
+/// The list and requests come while this process is stopped: what it says is read before anything is sent.
+#[test]
+fn a_drain_that_comes_while_this_process_is_stopped_is_heard_before_anything_is_sent() {
+    let (_release, a) = breaking_host();
+    let b = Peer::host(|_| hit("from b"));
+    // By hand: what is written is in the socket before the process goes on.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let known = [entry("a", a.address, "active"), entry("b", b.address, "active")];
+    let program = Program::start(BINARY, listener.local_addr().expect("an address"), &known, 1024);
+    let (mut discovery, _) = listener.accept().expect("it asks");
+    let mut clients: Vec<Client> = (0..4).map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.asks(&["PING"]), "+PONG"));
+    program.signal("STOP");
+    for (nth, client) in clients.iter_mut().enumerate() {
+        client.get(HOME_A, &format!("id{nth}"), "c=read,d=1900");
+    }
+    let leaves = entry("a", a.address, "leaving");
+    let body = format!(r#"{{"generation":2,"reset":false,"instances":[{leaves}]}}"#);
+    let Says::Text(text) = http_answer(200, &body) else { panic!("a text") };
+    discovery.write_all(text.as_bytes()).expect("it is taken");
+    program.signal("CONT");
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer(), "from b"));
+    assert!(a.quiet(), "nothing goes to the host that leaves");
+}
--- a/balancer/tests/endings.rs
+++ b/balancer/tests/endings.rs
@@ -4,6 +4,7 @@
 #[path = "../../tests/common/mod.rs"]
 mod common;
 
+use std::net::Shutdown;
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
@@ -125,6 +126,60 @@
     drop(release);
 }
 
+/// One that ends its sending alone can't be told from one that has closed until something is written to it: it has gone.
+#[test]
+fn one_that_ends_its_sending_has_gone() {
+    let (release, host) = gated_host();
+    let program = program(&host, [192, 1024], SETTINGS);
+    let mut client = program.client();
+    client.get("slow", "id", "c=read,d=1900");
+    host.next();
+    client.writing.shutdown(Shutdown::Write).expect("it ends");
+    assert_eq!(client.answer(), "closed");
+    let line = program.counts("dropped", 1);
+    assert!(line.contains(" push_acked=0 ") && line.contains(" push_timed_out=0 "), "{line}");
+    drop(release);
+}
+
+/// Told to end again and again, and told anew between: it ends as ever, with what it owes.
+#[test]
+fn told_to_end_twice_and_told_anew_it_ends_as_ever() {
+    let (release, host) = gated_host();
+    let mut program = program(&host, [192, 1024], SETTINGS);
+    let mut client = program.client();
+    client.get("slow", "id", "c=once,d=1900");
+    host.next();
+    let (old, new) = (nowhere(), Discovery::start());
+    program.told_anew(&format!(r#""discovery":"{old}""#), &format!(r#""discovery":"{}""#, new.peer.address));
+    program.signal("TERM");
+    program.logged("Draining");
+    assert_eq!(new.peer.next(), "GET /v1/servers");
+    program.signal("TERM");
+    program.signal("HUP");
+    release.send(()).expect("it waits");
+    assert_eq!([client.answer(), client.answer()], ["v", "closed"]);
+    assert!(program.ended().success());
+}
+
+/// A request is in the socket when the signal is read: it is heard before its connection is closed.
+#[test]
+fn what_has_come_before_the_signal_is_read_is_answered() {
+    let (_release, host) = gated_host();
+    let mut program = program(&host, [192, 1024], SETTINGS);
+    let (mut kept, mut fresh) = (program.client(), program.client());
+    assert_eq!(kept.asks(&["PING"]), "+PONG");
+    program.counts("clients", 2);
+    program.signal("STOP");
+    kept.get("k", "id1", "c=read,d=1900");
+    fresh.get("l", "id2", "c=read,d=1900");
+    let mut unaccepted = program.client();
+    unaccepted.get("m", "id3", "c=read,d=1900");
+    program.signal("TERM");
+    program.signal("CONT");
+    assert_eq!([kept.answer(), fresh.answer(), unaccepted.answer()], ["v", "v", "v"]);
+    assert!(program.ended().success());
+}
+
 /// While a value waits for memory that another holds nothing is read of its connection either.
 #[test]
 fn one_that_goes_while_its_value_waits_for_memory_is_waited_for_no_longer() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -203,6 +203,8 @@
     /// The last on this connection.
     Last(String),
     Nothing,
+    /// Byte by byte, with so long between them.
+    Drips(String, Duration),
 }
 
 /// Something the balancer speaks with: it tells the test what it was asked and answers by a rule.
@@ -265,6 +267,15 @@
             Says::Text(text) => (text, false),
             Says::Last(text) => (text, true),
             Says::Nothing => continue,
+            Says::Drips(text, pause) => {
+                for byte in text.bytes() {
+                    thread::sleep(pause);
+                    if writing.write_all(&[byte]).is_err() {
+                        break;
+                    }
+                }
+                continue;
+            }
         };
         if writing.write_all(text.as_bytes()).is_err() || last {
             break;
