Only values are held against the answer before; refusals alone end their connection

Cause: servers.rs compared every whole answer, also where it brought no value. And after an answer without a value no connection was kept while hosts were taken to answer twice; now only after a refusal, whose copy would say of the next push that it never ran.

--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -483,16 +483,16 @@
                         self.twice.set(Some(Instant::now()));
                     }
                     // Answers carry no id: of hosts that answer twice a copy may come after the look before the write, and be
-                    // taken for the next one's. The same answer as before is not served then, and what tells no two pushes
-                    // apart is the last on its connection.
+                    // taken for the next one's. The same value as before is not served then. A copy of a refusal would say
+                    // of the next push that it never ran: that is the last on its connection.
                     let twice = self.twice.get().is_some_and(|at| at.elapsed() < TWICE_FOR);
-                    let last = link.last.take().filter(|_| twice);
+                    let last = link.last.take().filter(|_| twice && outcome.1.is_some());
                     if last.is_some_and(|last| last.repeated(&stamp, request.value.is_some())) {
                         log::debug!("host {}: the same answer as to the push before", host.0);
                         return (End::Severed, None);
                     }
                     link.last = Some(stamp);
-                    let keep = keep && !more && !(twice && outcome.1.is_none());
+                    let keep = keep && !more && !(twice && outcome.0 == End::TurnedAway);
                     let link = held.link.take();
                     if self.pools.borrow_mut().answered(now, id, keep) {
                         self.give_back(host, id, link);
