An answer that is there is written to a client that has ended its sending

The look at a closed reading side ended a connection with nothing but written-out answers before them (PING and QUIT in one piece, as from a pipe). It is looked for only where something goes on for the client: an op, a value that waits for memory, one that streams.

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -393,6 +393,9 @@
         // Short of bytes, one that holds next to none is heard all the same: others must not silence it.
         let apart = coming.as_ref().is_some_and(Coming::apart);
         let room = apart || desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
+        // Its end is looked for where something goes on for it; an answer that is there is written, whoever still reads.
+        let owes = awaits_room || waiting.iter().any(|one| matches!(one, Waiting::Owed(..)));
+        let hears = (more && room) || owes || sending.long.is_some();
         // When one of these times is over that nothing else tells of.
         let spans = [
             Some(came + UNHEARD),
@@ -404,7 +407,7 @@
         let look = spans.into_iter().flatten().filter(|at| wanted && *at > Instant::now()).min();
         tokio::select! {
             biased;
-            input = input(&mut reading, &mut buffer, &mut coming, more && room) => match input {
+            input = input(&mut reading, &mut buffer, &mut coming, more && room), if hears => match input {
                 // What is in hand of a value is bound by its progress.
                 Input::Read(Ok(1..)) => (until, came) = (until.filter(|_| coming.is_none()), Instant::now()),
                 Input::Read(_) => return Close::Now,
--- a/balancer/tests/endings.rs
+++ b/balancer/tests/endings.rs
@@ -141,6 +141,17 @@
     drop(release);
 }
 
+/// What is there already is written all the same, whoever still reads.
+#[test]
+fn one_that_quits_and_ends_its_sending_has_what_is_there() {
+    let host = Peer::host(|_| hit("v"));
+    let program = program(&host, [192, 1024], SETTINGS);
+    let mut client = program.client();
+    client.raw(b"PING\r\nQUIT\r\n");
+    client.writing.shutdown(Shutdown::Write).expect("it ends");
+    assert_eq!([client.answer(), client.answer(), client.answer()], ["+PONG", "+OK", "closed"]);
+}
+
 /// Told to end again and again, and told anew between: it ends as ever, with what it owes.
 #[test]
 fn told_to_end_twice_and_told_anew_it_ends_as_ever() {
