--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -185,3 +185,32 @@
         [17.4]"#]]
     .assert_eq(&trace.join("\n"));
 }
+
+/// What is out may run: only where trying again is harmless the client is told so. What comes after is turned away, and an op that
+/// has its answer gets no other.
+#[test]
+fn where_the_process_ends_each_open_op_has_its_final_answer() {
+    let mut facade = facade(3);
+    let picked = [READ, KEYED, ONCE, READ].map(|category| facade.pick(0, ask(category, "k")).0);
+    facade.report(MS, picked[3], PushNo(0), End::Acked);
+    facade.rung();
+    facade.end(2 * MS);
+    let mut trace = vec![format!("rung for {} of 4", facade.rung().len())];
+    trace.extend(picked.map(|op| words(&facade.mail(op))));
+    trace.extend([READ, ONCE].map(|category| words(&facade.pick(3 * MS, ask(category, "k")).1)));
+    facade.end(4 * MS);
+    trace.extend(picked.map(|op| words(&facade.report(5 * MS, op, PushNo(0), End::Acked))));
+    expect![[r#"
+        rung for 3 of 4
+        nack, back in 400; call off 0
+        dead letter; call off 0
+        dead letter; call off 0
+        nothing
+        nack, back in 0
+        nack, back in 0
+        nothing
+        nothing
+        nothing
+        nothing"#]]
+    .assert_eq(&trace.join("\n"));
+}
