An idle connection holds hashes of its last answer and key, and no part of a request

A key of a command that came in parts is a slice of its whole head: each idle connection could have held one, some 25 KB by the bounds of words.

--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -41,19 +41,24 @@
 
 const STAMPED: usize = 4 * 1024;
 
-/// An answer as it came, and the key that it was for.
-struct Stamp(u64, Bytes);
+/// An answer as it came, and the key that it was for. Hashes of both: a connection that stands idle must not hold a request.
+#[derive(Clone, Copy)]
+struct Stamp(u64, u64);
 
 impl Stamp {
     /// By its length and its last bytes: all of a long one would cost more than it tells.
     fn of(answer: &[u8], request: &Request) -> Stamp {
-        let mut hasher = DefaultHasher::new();
-        (answer.len(), &answer[answer.len().saturating_sub(STAMPED)..]).hash(&mut hasher);
-        Stamp(hasher.finish(), request.key.clone())
+        let of = |what: (usize, &[u8])| {
+            let mut hasher = DefaultHasher::new();
+            what.hash(&mut hasher);
+            hasher.finish()
+        };
+        let end = &answer[answer.len().saturating_sub(STAMPED)..];
+        Stamp(of((answer.len(), end)), of((0, &request.key)))
     }
 
     /// The same bytes for another key, or for a write, which has a receipt of its own.
-    fn repeated(&self, next: &Stamp, write: bool) -> bool {
+    fn repeated(self, next: Stamp, write: bool) -> bool {
         self.0 == next.0 && (self.1 != next.1 || write)
     }
 }
@@ -487,7 +492,7 @@
                     // of the next push that it never ran: that is the last on its connection.
                     let twice = self.twice.get().is_some_and(|at| at.elapsed() < TWICE_FOR);
                     let last = link.last.take().filter(|_| twice && outcome.1.is_some());
-                    if last.is_some_and(|last| last.repeated(&stamp, request.value.is_some())) {
+                    if last.is_some_and(|last| last.repeated(stamp, request.value.is_some())) {
                         log::debug!("host {}: the same answer as to the push before", host.0);
                         return (End::Severed, None);
                     }
