--- a/balancer/tests/long.rs
+++ b/balancer/tests/long.rs
@@ -228,3 +228,43 @@
     end.raw(b"xx");
     assert_eq!(end.answer(), "-ERR Protocol error: a bulk string without its end");
 }
+
+/// A host that takes a connection and its first bytes, and no more until the test reads on.
+fn stuck() -> (SocketAddr, Receiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (tell, told) = channel();
+    spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            some(&mut stream, 100);
+            let _ = tell.send(stream);
+        }
+    });
+    (address, told)
+}
+
+/// A write that is cut before its last byte never ran: its op's time is over, or its client has gone. The host sees its connection's end
+/// before the whole, and no push goes again.
+#[test]
+fn a_write_cut_midway_never_ran_and_its_host_sees_so() {
+    for (goes, ended) in [(false, "push_unreachable"), (true, "push_called_off")] {
+        let (address, begun) = stuck();
+        let program = program_at(&[("origin", address)], [64, 192]);
+        let mut client = begin(&program, "id", LONG);
+        client.raw(&vec![b'v'; LONG]);
+        client.raw(b"\r\n");
+        let mut host = begun.recv().expect("it comes");
+        if goes {
+            drop(client);
+        } else {
+            assert_eq!(client.answer(), "-ERR dead-lettered");
+        }
+        let line = program.counts(ended, 1);
+        assert!(line.contains(" pushes=1 ") && line.contains(" push_timed_out=0 "), "{line}");
+        let mut rest = Vec::new();
+        // It may end as a reset: what it is not is whole.
+        let _ = host.read_to_end(&mut rest);
+        assert!(rest.len() < LONG, "{ended}: {} bytes came", rest.len());
+        assert!(begun.try_recv().is_err(), "and no other push");
+    }
+}
