A push tells its host the time that is left when it has its connection

The request's text was made when the push was decided (Servers::push, origin::push) and written after leave to open, a connection in use or a handshake of up to 1.5 s. Ruled out: the op's own time, which bounds the write as before (Servers::exchange). Change: the text is made in exchange, once the connection is there, with what is left then.

--- a/balancer/src/origin.rs
+++ b/balancer/src/origin.rs
@@ -20,17 +20,19 @@
     until: Micros,
 ) -> Outcome {
     let path = format!("/{}", http::escaped(&request.key));
-    let facts = request.facts(until - servers.clock.now());
-    let headers: [(&str, &[u8]); 2] = [("X-Correlation-Id", &request.id), ("X-Facts", &facts)];
-    let method = if request.value.is_some() { "PUT" } else { "GET" };
-    let to = address.to_string();
-    let (text, long) = match request.long() {
-        Some((length, segments)) => {
-            (http::begun(method, &path, &to, &headers, Some(length)).freeze(), segments.to_vec())
+    let text = |left| {
+        let facts = request.facts(left);
+        let headers: [(&str, &[u8]); 2] = [("X-Correlation-Id", &request.id), ("X-Facts", &facts)];
+        let method = if request.value.is_some() { "PUT" } else { "GET" };
+        let to = address.to_string();
+        match request.long() {
+            Some((length, segments)) => {
+                Text(http::begun(method, &path, &to, &headers, Some(length)).freeze(), segments.to_vec())
+            }
+            None => Text(http::request(method, &path, &to, &headers, request.short().as_deref()), Vec::new()),
         }
-        None => (http::request(method, &path, &to, &headers, request.short().as_deref()), Vec::new()),
     };
-    servers.exchange(host, ticket, request, Text(text, long), until, answer).await
+    servers.exchange(host, ticket, request, text, until, answer).await
 }
 
 fn answer(bytes: &[u8]) -> Result<Option<Found>, String> {
--- a/balancer/src/servers.rs
+++ b/balancer/src/servers.rs
@@ -398,17 +398,18 @@
         }
     }
 
-    /// Sends one request and reads one answer.
+    /// Sends one request and reads one answer. Its text is made when it has its connection, and told how much time is left
+    /// then: the wait for one may be as long as the op's own time, and a host must not work on what nobody waits for.
     pub async fn exchange(
         self: &Rc<Servers>,
         host: HostId,
         ticket: Ticket,
         request: &Request,
-        text: Text,
+        text: impl FnOnce(Micros) -> Text,
         until: Micros,
         find: Read,
     ) -> Outcome {
-        let until = self.clock.at(until);
+        let (ends, until) = (until, self.clock.at(until));
         // Rule 3 again, at the one place that every push passes before its first byte: the module judged when it decided, and
         // leave to open, a handshake or a connection in use may have taken longer than the grace since. A host that was
         // announced as leaving meanwhile gets nothing, and the op hears so at once. Whatever the order in which its parts are
@@ -429,6 +430,7 @@
         // The host begins with the last byte: until that is written the push never ran. An op that is over
         // meanwhile must not get that far, which says nothing of the host; its answer, once it has, is waited for.
         // A long value whose first byte went in time goes on.
+        let text = text(ends - self.clock.now());
         let sent = async {
             let Some(link) = &mut held.link else { return Err(End::Void) };
             match timeout_at(until, text.write(&mut link.stream)).await {
@@ -619,17 +621,19 @@
         request: &Request,
         until: Micros,
     ) -> Outcome {
-        let facts = request.facts(until - self.clock.now());
-        let mut words: Vec<&[u8]> = vec![&request.command, &request.key, &request.id, &facts];
-        let short = request.short();
-        let text = match request.long() {
-            Some((length, segments)) => {
-                let segments = segments.iter().cloned().chain([Bytes::from_static(resp::END)]);
-                Text(resp::begun(&words, length), segments.collect())
-            }
-            None => {
-                words.extend(short.as_deref());
-                Text(resp::written(&words), Vec::new())
+        let text = |left| {
+            let facts = request.facts(left);
+            let mut words: Vec<&[u8]> = vec![&request.command, &request.key, &request.id, &facts];
+            let short = request.short();
+            match request.long() {
+                Some((length, segments)) => {
+                    let segments = segments.iter().cloned().chain([Bytes::from_static(resp::END)]);
+                    Text(resp::begun(&words, length), segments.collect())
+                }
+                None => {
+                    words.extend(short.as_deref());
+                    Text(resp::written(&words), Vec::new())
+                }
             }
         };
         self.exchange(host, ticket, request, text, until, reply).await
--- a/balancer/tests/crossings.rs
+++ b/balancer/tests/crossings.rs
@@ -67,6 +67,28 @@
     .assert_eq(&trace.join("\n"));
 }
 
+/// A host plans by the time that it is told: what has passed while the push waited for its connection is not left any more.
+#[test]
+fn a_push_that_waited_for_its_connection_tells_what_is_left_then() {
+    let (release, a) = breaking_host();
+    let known = [entry("a", a.address, "active")];
+    let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], &patient());
+    let (_slow, _) = one_out(&program, &a);
+    let mut waits = program.client();
+    let began = Instant::now();
+    // The time stands first: stand-ins hide it anywhere else.
+    waits.get("k", "id2", "d=9000,c=read");
+    program.counts("ops", 3);
+    // What has to pass is a part of the op's own time.
+    thread::sleep(Duration::from_millis(400));
+    let waited = began.elapsed().as_millis();
+    release.send(()).expect("it waits");
+    let came = a.next();
+    let told: u128 =
+        came.split("d=").nth(1).and_then(|rest| rest.split(',').next()?.parse().ok()).expect("a time");
+    assert!(told + waited <= 9_000, "{came} after {waited} ms");
+}
+
 /// A miss that comes back after its client has gone fetches nothing at the origin, and an error is not tried elsewhere.
 #[test]
 fn what_a_push_brings_after_its_client_has_gone_leads_to_no_other() {
