A call for the list begins at most 3.9 s after the one before, whatever came of that

Cause, by reading and a test: patience grew to 7 s after failed calls, and a pause of up to 4 s came on top (membership: patience, LONGEST), while a change counts as told 6 s after discovery had it and could be reached. A watch that fell silent after four closed calls brought a drain after 7.1 s. Change: a call takes 3.6 s at most from its dial on, and the next begins 3.9 s after it at the latest (BETWEEN). What a slow discovery is given after calls in vain is taken from the hold, so it still has 3 s for an answer. After silence no pause is over 0.3 s, nor half of the grace.

--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use basaltwood::types::{Lifecycle, Listed, Micros};
-use basaltwood_membership::{Asking, Trouble, HOLD, OVERDUE};
+use basaltwood_membership::{Asking, Trouble};
 use basaltwood_terms::{micros, Entry};
 use basaltwood_wire::http;
 use serde::Deserialize;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use crate::clock::span;
 use crate::ops::Desk;
@@ -161,7 +161,8 @@
 async fn watch_at(desk: &Desk, address: SocketAddr, asking: &mut Asking) {
     let mut connection = None;
     loop {
-        let next = Instant::now() + APART;
+        let began = Instant::now();
+        let next = began + APART;
         log::debug!("asks discovery from {:?}", asking.from());
         match call(desk, &mut connection, address, asking).await {
             Ok(page) => {
@@ -184,35 +185,40 @@
                 if asking.failures() == 0 {
                     log::warn!("discovery: {}; the list stays as it is", trouble.cause());
                 }
-                sleep(span(asking.failed(&trouble))).await;
+                sleep(span(asking.failed(&trouble, took(began)))).await;
             }
         }
     }
 }
 
+fn took(began: Instant) -> Micros {
+    began.elapsed().as_micros() as Micros
+}
+
 async fn call(
     desk: &Desk,
     connection: &mut Option<Link>,
     discovery: SocketAddr,
     asking: &Asking,
 ) -> Result<Page, Trouble> {
+    let began = Instant::now();
     let silent = |cause: std::io::Error| Trouble::Silent(cause.to_string());
     let mute = |what: &str| Trouble::Silent(what.to_owned());
     let Link { stream, buffer, .. } = match connection {
         Some(open) => open,
         None => {
-            let until = Instant::now() + span(OVERDUE);
+            let until = began + span(asking.overdue().min(asking.patience()));
             // Its descriptor is set aside: where clients and hosts hold all others, a drain must be heard still.
             let opening = desk.servers.open(None, discovery, until, MOST_BODY + 64 * 1024);
             connection.insert(opening.await.map_err(silent)?)
         }
     };
     let path = match asking.from() {
-        Some(from) => format!("/v1/servers?from={from}&hold_ms={}", HOLD / 1000),
+        Some(from) => format!("/v1/servers?from={from}&hold_ms={}", asking.hold(took(began)) / 1000),
         None => "/v1/servers".to_owned(),
     };
     let request = http::request("GET", &path, &discovery.to_string(), &[], None);
-    let answer = timeout(span(asking.patience()), async {
+    let answer = timeout_at(began + span(asking.patience()), async {
         stream.write_all(&request).await.map_err(silent)?;
         loop {
             match read(stream, buffer).await {
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -1,7 +1,8 @@
 //! When discovery is asked for the list of hosts, and for how much of it. Pure: chance comes from a seed, time is the
 //! caller's, who waits as long as he is told and says what came of each call.
 //!
-//! For each call [`Asking::from`], and after it [`Asking::answered`], or [`Asking::failed`], which tells how long to wait;
+//! For each call [`Asking::from`], [`Asking::patience`] and [`Asking::hold`], and after it [`Asking::answered`], or
+//! [`Asking::failed`], which tells how long to wait;
 //! [`Asking::moved`] when discovery is elsewhere from now on. The first call is made at once: what discovery would tell one
 //! who has no call open counts as told, and the rule on drains binds from then on.
 //!
@@ -13,25 +14,28 @@
 
 use basaltwood::types::{Chance, Micros};
 
-/// How long discovery may hold a call while nothing changes. What a watch misses that has fallen silent counts as told 6 s after
-/// it fell silent, or 2 s after its wait is over if that is later, and the drain's grace runs from then. By that time the
-/// silence must have been seen, and another call made and answered; a discovery that serves in turn may take seconds for
-/// it, as all that it fell silent to call together. So of the 6 s a half is for waiting.
-pub const HOLD: Micros = 3_000_000;
+/// From the beginning of a call to the beginning of the next at most, whatever came of it: refused, silent, given up, or of no
+/// sense. A change counts as told 6 s after discovery had it and could be reached, and an answer may take 2 s: so a call has to
+/// begin in the 4 s before that, less a tenth for what is not counted here. Source: the operators' page on real days.
+pub const BETWEEN: Micros = 3_900_000;
+/// How long a call may take at most, from its dial to the last byte of its answer. The rest of [`BETWEEN`] is for the pause.
+const WITHIN: Micros = 3_600_000;
+/// How long discovery may hold a call while nothing changes.
+const HOLD: Micros = 3_000_000;
 /// How long a connection to it may take to come up, and an answer be overdue at first. What is slow is given twice as long with
-/// each call in vain, so that many who ask can't keep it busy with calls that they have given up.
-pub const OVERDUE: Micros = 500_000;
-/// How long the whole list, which is not held, may take to come.
+/// each call in vain, so that many who ask can't keep it busy with calls that they have given up. What a call is given for this
+/// is taken from its hold.
+const OVERDUE: Micros = 500_000;
+const MOST_OVERDUE: Micros = 3_000_000;
+/// How long the whole list, which is not held, may take to come at first.
 const WHOLE: Micros = 2_000_000;
 /// After a failed call at least: few balancers may ask often.
 const LEAST: Micros = 100_000;
+/// After a call that was not answered at most.
+const BLIND: Micros = 300_000;
 /// A balancer's turn: calls after a first refusal are spread over one for each balancer. A discovery that is asked for more
 /// than it serves works on for those that it has refused already, so it has to be let come to rest.
 const TURN: Micros = 60_000;
-/// A pause at most, and all turns together: a change counts as told 6 s after discovery has it at the latest, whether or not it
-/// was asked for, and the call after the pause may take 2 s to be answered. However many balancers ask, none may be longer
-/// without a call.
-const LONGEST: Micros = 4_000_000;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -77,8 +81,8 @@
     pub fn new(terms: Terms) -> Asking {
         Asking {
             chance: Chance::new(terms.seed),
-            least: (TURN * Micros::from(terms.balancers)).clamp(LEAST, LONGEST),
-            blind: (terms.grace / 2).clamp(LEAST / 2, LONGEST),
+            least: (TURN * Micros::from(terms.balancers)).clamp(LEAST, BETWEEN),
+            blind: (terms.grace / 2).clamp(LEAST / 2, BLIND),
             from: terms.known,
             failures: 0,
         }
@@ -89,10 +93,28 @@
         self.from
     }
 
-    /// How long to wait for the answer to a call, to its last byte.
+    fn longer(&self, span: Micros) -> Micros {
+        span << self.failures.min(16)
+    }
+
+    /// How long a call may take, from its dial to the last byte of its answer.
     pub fn patience(&self) -> Micros {
-        let longer = |patience: Micros| (patience << self.failures.min(16)).min(LONGEST);
-        self.from.map_or(longer(WHOLE), |_| HOLD + longer(OVERDUE))
+        if self.from.is_some() {
+            WITHIN
+        } else {
+            self.longer(WHOLE).min(WITHIN)
+        }
+    }
+
+    /// How long its connection may take to come up, and its answer be overdue.
+    pub fn overdue(&self) -> Micros {
+        self.longer(OVERDUE).min(MOST_OVERDUE)
+    }
+
+    /// How long discovery may hold a call, of which the dial has taken so much of its time: whole tenths of a second.
+    pub fn hold(&self, dialled: Micros) -> Micros {
+        let left = (self.patience() - self.overdue() - dialled).clamp(0, HOLD);
+        left - left % 100_000
     }
 
     /// Calls that failed since the last answer.
@@ -108,22 +130,25 @@
         self.failures = 0;
     }
 
-    /// A call failed: how long to wait before the next. The pause doubles, and is drawn from its upper half.
-    pub fn failed(&mut self, trouble: &Trouble) -> Micros {
+    /// A call failed that took so long: how long to wait before the next. The pause doubles, and is drawn from its upper half;
+    /// with the call it is no longer than [`BETWEEN`].
+    pub fn failed(&mut self, trouble: &Trouble, took: Micros) -> Micros {
         if matches!(trouble, Trouble::Senseless(_)) {
             self.from = None;
         }
         // What a silent call would have told counts as told by now, and so does what discovery has to tell in the instant in
         // which it is back. One more call overbooks nobody: no turn is waited for, and no longer than half of the grace.
         let silent = matches!(trouble, Trouble::Silent(_));
-        let (least, longest) = if silent { (LEAST, self.blind) } else { (self.least, LONGEST) };
-        let pause = (least << self.failures.min(16)).min(longest);
+        let (least, longest) = if silent { (LEAST, self.blind) } else { (self.least, BETWEEN) };
+        let pause = self.longer(least).min(longest);
         self.failures += 1;
         let pause = self.chance.upper_half(pause);
-        match trouble {
-            Trouble::NotNow { come_back: Some(come_back), .. } => pause.max((*come_back).min(LONGEST)),
+        let pause = match trouble {
+            Trouble::NotNow { come_back: Some(come_back), .. } => pause.max(*come_back),
             _ => pause,
-        }
+        };
+        // A refusal may come as late as any answer, and however late it comes the next call must not.
+        pause.min((BETWEEN - took).max(LEAST / 2))
     }
 
     /// Discovery is elsewhere: that one is asked at once, and has refused nobody yet. It may count otherwise, and hold a call
