Nothing is begun for a client that went before it was heard, or behind a full window

Cause, seen: of three clients that asked and went while all descriptors were held, one to three had a push written. The runtime takes a new connection to be readable before the kernel was asked, so its end, which came with the bytes, is not known at the first read (strace: no epoll_wait between accept4 and recvfrom). Ruled out: the kernel (epoll reports EPOLLIN|EPOLLRDHUP together), the order of tasks. And of a client whose unread bytes fill its window the end can't come. Change: a turn of the loop before the first read; an op whose client has gone is not given to the module; while an op is owed, what waits is read ahead.

--- a/balancer/src/clients.rs
+++ b/balancer/src/clients.rs
@@ -58,7 +58,7 @@
 const LEAVING: Duration = Duration::from_secs(3);
 /// What makes sense as a time to wait, in milliseconds: an hour at most.
 const LONGEST: std::ops::RangeInclusive<f64> = 0.0..=3_600_000.0;
-/// Between looks whether a client has gone of which nothing more is read: what waits for it must not be sent on 0.3 s later.
+/// Between looks whether a client has gone of which nothing more is read: nothing may be begun for it over 0.1 s after that.
 const LEFT: Duration = Duration::from_millis(50);
 /// Between looks for room where descriptors are short.
 const SHORT: Duration = Duration::from_millis(20);
@@ -322,6 +322,9 @@
     let mut parting = false;
     // Since when clients are sent away.
     let mut leaving: Option<Instant> = None;
+    // A new connection is taken to be readable before the kernel was asked, which tells of its end too. Where the client asked and
+    // went while it waited for room, that has to be known before anything is begun for it.
+    yield_now().await;
     loop {
         while last.is_none() && waiting.len() < most(&sending) {
             match next(desk, &mut buffer, &mut coming) {
@@ -388,14 +391,18 @@
             _ => None,
         };
         until = limit.and_then(|limit| until.or_else(|| Some(Instant::now() + limit)));
-        let takes = !late && now != Phase::LastAnswers;
-        let more = last.is_none() && waiting.len() < most(&sending) && !awaits_room && takes;
+        let takes = last.is_none() && !awaits_room && !late && now != Phase::LastAnswers;
+        let more = takes && waiting.len() < most(&sending);
+        let owes = awaits_room || waiting.iter().any(|one| matches!(one, Waiting::Owed(..)));
+        // What waits for its turn is read all the same while an op goes on: of a client whose unread bytes fill its window the
+        // end can't be seen, and nothing may go on for one that has gone.
+        let ahead = takes && !more && owes && coming.is_none() && !buffer.full();
         // Short of bytes, one that holds next to none is heard all the same: others must not silence it.
         let apart = coming.as_ref().is_some_and(Coming::apart);
         let room = apart || desk.budget.room_for_bytes() || (idle && buffer.bytes().len() < SMALL);
         // Its end is looked for where something goes on for it; an answer that is there is written, whoever still reads.
-        let owes = awaits_room || waiting.iter().any(|one| matches!(one, Waiting::Owed(..)));
-        let hears = (more && room) || owes || sending.long.is_some();
+        let reads = (more || ahead) && room;
+        let hears = reads || owes || sending.long.is_some();
         // When one of these times is over that nothing else tells of.
         let spans = [
             Some(came + UNHEARD),
@@ -407,7 +414,7 @@
         let look = spans.into_iter().flatten().filter(|at| wanted && *at > Instant::now()).min();
         tokio::select! {
             biased;
-            input = input(&mut reading, &mut buffer, &mut coming, more && room), if hears => match input {
+            input = input(&mut reading, &mut buffer, &mut coming, reads), if hears => match input {
                 // What is in hand of a value is bound by its progress.
                 Input::Read(Ok(1..)) => (until, came) = (until.filter(|_| coming.is_none()), Instant::now()),
                 Input::Read(_) => return Close::Now,
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -112,6 +112,12 @@
         held: Held,
     ) {
         self.counters.ops.add();
+        // It may have asked and gone while it waited to be served: nothing is begun for nobody.
+        if answer.is_closed() {
+            self.counters.dropped.add();
+            self.open.borrow_mut().remove(&request.id);
+            return;
+        }
         let request = Rc::new(request);
         let (op, mut decisions) = self.facade.borrow_mut().pick(self.clock.now(), ask);
         log::debug!("op {} is the client's {}", op.0, String::from_utf8_lossy(&request.id));
--- a/balancer/tests/closed/mod.rs
+++ b/balancer/tests/closed/mod.rs
@@ -2,15 +2,36 @@
 #![allow(dead_code)] // each test file uses its part
 
 use std::io::Read;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
 use std::time::Duration;
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::common::{gate, hit, Client, Peer, Program, Says, SETTINGS};
 
+/// How a client goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Goes {
+    Closes,
+    Resets,
+}
+
+pub const BOTH_WAYS: [Goes; 2] = [Goes::Closes, Goes::Resets];
+
+impl Goes {
+    pub fn away(self, client: Client) {
+        match self {
+            // A plain drop would not end it while a program that another test starts holds a copy of the handle.
+            Goes::Closes => client.writing.shutdown(Shutdown::Both).expect("a socket"),
+            Goes::Resets => {
+                SockRef::from(&client.writing).set_linger(Some(Duration::ZERO)).expect("a socket");
+            }
+        }
+    }
+}
+
 /// Waits of many seconds for pushes and connections, and a balancer among 300: it opens one connection a second at a host
 /// that has just broken one.
 pub fn patient() -> String {
--- a/balancer/tests/crossings.rs
+++ b/balancer/tests/crossings.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use closed::{breaking_host, one_out, patient, Closed};
+use closed::{breaking_host, one_out, patient, Closed, Goes, BOTH_WAYS};
 use common::*;
 use expect_test::expect;
 
@@ -21,13 +21,17 @@
 
 #[test]
 fn a_handshake_under_way_carries_nothing_once_its_client_has_gone() {
+    BOTH_WAYS.into_iter().for_each(gone_in_a_handshake);
+}
+
+fn gone_in_a_handshake(goes: Goes) {
     let a = Closed::start();
     let known = [entry("a", a.address, "active")];
     let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], &patient());
     let mut client = program.client();
     client.get("k", "id", "c=once,d=9000");
     program.counts("pushes", 1);
-    drop(client);
+    goes.away(client);
     program.counts("push_called_off", 1);
     let (_, wrote) = a.take_all();
     let mut other = program.client();
@@ -42,14 +46,18 @@
 /// One push is out, and another waits there: for its connection, and for leave to open one beside it.
 #[test]
 fn one_that_waits_for_a_connection_is_not_sent_on_once_its_client_has_gone() {
+    BOTH_WAYS.into_iter().for_each(gone_while_it_waits_for_a_connection);
+}
+
+fn gone_while_it_waits_for_a_connection(goes: Goes) {
     let (release, a) = breaking_host();
     let known = [entry("a", a.address, "active")];
     let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], &patient());
     let (mut slow, mut trace) = one_out(&program, &a);
-    let mut goes = program.client();
-    goes.get("k", "id2", "c=read,d=9000");
+    let mut client = program.client();
+    client.get("k", "id2", "c=read,d=9000");
     program.counts("ops", 3);
-    drop(goes);
+    goes.away(client);
     program.counts("push_called_off", 1);
     release.send(()).expect("it waits");
     trace.push(slow.answer());
@@ -92,7 +100,8 @@
 /// A miss that comes back after its client has gone fetches nothing at the origin, and an error is not tried elsewhere.
 #[test]
 fn what_a_push_brings_after_its_client_has_gone_leads_to_no_other() {
-    for (text, ended) in [("*3\r\n$-1\r\n$-1\r\n$-1\r\n", "push_missed"), ("-ERR failed\r\n", "push_error")] {
+    let brings = [("*3\r\n$-1\r\n$-1\r\n$-1\r\n", "push_missed"), ("-ERR failed\r\n", "push_error")];
+    for ((text, ended), goes) in brings.into_iter().flat_map(|one| BOTH_WAYS.map(|goes| (one, goes))) {
         let (release, wait) = gate();
         let host = Peer::host(move |asked| {
             wait(asked);
@@ -105,7 +114,7 @@
         let mut client = program.client();
         client.get(SLOW_AT_A, "id", "c=read,d=1900");
         host.next();
-        drop(client);
+        goes.away(client);
         program.counts("dropped", 1);
         release.send(()).expect("it waits");
         let line = program.counts(ended, 1);
--- a/balancer/tests/endings.rs
+++ b/balancer/tests/endings.rs
@@ -1,6 +1,7 @@
 //! What is still owed when something ends: the process, a client's stay, a silent watch, an op's time. Each crossing is forced
 //! over sockets, and the program is seen from its peers' side.
 
+mod closed;
 #[path = "../../tests/common/mod.rs"]
 mod common;
 
@@ -8,6 +9,7 @@
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
+use closed::{Goes, BOTH_WAYS};
 use common::*;
 use expect_test::expect;
 
@@ -95,12 +97,16 @@
 /// been begun never is.
 #[test]
 fn one_that_sends_much_at_once_and_goes_has_nothing_begun_after_it() {
+    BOTH_WAYS.into_iter().for_each(gone_with_much_sent);
+}
+
+fn gone_with_much_sent(goes: Goes) {
     let (release, host) = gated_host();
     let program = program(&host, [192, 1024], SETTINGS);
     let mut client = program.client();
     (0..100).for_each(|nth| client.get("slow", &format!("id{nth}"), "c=read,d=1900"));
     program.counts("pushes", 1);
-    drop(client);
+    goes.away(client);
     let line = program.counts("dropped", 1);
     assert!(line.contains(" push_acked=0 "), "nothing was answered yet: {line}");
     let_go(&release, 100);
@@ -114,13 +120,17 @@
 /// After `QUIT` nothing more is read of a connection; its end is seen all the same.
 #[test]
 fn one_that_quits_and_goes_before_its_answer_is_waited_for_no_longer() {
+    BOTH_WAYS.into_iter().for_each(gone_after_quit);
+}
+
+fn gone_after_quit(goes: Goes) {
     let (release, host) = gated_host();
     let program = program(&host, [192, 1024], SETTINGS);
     let mut client = program.client();
     client.get("slow", "id", "c=read,d=1900");
     client.raw(b"QUIT\r\n");
     host.next();
-    drop(client);
+    goes.away(client);
     let line = program.counts("dropped", 1);
     assert!(line.contains(" push_acked=0 ") && line.contains(" push_timed_out=0 "), "{line}");
     drop(release);
@@ -194,6 +204,10 @@
 /// While a value waits for memory that another holds nothing is read of its connection either.
 #[test]
 fn one_that_goes_while_its_value_waits_for_memory_is_waited_for_no_longer() {
+    BOTH_WAYS.into_iter().for_each(gone_while_its_value_waits);
+}
+
+fn gone_while_its_value_waits(goes: Goes) {
     let (release, host) = gated_host();
     let program = program(&host, [8, 1024], SETTINGS);
     let half = |client: &mut Client, id: &str| {
@@ -201,16 +215,46 @@
             format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n${}\r\n{id}\r\n$10\r\nc=put,d=900\r\n", id.len());
         client.raw(format!("{}${}\r\n", head.replace("$10", "$11"), 2_600_000).as_bytes());
     };
-    let (mut holds, mut goes) = (program.client(), program.client());
+    let (mut holds, mut leaves) = (program.client(), program.client());
     half(&mut holds, "id1");
     assert_eq!(program.client().asks(&["PING"]), "+PONG");
-    goes.get("slow", "id2", "c=read,d=1900");
+    leaves.get("slow", "id2", "c=read,d=1900");
     host.next();
-    half(&mut goes, "id3");
+    half(&mut leaves, "id3");
     assert_eq!(program.client().asks(&["PING"]), "+PONG");
-    drop(goes);
+    goes.away(leaves);
     let line = program.counts("dropped", 1);
     // The one that holds the memory has not been given up yet.
     assert!(line.contains(" malformed=0 ") && line.contains(" push_timed_out=0 "), "{line}");
     drop((release, holds));
 }
+
+/// So many bytes that they fill the client's window while none of them is taken: its end comes behind them, and is seen.
+#[test]
+fn one_whose_unread_bytes_fill_its_window_is_waited_for_no_longer() {
+    let (release, host) = gated_host();
+    let program = program(&host, [192, 1024], SETTINGS);
+    let mut client = program.client();
+    // As many as may wait, then 168 kB: past what the kernel holds (128 kB) and less than that and what is read ahead (80 kB).
+    let mut bytes = Vec::new();
+    for nth in 0..32 {
+        bytes.extend(get(&format!("slow-{nth}"), nth));
+    }
+    for nth in 32..116 {
+        bytes.extend(get(&"k".repeat(2_000), nth));
+    }
+    client.raw(&bytes);
+    host.next();
+    drop(client);
+    // The host's first limit lets six through, and they are dropped while they are out.
+    let line = program.counts("dropped", 6);
+    assert!(line.contains(" push_timed_out=0 ") && line.contains(" ops=32 "), "{line}");
+    drop(release);
+}
+
+fn get(key: &str, nth: u32) -> Vec<u8> {
+    let (id, facts) = (format!("id{nth}"), "c=read,d=1900");
+    let words = ["CACHE.GET", key, &id, facts];
+    let words = words.map(|word| format!("${}\r\n{word}\r\n", word.len()));
+    format!("*4\r\n{}", words.concat()).into_bytes()
+}
