A host that was gone and came back under its name keeps its number, so that its drain is heard

Cause: the module names the numbers that it has free with every list, and Names::forget took the text that such a number stood for last out of the books, also where that text had another number by then. Two hosts go, one returns (under the number that was forgotten last), and at once its name is forgotten: a change that says it leaves is told of a third number, and pushes go on to the host. hosts_forgotten also counted each host with every list.

Change: a number that stands for nothing is not forgotten again; Names::forget says whether it stood for a text.

--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -80,9 +80,11 @@
     desk.ring();
     // Hosts come and go all day: what is known of one that has gone goes too.
     for host in desk.facade.borrow().free() {
-        desk.words.borrow_mut().hosts.forget(host.0);
-        desk.servers.forget(host);
-        desk.counters.hosts_forgotten.add();
+        // The module names those that it has free, whether or not their numbers were forgotten before.
+        if desk.words.borrow_mut().hosts.forget(host.0) {
+            desk.servers.forget(host);
+            desk.counters.hosts_forgotten.add();
+        }
     }
     page.generation
 }
--- a/balancer/tests/drains.rs
+++ b/balancer/tests/drains.rs
@@ -313,3 +313,28 @@
     clients.iter_mut().for_each(|client| assert_eq!(client.answer(), "from b"));
     assert!(a.quiet(), "nothing goes to the host that leaves");
 }
+
+/// Two hosts go, and one of them comes back under its name, all by changes to the list: its number is another then, and the
+/// one that it had is still among those that are free.
+#[test]
+fn a_drain_is_heard_of_a_host_that_was_gone_before() {
+    let (_release, a) = breaking_host();
+    let b = Peer::host(|_| hit("from b"));
+    let (at, gone) = (a.address, nowhere());
+    let changes = [
+        [entry("a", at, "left"), entry("c", gone, "left")].join(","),
+        entry("a", at, "active"),
+        entry("a", at, "leaving"),
+    ];
+    let discovery = Peer::http(move |asked| {
+        let from = (1..=changes.len()).find(|from| asked.contains(&format!("from={from}&")));
+        let Some(from) = from else { return Says::Nothing };
+        let (version, change) = (from + 1, &changes[from - 1]);
+        http_answer(200, &format!(r#"{{"generation":{version},"reset":false,"instances":[{change}]}}"#))
+    });
+    let known = [entry("a", at, "active"), entry("c", gone, "active"), entry("b", b.address, "active")];
+    let program = Program::start(BINARY, discovery.address, &known, 1024);
+    let line = program.counts("lists", 4);
+    assert!(line.contains(" hosts_forgotten=2"), "each host once, and one that drains is not gone: {line}");
+    only_b_serves(&program, &a, "nothing goes to the host that leaves");
+}
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -34,11 +34,16 @@
         number
     }
 
-    /// The number stands for nothing from now on, until a new text gets it.
-    pub fn forget(&mut self, number: u32) {
-        if self.numbers.remove(&self.texts[number as usize]).is_some() {
+    /// The number stands for nothing from now on, until a new text gets it; whether it stood for one until now.
+    /// The text that it stood for last may have another number since.
+    pub fn forget(&mut self, number: u32) -> bool {
+        let text = &self.texts[number as usize];
+        let stands = self.numbers.get(text) == Some(&number);
+        if stands {
+            self.numbers.remove(text);
             self.free.push(number);
         }
+        stands
     }
 
     pub fn known(&self, text: &str, what: &str) -> Result<u32, String> {
--- /dev/null
+++ b/terms/tests/names.rs
@@ -0,0 +1,17 @@
+//! Numbers for texts, and those that were forgotten.
+
+use basaltwood_terms::Names;
+
+/// Whoever forgets says so again and again, also when the text has another number by then.
+#[test]
+fn a_text_that_came_back_under_another_number_keeps_it() {
+    let mut names = Names::default();
+    let (a, b) = (names.number("a"), names.number("b"));
+    assert!(names.forget(a) && names.forget(b));
+    let again = names.number("a");
+    assert_eq!(again, b, "the number that was forgotten last goes first");
+    assert!(!names.forget(a), "that number stands for nothing");
+    assert_eq!(names.number("a"), again);
+    let others = [names.number("c"), names.number("d")];
+    assert_eq!(others, [a, 2], "no number stands for two");
+}
