--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -101,6 +101,9 @@
     pub late_most_ms: f64,
     pub late_part: f64,
     pub generator_us_per_op: f64,
+    /// CPU of the emulated hosts, origin and discovery.
+    #[serde(default)]
+    pub world_us_per_op: f64,
     /// The longest that the emulated fleet stood still, and the part of its turns that came over `load.late_ms` late.
     pub world_late_ms: f64,
     #[serde(default)]
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -1,6 +1,7 @@
 //! All that crossed the world's sockets, in the order in which it was noted: what the audit and the figures are made from.
 
-use std::sync::{Arc, Mutex};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use crate::time::{Clock, Micros};
 
@@ -147,21 +148,29 @@
 #[derive(Clone)]
 pub struct Ledger {
     pub clock: Clock,
-    events: Arc<Mutex<Vec<Event>>>,
+    // A queue without a lock: a thread that is put off its core amid a note holds up no other.
+    tell: Sender<Event>,
+    told: Arc<Mutex<Receiver<Event>>>,
 }
 
 impl Ledger {
     pub fn new(clock: Clock) -> Ledger {
-        Ledger { clock, events: Arc::default() }
+        let (tell, told) = mpsc::channel();
+        Ledger { clock, tell, told: Arc::new(Mutex::new(told)) }
     }
 
     pub fn note(&self, what: What) {
-        let mut events = self.events.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        // Read under the lock, so that the order is that of the times.
-        events.push(Event { at: self.clock.now(), what });
+        // The other end lives as long as this one.
+        let _ = self.tell.send(Event { at: self.clock.now(), what });
     }
 
+    /// All that was noted since, in the order of its times.
     pub fn take(&self) -> Vec<Event> {
-        std::mem::take(&mut *self.events.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
+        let mut events: Vec<Event> = {
+            let told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+            told.try_iter().collect()
+        };
+        events.sort_by_key(|event| event.at);
+        events
     }
 }
--- a/lab/src/load/player.rs
+++ b/lab/src/load/player.rs
@@ -140,7 +140,7 @@
 }
 
 /// The CPU time of this thread, in seconds.
-fn thread_cpu() -> f64 {
+pub fn thread_cpu() -> f64 {
     let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
     text.split(' ').next().and_then(|time| time.parse::<f64>().ok()).unwrap_or(0.0) / 1e9
 }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -10,7 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::sync::Arc;
 use std::thread;
@@ -26,6 +26,7 @@
 use crate::balancers::Balancers;
 use crate::lateness::Lateness;
 use crate::ledger::{HostNo, Ledger, Standing, What};
+use crate::load::player::thread_cpu;
 use crate::script::{Experiment, Kind};
 use crate::time::{millis, Micros, MS};
 use discovery::Agent;
@@ -49,6 +50,8 @@
     pub late: Arc<Lateness>,
     /// Connections that hosts and origin have taken so far.
     pub opened: Arc<AtomicU64>,
+    /// CPU time of this thread so far, in microseconds, to a tenth of a second.
+    pub cpu_us: Arc<AtomicU64>,
     begin: Option<oneshot::Sender<Option<Balancers>>>,
     end: Option<oneshot::Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
@@ -65,7 +68,8 @@
         let (end, ended) = oneshot::channel();
         let (experiment, ledger) = (experiment.clone(), ledger.clone());
         let (late, opened): (Arc<Lateness>, Arc<AtomicU64>) = Default::default();
-        let (heart, doors) = (late.clone(), opened.clone());
+        let cpu_us: Arc<AtomicU64> = Arc::default();
+        let (heart, doors, work) = (late.clone(), opened.clone(), cpu_us.clone());
         let live = move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let Ok(runtime) = runtime.map_err(|cause| tell.send(Err(format!("the runtime: {cause}")))) else {
@@ -77,6 +81,7 @@
                     Ok((director, seats)) => {
                         let _ = tell.send(Ok((seats, director.shared.faults.spans.clone())));
                         spawn_local(beat(heart));
+                        spawn_local(count_work(work));
                         spawn_local(async move {
                             if let Ok(balancers) = begun.await {
                                 director.direct(balancers).await;
@@ -93,7 +98,16 @@
         let thread = thread::Builder::new().name("world".to_owned()).spawn(live);
         let thread = thread.map_err(|cause| format!("a thread: {cause}"))?;
         let (seats, spans) = told.recv().map_err(|_| "the world did not come up".to_owned())??;
-        Ok(World { seats, spans, late, opened, begin: Some(begin), end: Some(end), thread: Some(thread) })
+        Ok(World {
+            seats,
+            spans,
+            late,
+            opened,
+            cpu_us,
+            begin: Some(begin),
+            end: Some(end),
+            thread: Some(thread),
+        })
     }
 
     /// The script begins; the clock has been set to the run's beginning. Balancers that it is to kill are given along.
@@ -125,6 +139,14 @@
     }
 }
 
+/// Notes ten times a second what CPU time this thread has had.
+async fn count_work(cpu_us: Arc<AtomicU64>) {
+    loop {
+        cpu_us.store((thread_cpu() * 1e6) as u64, Ordering::Relaxed);
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Carries out the script.
 struct Director {
     shared: Rc<Shared>,
