--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -162,6 +162,13 @@
         self.inner().places.iter().map(|place| place.listen).collect()
     }
 
+    /// The processes that run now.
+    pub fn ids(&self) -> Vec<u32> {
+        let inner = self.inner();
+        let running = inner.places.iter().filter_map(|place| place.running.as_ref());
+        running.map(|running| running.child.id()).collect()
+    }
+
     fn ready(&self, nth: usize) -> Result<(), String> {
         let began = Instant::now();
         let address = self.addresses()[nth];
--- a/lab/src/lateness.rs
+++ b/lab/src/lateness.rs
@@ -236,10 +236,13 @@
         );
     }
     if late.max(of_machine) > LATE_PART {
+        // Late in one of its wakes is every other op: then the median is the machine's too.
+        let typical = f64::from(WAKES) * part_over(bare, bounds.late) > 0.5;
+        let rest = if typical { "all percentiles are" } else { "p99 and above are" };
         return Verdict::Warned(format!(
             "the machine was late: a bare thread's p99 was {bare_p99:.1} ms and its most {:.1} ms; {:.1}% of \
-             the ops left over {bound} ms late, {:.1}% by the machine: benefit counts, p99 and above are in \
-             part the machine's",
+             the ops left over {bound} ms late, {:.1}% by the machine: benefit counts, {rest} in part the \
+             machine's",
             ms(bare.max()),
             100.0 * late,
             100.0 * of_machine
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod play;
 pub mod report;
 pub mod router;
+pub mod scale;
 pub mod script;
 pub mod settings;
 pub mod time;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -19,6 +19,7 @@
 use basaltwood_lab::play::{self, play, Tick, INTERRUPTED, STOP};
 use basaltwood_lab::report;
 use basaltwood_lab::router::{self, Misdeed};
+use basaltwood_lab::scale;
 use basaltwood_lab::script::{Arm, Baseline, Experiment};
 use basaltwood_lab::settings;
 use basaltwood_lab::time::{Clock, MS};
@@ -107,6 +108,26 @@
         #[arg(long)]
         json: bool,
     },
+    /// How figures grow with one axis of the fleet: hollow balancers beside a real one, a value at each point,
+    /// the slope with its interval, and what that gives at the plan's size.
+    ///
+    /// Exit codes as for `run`; 2 also where descriptors, memory (half of the machine's at most) or processes
+    /// would not do, before anything starts.
+    #[command(after_help = "Example: basaltwood-lab scale lab/scale/hosts.toml --quick")]
+    Scale {
+        file: PathBuf,
+        /// Small and under a minute: the file's [quick], or its first two points, once each.
+        #[arg(long)]
+        quick: bool,
+        #[arg(long, default_value = "lab-results")]
+        out: PathBuf,
+        /// A JSON line for each point and each figure's line on standard output instead of words.
+        #[arg(long)]
+        json: bool,
+    },
+    /// A process of a scale run.
+    #[command(hide = true)]
+    ScalePart,
     /// Writes a result's page anew.
     Report { folder: PathBuf },
     /// Measures the generator's own ceiling, what a balancer carries on one core and what time it adds, and its memory.
@@ -176,7 +197,7 @@
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     let line = Line::parse();
-    if !matches!(line.verb, Verb::Router { .. }) {
+    if !matches!(line.verb, Verb::Router { .. } | Verb::ScalePart) {
         heed_signals();
     }
     match carry_out(line.verb) {
@@ -242,6 +263,8 @@
             }
             Ok(0)
         }
+        Verb::Scale { file, quick, out, json } => scale(&file, quick, &out, json),
+        Verb::ScalePart => scale::part::serve().map(|()| 0).map_err(failed),
         Verb::Report { folder } => {
             let runs = compare::read(&folder).map_err(bad)?;
             let name = runs.first().map_or("nothing", |run| &run.experiment).to_owned();
@@ -320,6 +343,64 @@
     }
 }
 
+/// Plays the points of a scale experiment, and writes raw points, lines and drawings as it goes.
+fn scale(file: &Path, quick: bool, out: &Path, json: bool) -> Result<u8, Trouble> {
+    let script = scale::script::Script::read(file, quick).map_err(bad)?;
+    let fits = script.fits(scale::script::Machine::this());
+    fits.map_err(|cause| bad(format!("{}: {cause}", file.display())))?;
+    let folder = fresh(out, &script.name)?;
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    write(&folder.join("experiment.toml"), &text)?;
+    let lines = File::create(folder.join("points.jsonl"));
+    let mut lines = lines.map_err(|cause| failed(format!("{}: {cause}", folder.display())))?;
+    let all = script.points.len() * script.repeats;
+    // Standard output is for machines where they are to read it.
+    let say = |line: &str| if json { eprintln!("{line}") } else { println!("{line}") };
+    say(&format!("{}\n{all} points, {:.0} s at the least", script.about, script.length_s()));
+    let axis = script.axis.name();
+    let mut points = Vec::new();
+    for repeat in 0..script.repeats {
+        for &at in &script.points {
+            let seed = 1 + repeat as u64;
+            let title = format!("[{}/{all}] {axis} = {at} seed {seed}", points.len() + 1);
+            let logs = folder.join("logs").join(format!("{at}-{seed}"));
+            std::fs::create_dir_all(&logs).map_err(|cause| failed(format!("{}: {cause}", logs.display())))?;
+            let mut on = String::new();
+            let mut tell = |stretch: &str, seconds: f64| {
+                if !stretch.is_empty() {
+                    stretch.clone_into(&mut on);
+                }
+                say(&format!("{title}  {on} {seconds:.0} s"));
+            };
+            let point = scale::play::point(&script, at, seed, &logs, &mut tell).map_err(failed)?;
+            let line = serde_json::to_string(&point).map_err(|cause| failed(cause.to_string()))?;
+            writeln!(lines, "{line}").map_err(|cause| failed(cause.to_string()))?;
+            if json {
+                println!("{line}");
+            }
+            let void = point.void.as_ref().map_or(String::new(), |void| format!(", VOID: {void}"));
+            say(&format!("{title}: played{void}"));
+            points.push(point);
+        }
+    }
+    let fitted = scale::play::fitted(&script, &points);
+    let text = serde_json::to_string_pretty(&fitted).map_err(|cause| failed(cause.to_string()))?;
+    write(&folder.join("lines.json"), &text)?;
+    for figure in &fitted {
+        let svg = scale::draw::svg(axis, figure).map_err(failed)?;
+        write(&folder.join(scale::draw::file_name(figure.figure)), &svg)?;
+        if json {
+            println!("{}", serde_json::to_string(figure).map_err(|cause| failed(cause.to_string()))?);
+        }
+    }
+    let table = scale::draw::table(axis, &points, &fitted);
+    write(&folder.join("table.txt"), &table)?;
+    if !json {
+        println!("\n{table}\nresult: {}", folder.display());
+    }
+    Ok(if points.iter().any(|point| point.void.is_some()) { VOID } else { 0 })
+}
+
 /// A first run is to show what there is, also on a busy machine: it ends well, with a warning, unless a rule was broken.
 fn demo_code(runs: &[Run]) -> u8 {
     if runs.iter().any(Run::in_breach) {
--- /dev/null
+++ b/lab/src/scale/discovery.rs
@@ -0,0 +1,214 @@
+//! The emulated discovery of a scale run: one for all balancers. A call from a version on is held until there is
+//! something newer or its hold is over, as the platform's is; a host that is told as leaving is told as active
+//! again by the next change, so that the list keeps its size.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use basaltwood_wire::buffer::Buffer;
+use basaltwood_wire::http;
+use bytes::Bytes;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::Exp1;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use super::part::{in_json, Asked, Role, Said};
+use crate::load::player::thread_cpu;
+use crate::world::host::listen;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DiscoverySpec {
+    /// The hosts as entries of the list.
+    pub entries: Vec<Value>,
+    /// Changes of the list a second, at times drawn from the seed, once it was asked to begin.
+    pub changes_per_s: f64,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DiscoveryUp {
+    pub address: SocketAddr,
+}
+
+/// Counters since the start; changes since the last mark.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct DiscoveryMark {
+    pub cpu_s: f64,
+    pub calls: u64,
+    /// Of requests and of answers, without what TCP adds.
+    pub bytes_in: u64,
+    pub bytes_out: u64,
+    /// Each version, and when it came (Unix time in microseconds).
+    pub changes: Vec<(u64, i64)>,
+}
+
+pub fn unix_us() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |unix| unix.as_micros() as i64)
+}
+
+pub struct Discovery {
+    spec: DiscoverySpec,
+    address: SocketAddr,
+    /// Each entry, and the version that brought it.
+    entries: RefCell<Vec<(u64, Value)>>,
+    generation: watch::Sender<u64>,
+    /// The last answer, since many ask alike: from which version to which.
+    page: RefCell<Option<(Option<u64>, u64, Bytes)>>,
+    silent: watch::Sender<bool>,
+    changing: Cell<bool>,
+    mark: RefCell<DiscoveryMark>,
+}
+
+impl Discovery {
+    /// # Errors
+    /// Where it can't listen.
+    pub fn start(spec: DiscoverySpec) -> std::io::Result<Rc<Discovery>> {
+        let listener = listen((Ipv4Addr::new(127, 31, 0, 1), 0).into())?;
+        let discovery = Rc::new(Discovery {
+            address: listener.local_addr()?,
+            entries: RefCell::new(spec.entries.iter().map(|entry| (1, entry.clone())).collect()),
+            generation: watch::Sender::new(1),
+            page: RefCell::default(),
+            silent: watch::Sender::new(false),
+            changing: Cell::new(false),
+            mark: RefCell::default(),
+            spec,
+        });
+        spawn_local(discovery.clone().accept(listener));
+        spawn_local(discovery.clone().change());
+        Ok(discovery)
+    }
+
+    async fn change(self: Rc<Discovery>) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.spec.seed);
+        let mut leaving = None;
+        loop {
+            if !self.changing.get() || self.spec.changes_per_s <= 0.0 {
+                sleep(Duration::from_millis(5)).await;
+                continue;
+            }
+            let pause = rng.sample::<f64, _>(Exp1) / self.spec.changes_per_s;
+            sleep(Duration::from_secs_f64(pause.min(10.0))).await;
+            let hosts = self.spec.entries.len();
+            let (nth, lifecycle) = match leaving.take() {
+                Some(nth) => (nth, "active"),
+                None => (*leaving.insert(rng.random_range(0..hosts)), "leaving"),
+            };
+            let generation = *self.generation.borrow() + 1;
+            if let Some(entry) = self.entries.borrow_mut().get_mut(nth) {
+                entry.0 = generation;
+                entry.1["lifecycle"] = lifecycle.into();
+            }
+            self.mark.borrow_mut().changes.push((generation, unix_us()));
+            self.generation.send_replace(generation);
+        }
+    }
+
+    async fn accept(self: Rc<Discovery>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(self.clone().serve(stream));
+                }
+                Err(_) => sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Discovery>, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut buffer = Buffer::new(16 * 1024);
+        let mut silent = self.silent.subscribe();
+        loop {
+            let request = match http::asked(buffer.bytes(), 0) {
+                Ok(Some(request)) => request,
+                Ok(None) => {
+                    let Ok(room) = buffer.room() else { return };
+                    match stream.read_buf(room).await {
+                        Ok(1..) => continue,
+                        _ => return,
+                    }
+                }
+                Err(_) => return,
+            };
+            buffer.consume(request.used);
+            {
+                let mut mark = self.mark.borrow_mut();
+                mark.calls += 1;
+                mark.bytes_in += request.used as u64;
+            }
+            let number = |name: &str| {
+                let query = request.path.split_once('?').map_or("", |(_, query)| query);
+                let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+                value.and_then(|value| value.parse::<u64>().ok())
+            };
+            let from = number("from");
+            if let Some(from) = from {
+                let hold = Duration::from_millis(number("hold_ms").unwrap_or(0).min(60_000));
+                let mut generation = self.generation.subscribe();
+                let newer = generation.wait_for(|&generation| generation > from);
+                let gone = async { while !matches!(stream.read(&mut [0]).await, Ok(0) | Err(_)) {} };
+                tokio::select! {
+                    _ = timeout(hold, newer) => {}
+                    () = gone => return,
+                }
+            }
+            if silent.wait_for(|silent| !silent).await.is_err() {
+                return;
+            }
+            let text = self.page(from);
+            if stream.write_all(&text).await.is_err() {
+                return;
+            }
+            self.mark.borrow_mut().bytes_out += text.len() as u64;
+        }
+    }
+
+    /// What is newer than a version, or all.
+    fn page(&self, from: Option<u64>) -> Bytes {
+        let generation = *self.generation.borrow();
+        if let Some((of, to, text)) = &*self.page.borrow() {
+            if (*of, *to) == (from, generation) {
+                return text.clone();
+            }
+        }
+        let entries = self.entries.borrow();
+        let newer = entries.iter().filter(|entry| from.is_none_or(|from| entry.0 > from));
+        let instances: Vec<&Value> = newer.map(|entry| &entry.1).collect();
+        let page = json!({"generation": generation, "reset": from.is_none(), "instances": instances});
+        let body = page.to_string();
+        let text = http::answered(200, &[("Content-Type", "application/json")], body.as_bytes());
+        self.page.replace(Some((from, generation, text.clone())));
+        text
+    }
+}
+
+impl Role for Discovery {
+    fn up(&self) -> Said {
+        in_json(&DiscoveryUp { address: self.address })
+    }
+
+    fn asked(self: Rc<Self>, asked: Asked) -> Said {
+        match asked {
+            Asked::Begin => self.changing.set(true),
+            Asked::Rest => self.changing.set(false),
+            Asked::Silent => drop(self.silent.send_replace(true)),
+            Asked::Speak => drop(self.silent.send_replace(false)),
+            Asked::Mark => {}
+        }
+        let mut mark = self.mark.borrow_mut();
+        mark.cpu_s = thread_cpu();
+        let said = in_json(&*mark);
+        mark.changes.clear();
+        said
+    }
+}
--- /dev/null
+++ b/lab/src/scale/hollow.rs
@@ -0,0 +1,703 @@
+//! Hollow balancers: the real facade, pools, membership and terms, and real connections to discovery and hosts.
+//! No clients: ops are drawn inside, at a set rate with Poisson arrivals on keys by Zipf's law.
+//!
+//! Each has its own seed and identity; all of a process share its thread. [`Hollow::takes_list`] is the one place
+//! in which a list reaches the facade.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant as Started, SystemTime, UNIX_EPOCH};
+
+use basaltwood::facade::{Ask, Decision, Facade};
+use basaltwood::types::{CategoryId, End, HostId, Lifecycle, Micros, OpId, Place, PushNo};
+use basaltwood_membership::{Asking, Trouble};
+use basaltwood_pools::{Failure, Fault, Grant, LinkId, Order, Pools};
+use basaltwood_terms::{Bounds, Entry, Info, Words};
+use basaltwood_wire::buffer::Buffer;
+use basaltwood_wire::{http, resp};
+use bytes::Bytes;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1, Zipf};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{watch, Notify};
+use tokio::task::{spawn_local, AbortHandle, JoinSet};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+
+use super::discovery::unix_us;
+use super::part::{counts, in_json, resident_kb, Asked, Counts, Role, Said};
+use crate::lateness::Lateness;
+use crate::load::player::thread_cpu;
+use crate::time::{span, MS};
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HollowSpec {
+    /// As a balancer is told them.
+    pub settings: Value,
+    /// The list at the start: a page of discovery.
+    pub known: Value,
+    pub discovery: SocketAddr,
+    /// So many, numbered from here on.
+    pub first: u32,
+    pub balancers: u32,
+    pub seed: u64,
+    /// Ops a second of each.
+    pub rate: f64,
+    pub keys: u64,
+    /// The exponent of the keys' popularity; 0 for all alike.
+    pub zipf: f64,
+    /// Descriptors that a balancer's connections to hosts may take.
+    pub sockets: usize,
+    pub target_ms: f64,
+    pub ttl_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct HollowUp {
+    pub balancers: u32,
+}
+
+/// Counters since the start over all balancers of the process; what are lists and histograms since the last mark.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HollowMark {
+    pub cpu_s: f64,
+    pub resident_kb: u64,
+    /// Before there were balancers in it.
+    pub base_kb: u64,
+    /// Bytes to and from discovery, without what TCP adds.
+    pub control_out: u64,
+    pub control_in: u64,
+    /// The same to and from hosts.
+    pub host_out: u64,
+    pub host_in: u64,
+    pub ops: u64,
+    pub acked: u64,
+    pub in_target: u64,
+    pub nacked: u64,
+    pub failed: u64,
+    pub pushes: u64,
+    pub opened: u64,
+    /// Connections to hosts that are open now.
+    pub open: u64,
+    /// A balancer's number, a version, and when it was in force there (Unix time in microseconds).
+    pub applied: Vec<(u32, u64, i64)>,
+    /// By how much ops began later than they were due, less the timer's grain.
+    pub late: Counts,
+    /// From when it was due until its ack, in microseconds.
+    pub took: Counts,
+}
+
+/// From one call to the next at least.
+const APART: Duration = Duration::from_millis(20);
+/// Between looks at connections and timers at the most, as the balancer has it.
+const LOOK: Duration = Duration::from_millis(50);
+const MOST_BODY: usize = 4 * 1024 * 1024;
+
+#[derive(Default, Deserialize)]
+struct Page {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<HostEntry>,
+}
+
+/// A host as discovery writes it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct HostEntry {
+    pub instance_id: String,
+    pub host_port: SocketAddr,
+    pub zone: Option<String>,
+    pub machine_type: Option<String>,
+    pub cell: Option<u32>,
+    pub lifecycle: String,
+    pub weight: Option<f64>,
+    pub started_at_ms: Option<f64>,
+}
+
+struct Clock {
+    start: Started,
+    unix_us: Micros,
+}
+
+impl Clock {
+    fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |unix| unix.as_micros() as Micros);
+        Clock { start: Started::now(), unix_us: unix }
+    }
+
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    fn at(&self, time: Micros) -> Instant {
+        (self.start + span(time)).into()
+    }
+}
+
+/// A connection to a host.
+struct Link {
+    stream: TcpStream,
+    buffer: Buffer,
+}
+
+struct Seat {
+    address: SocketAddr,
+    freed: Rc<Notify>,
+}
+
+pub struct Hollow {
+    no: u32,
+    clock: Rc<Clock>,
+    facade: RefCell<Facade>,
+    words: RefCell<Words>,
+    pools: RefCell<Pools>,
+    bounds: Bounds,
+    sockets: usize,
+    ttl: Micros,
+    target: Micros,
+    hosts: RefCell<BTreeMap<HostId, Seat>>,
+    idle: RefCell<BTreeMap<LinkId, Link>>,
+    carrying: RefCell<BTreeMap<LinkId, (OpId, PushNo)>>,
+    bells: RefCell<HashMap<u32, Rc<Notify>>>,
+    shared: Rc<Shared>,
+}
+
+/// What all balancers of a process count together.
+#[derive(Default)]
+struct Shared {
+    mark: RefCell<HollowMark>,
+    late: Arc<Lateness>,
+    took: Arc<Lateness>,
+}
+
+impl Shared {
+    fn count(&self, add: impl FnOnce(&mut HollowMark)) {
+        add(&mut self.mark.borrow_mut());
+    }
+}
+
+/// A connection that a push has; where that ends otherwise than with an answer, the pools learn of it.
+struct Held<'a> {
+    of: &'a Hollow,
+    id: LinkId,
+    link: Option<Link>,
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.of.carrying.borrow_mut().remove(&self.id);
+        if self.link.take().is_some() {
+            self.of.pools.borrow_mut().abandoned(self.id);
+            self.of.carry_out();
+        }
+    }
+}
+
+/// One that is being opened; the same.
+struct Opening<'a>(&'a Hollow, Option<LinkId>);
+
+impl Drop for Opening<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.1.take() {
+            self.0.pools.borrow_mut().abandoned(id);
+        }
+    }
+}
+
+impl Hollow {
+    fn new(spec: &HollowSpec, no: u32, clock: &Rc<Clock>, shared: &Rc<Shared>) -> Result<Rc<Hollow>, String> {
+        let info = Info::deserialize(&spec.settings).map_err(|cause| cause.to_string())?;
+        let terms = info.terms(Place(spec.seed).mixed(u64::from(no)).0)?;
+        let bounds = info.bounds();
+        let pools = Pools::new(basaltwood_pools::Terms {
+            seed: terms.seed,
+            balancers: terms.balancers,
+            idle_for: bounds.idle_for,
+            connect_within: bounds.connect_within,
+            most: spec.sockets,
+        });
+        let hollow = Rc::new(Hollow {
+            no,
+            clock: clock.clone(),
+            facade: RefCell::new(Facade::new(&terms, bounds.most_held)),
+            words: RefCell::new(Words::new(&info)),
+            pools: RefCell::new(pools),
+            bounds,
+            sockets: spec.sockets,
+            ttl: (spec.ttl_ms * 1e3) as Micros,
+            target: (spec.target_ms * 1e3) as Micros,
+            hosts: RefCell::default(),
+            idle: RefCell::default(),
+            carrying: RefCell::default(),
+            bells: RefCell::default(),
+            shared: shared.clone(),
+        });
+        let known = Page::deserialize(&spec.known).map_err(|cause| cause.to_string())?;
+        let generation = known.generation;
+        hollow.takes_list(true, known.instances);
+        let asking = Asking::new(basaltwood_membership::Terms {
+            seed: terms.seed,
+            balancers: terms.balancers,
+            known: Some(generation),
+            grace: bounds.grace,
+        });
+        spawn_local(hollow.clone().watch(spec.discovery, asking));
+        spawn_local(hollow.clone().tick());
+        Ok(hollow)
+    }
+
+    /// A list, or what changed of it, goes to the facade: the one place for whatever is to choose among its hosts.
+    fn takes_list(&self, whole: bool, entries: Vec<HostEntry>) {
+        let now = self.clock.now();
+        let mut listed = Vec::with_capacity(entries.len());
+        for entry in &entries {
+            let lifecycle = match entry.lifecycle.as_str() {
+                "active" => Lifecycle::Up,
+                "leaving" => Lifecycle::Draining,
+                _ => Lifecycle::Gone,
+            };
+            let started = entry.started_at_ms.filter(|&ms| ms != 0.0);
+            let one = self.words.borrow_mut().listed(&Entry {
+                host: &entry.instance_id,
+                zone: entry.zone.as_deref(),
+                kind: entry.machine_type.as_deref(),
+                cell: entry.cell,
+                lifecycle,
+                weight: entry.weight,
+                started: started.map(|ms| basaltwood_terms::micros(ms) - self.clock.unix_us),
+            });
+            self.place(one.host, entry.host_port);
+            listed.push(one);
+        }
+        self.facade.borrow_mut().list(now, whole, listed);
+        let gone = |host: &HostId| !self.facade.borrow().takes(*host);
+        let hosts: Vec<HostId> = self.hosts.borrow().keys().copied().filter(gone).collect();
+        hosts.into_iter().for_each(|host| self.pools.borrow_mut().drained(host));
+        self.carry_out();
+        self.ring();
+        for host in self.facade.borrow().free() {
+            self.words.borrow_mut().hosts.forget(host.0);
+            self.hosts.borrow_mut().remove(&host);
+            self.pools.borrow_mut().forget(host);
+        }
+    }
+
+    fn place(&self, host: HostId, address: SocketAddr) {
+        let mut hosts = self.hosts.borrow_mut();
+        let seat = hosts.entry(host).or_insert_with(|| Seat { address, freed: Rc::default() });
+        if std::mem::replace(&mut seat.address, address) != address {
+            self.pools.borrow_mut().moved(host);
+        }
+    }
+
+    // Discovery.
+
+    async fn watch(self: Rc<Hollow>, discovery: SocketAddr, mut asking: Asking) {
+        let mut connection = None;
+        loop {
+            let began = Instant::now();
+            let next = began + APART;
+            match self.call(&mut connection, discovery, &asking).await {
+                Ok(page) => {
+                    let whole = page.reset || asking.from().is_none();
+                    let news = whole || !page.instances.is_empty();
+                    self.takes_list(whole, page.instances);
+                    if news {
+                        let applied = (self.no, page.generation, unix_us());
+                        self.shared.count(|mark| mark.applied.push(applied));
+                    }
+                    asking.answered(page.generation, whole);
+                    sleep_until(next).await;
+                }
+                Err(trouble) => {
+                    connection = None;
+                    let took = began.elapsed().as_micros() as Micros;
+                    sleep(span(asking.failed(&trouble, took))).await;
+                }
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        connection: &mut Option<Link>,
+        discovery: SocketAddr,
+        asking: &Asking,
+    ) -> Result<Page, Trouble> {
+        let began = Instant::now();
+        let until = began + span(asking.patience());
+        let silent = |cause: io::Error| Trouble::Silent(cause.to_string());
+        let Link { stream, buffer } = match connection {
+            Some(open) => open,
+            None => {
+                let opening = timeout(span(asking.overdue()), TcpStream::connect(discovery));
+                let opened = opening.await.map_err(|_| Trouble::Silent("it does not come up".to_owned()))?;
+                let stream = opened.map_err(silent)?;
+                let _ = stream.set_nodelay(true);
+                connection.insert(Link { stream, buffer: Buffer::new(MOST_BODY + 64 * 1024) })
+            }
+        };
+        let path = match asking.from() {
+            Some(from) => format!(
+                "/v1/servers?from={from}&hold_ms={}",
+                asking.hold(began.elapsed().as_micros() as Micros) / MS
+            ),
+            None => "/v1/servers".to_owned(),
+        };
+        let request = http::request("GET", &path, &discovery.to_string(), &[], None);
+        let answer = timeout_at(until, async {
+            stream.write_all(&request).await.map_err(silent)?;
+            self.shared.count(|mark| mark.control_out += request.len() as u64);
+            loop {
+                let room = buffer.room().map_err(silent)?;
+                match stream.read_buf(room).await.map_err(silent)? {
+                    0 => return Err(Trouble::Silent("it closed the connection".to_owned())),
+                    read => self.shared.count(|mark| mark.control_in += read as u64),
+                }
+                if let Some(answer) = http::answer(buffer.bytes(), MOST_BODY).map_err(Trouble::Senseless)? {
+                    return Ok(answer);
+                }
+            }
+        });
+        let answer = answer.await.map_err(|_| Trouble::Silent("it is silent".to_owned()))??;
+        buffer.consume(answer.used);
+        if !answer.keep {
+            *connection = None;
+        }
+        match answer.status {
+            200 => {}
+            status => return Err(Trouble::Senseless(format!("status {status}"))),
+        }
+        serde_json::from_slice(&answer.body).map_err(|cause| Trouble::Senseless(cause.to_string()))
+    }
+
+    // Timers.
+
+    async fn tick(self: Rc<Hollow>) {
+        loop {
+            let now = self.clock.now();
+            let stopped = self.pools.borrow_mut().tick(now);
+            if stopped > 0 {
+                self.facade.borrow_mut().stopped(now, stopped);
+            }
+            self.carry_out();
+            let due = self.facade.borrow_mut().tick(self.clock.now());
+            self.ring();
+            let look = Instant::now() + LOOK;
+            sleep_until(due.map_or(look, |due| self.clock.at(due).min(look))).await;
+        }
+    }
+
+    fn ring(&self) {
+        for op in self.facade.borrow_mut().rung() {
+            if let Some(bell) = self.bells.borrow().get(&op.0) {
+                bell.notify_one();
+            }
+        }
+    }
+
+    fn carry_out(&self) {
+        let orders = self.pools.borrow_mut().orders();
+        for order in orders {
+            match order {
+                Order::Close(id) => drop(self.idle.borrow_mut().remove(&id)),
+                Order::Doubt(id) => {
+                    let ticket = self.carrying.borrow().get(&id).copied();
+                    if let Some((op, push)) = ticket {
+                        self.facade.borrow_mut().doubt(self.clock.now(), op, push);
+                    }
+                }
+                Order::Alive(host) => self.facade.borrow_mut().alive(self.clock.now(), host),
+            }
+        }
+    }
+
+    // Ops.
+
+    async fn op(self: Rc<Hollow>, key: u64, due: Micros) {
+        let key = format!("{key:016x}");
+        let ask = Ask {
+            category: CategoryId(0),
+            customer: None,
+            key: Some(Place::of(&key)),
+            write: false,
+            again: false,
+            ttl_at: due + self.ttl,
+        };
+        let (op, decisions) = self.facade.borrow_mut().pick(self.clock.now(), ask);
+        let bell: Rc<Notify> = Rc::default();
+        self.bells.borrow_mut().insert(op.0, bell.clone());
+        let text = format!("c=read,d={},size=128", (due + self.ttl - self.clock.now()).max(0) / MS);
+        let id = Place(u64::from(op.0)).mixed(u64::from(self.no)).0;
+        let id = format!("{id:016x}");
+        let text = resp::written(&[b"CACHE.GET", key.as_bytes(), id.as_bytes(), text.as_bytes()]);
+        let mut tasks: JoinSet<(PushNo, End)> = JoinSet::new();
+        let mut out: BTreeMap<PushNo, AbortHandle> = BTreeMap::new();
+        let mut over = false;
+        let mut decisions: VecDeque<Decision> = decisions.into();
+        loop {
+            while let Some(decision) = decisions.pop_front() {
+                match decision {
+                    Decision::Push { push, host, until } => {
+                        self.shared.count(|mark| mark.pushes += 1);
+                        let (hollow, text) = (self.clone(), text.clone());
+                        let task = async move { (push, hollow.push(host, (op, push), text, until).await) };
+                        out.insert(push, tasks.spawn_local(task));
+                    }
+                    Decision::CallOff(push) => {
+                        if let Some(task) = out.remove(&push) {
+                            task.abort();
+                            let now = self.clock.now();
+                            decisions.extend(self.facade.borrow_mut().report(now, op, push, End::CalledOff));
+                        }
+                    }
+                    Decision::Ack(_) => {
+                        over = true;
+                        let took = self.clock.now() - due;
+                        self.shared.took.record(took);
+                        self.shared.count(|mark| {
+                            mark.acked += 1;
+                            mark.in_target += u64::from(took <= self.target);
+                        });
+                    }
+                    Decision::Nack { .. } => {
+                        over = true;
+                        self.shared.count(|mark| mark.nacked += 1);
+                    }
+                    Decision::DeadLetter => {
+                        over = true;
+                        self.shared.count(|mark| mark.failed += 1);
+                    }
+                }
+            }
+            self.ring();
+            if over && out.is_empty() {
+                break;
+            }
+            let heard = tokio::select! {
+                biased;
+                ended = tasks.join_next(), if !out.is_empty() => match ended {
+                    Some(Ok((push, end))) if out.remove(&push).is_some() => {
+                        self.facade.borrow_mut().report(self.clock.now(), op, push, end)
+                    }
+                    _ => Vec::new(),
+                },
+                () = bell.notified() => self.facade.borrow_mut().mail(op),
+            };
+            decisions.extend(heard);
+        }
+        self.bells.borrow_mut().remove(&op.0);
+    }
+
+    /// One push over a connection that the pools grant.
+    async fn push(&self, host: HostId, ticket: (OpId, PushNo), text: Bytes, until: Micros) -> End {
+        let until = self.clock.at(until);
+        let mut held = match self.link(host, ticket, until).await {
+            Ok(_) if Instant::now() >= until => return End::Void,
+            Ok(held) => held,
+            Err(end) => return end,
+        };
+        let id = held.id;
+        let Some(link) = &mut held.link else { return End::Void };
+        if !matches!(timeout_at(until, link.stream.write_all(&text)).await, Ok(Ok(()))) {
+            return End::Unreachable;
+        }
+        self.shared.count(|mark| mark.host_out += text.len() as u64);
+        self.pools.borrow_mut().sent(self.clock.now(), id);
+        self.carrying.borrow_mut().insert(id, ticket);
+        loop {
+            let Some(link) = &mut held.link else { return End::Void };
+            let Ok(room) = link.buffer.room() else { return End::Error };
+            let read = timeout_at(until, link.stream.read_buf(room)).await;
+            let now = self.clock.now();
+            match read {
+                Err(_) => {
+                    // Whatever may come late is not listened to here.
+                    self.pools.borrow_mut().silent(now, id);
+                    return End::TimedOut;
+                }
+                Ok(Ok(0) | Err(_)) => {
+                    held.link = None;
+                    let fault = self.pools.borrow_mut().broke(now, id);
+                    self.carry_out();
+                    return if fault == Fault::Link { End::Severed } else { End::Broken };
+                }
+                Ok(Ok(read)) => self.shared.count(|mark| mark.host_in += read as u64),
+            }
+            match resp::reply(link.buffer.bytes()) {
+                Ok(None) => {}
+                Ok(Some((reply, used, keep))) => {
+                    link.buffer.consume(used);
+                    let link = held.link.take();
+                    if self.pools.borrow_mut().answered(now, id, keep) {
+                        if let Some(link) = link {
+                            self.idle.borrow_mut().insert(id, link);
+                        }
+                    }
+                    if let Some(seat) = self.hosts.borrow().get(&host) {
+                        seat.freed.notify_one();
+                    }
+                    return match reply {
+                        resp::Reply::Value(_) => End::Acked,
+                        resp::Reply::Miss => End::Miss,
+                        resp::Reply::Busy => End::TurnedAway,
+                        resp::Reply::Failed => End::Error,
+                    };
+                }
+                Err(_) => return End::Error,
+            }
+        }
+    }
+
+    async fn link(&self, host: HostId, ticket: (OpId, PushNo), until: Instant) -> Result<Held<'_>, End> {
+        loop {
+            let grant = self.pools.borrow_mut().grant(self.clock.now(), host);
+            self.carry_out();
+            match grant {
+                Grant::Carry(id) => {
+                    let Some(link) = self.idle.borrow_mut().remove(&id) else {
+                        self.pools.borrow_mut().abandoned(id);
+                        continue;
+                    };
+                    let read = link.stream.try_read(&mut [0]);
+                    if matches!(&read, Err(cause) if cause.kind() == ErrorKind::WouldBlock) {
+                        return Ok(Held { of: self, id, link: Some(link) });
+                    }
+                    self.pools.borrow_mut().found_ended(id);
+                }
+                Grant::Open(id) => {
+                    self.facade.borrow_mut().first(self.clock.now(), ticket.0, ticket.1);
+                    self.ring();
+                    return self.open(host, id, until).await;
+                }
+                Grant::Later(at) => {
+                    let freed = self.hosts.borrow().get(&host).map(|seat| seat.freed.clone());
+                    let freed = freed.ok_or(End::Void)?;
+                    if Instant::now() >= until {
+                        return Err(End::Void);
+                    }
+                    let _ = timeout_at(until.min(self.clock.at(at)), freed.notified()).await;
+                }
+                Grant::Closed => return Err(End::Unreachable),
+                Grant::Full => return Err(End::Void),
+            }
+        }
+    }
+
+    async fn open(&self, host: HostId, id: LinkId, until: Instant) -> Result<Held<'_>, End> {
+        let mut opening = Opening(self, Some(id));
+        let address = self.hosts.borrow().get(&host).map(|seat| seat.address).ok_or(End::Void)?;
+        // A descriptor, at the cost of an idle connection where there is no other.
+        while self.pools.borrow().open() > self.sockets {
+            let Some(old) = self.pools.borrow_mut().make_room() else { return Err(End::Void) };
+            self.idle.borrow_mut().remove(&old);
+        }
+        let bound = Instant::now() + span(self.bounds.connect_within);
+        let opened = timeout_at(until.min(bound), TcpStream::connect(address)).await;
+        opening.1 = None;
+        let now = self.clock.now();
+        match opened {
+            Ok(Ok(stream)) => {
+                let _ = stream.set_nodelay(true);
+                self.shared.count(|mark| mark.opened += 1);
+                self.pools.borrow_mut().opened(now, id);
+                Ok(Held { of: self, id, link: Some(Link { stream, buffer: Buffer::new(resp::MOST) }) })
+            }
+            failed => {
+                let own = failed.is_err() && until < bound;
+                let why = if own { Failure::Own } else { Failure::Host };
+                self.pools.borrow_mut().failed(now, id, why);
+                Err(End::Unreachable)
+            }
+        }
+    }
+}
+
+/// All hollow balancers of a process.
+pub struct Hollows {
+    spec: HollowSpec,
+    clock: Rc<Clock>,
+    shared: Rc<Shared>,
+    all: Vec<Rc<Hollow>>,
+    base_kb: u64,
+    asks: watch::Sender<bool>,
+}
+
+impl Hollows {
+    /// # Errors
+    /// Where the settings make no sense.
+    pub fn start(spec: HollowSpec) -> Result<Rc<Hollows>, String> {
+        let (clock, shared) = (Rc::new(Clock::start()), Rc::<Shared>::default());
+        let base_kb = resident_kb();
+        let new = |no| Hollow::new(&spec, no, &clock, &shared);
+        let all = (spec.first..spec.first + spec.balancers).map(new).collect::<Result<Vec<_>, _>>()?;
+        let hollows = Rc::new(Hollows { clock, shared, all, base_kb, asks: watch::Sender::new(false), spec });
+        spawn_local(hollows.clone().asks());
+        Ok(hollows)
+    }
+
+    /// Draws ops for all balancers together, each for one of them by chance: that is a Poisson process at each.
+    async fn asks(self: Rc<Hollows>) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.spec.seed ^ u64::from(self.spec.first) << 20);
+        let law = Zipf::new(self.spec.keys as f64, self.spec.zipf).ok().filter(|_| self.spec.zipf > 0.0);
+        let rate = self.spec.rate * f64::from(self.spec.balancers);
+        let mut asking = self.asks.subscribe();
+        loop {
+            if asking.wait_for(|asking| *asking).await.is_err() || rate <= 0.0 || self.all.is_empty() {
+                return;
+            }
+            let mut due = self.clock.now() as f64;
+            while *self.asks.borrow() {
+                due += rng.sample::<f64, _>(Exp1) / rate * 1e6;
+                let at = due as Micros;
+                if at > self.clock.now() {
+                    sleep_until(self.clock.at(at)).await;
+                } else {
+                    // Behind: the balancers are not to starve for it.
+                    tokio::task::yield_now().await;
+                }
+                self.shared.late.record(self.clock.now() - at - MS);
+                let rank = match &law {
+                    Some(law) => law.sample(&mut rng) as u64,
+                    None => rng.random_range(0..self.spec.keys.max(1)),
+                };
+                let hollow = self.all[rng.random_range(0..self.all.len())].clone();
+                self.shared.count(|mark| mark.ops += 1);
+                spawn_local(hollow.op(Place(rank).mixed(7).0, at));
+            }
+        }
+    }
+}
+
+impl Role for Hollows {
+    fn up(&self) -> Said {
+        in_json(&HollowUp { balancers: self.spec.balancers })
+    }
+
+    fn asked(self: Rc<Self>, asked: Asked) -> Said {
+        match asked {
+            Asked::Begin => drop(self.asks.send_replace(true)),
+            Asked::Rest => drop(self.asks.send_replace(false)),
+            Asked::Mark | Asked::Silent | Asked::Speak => {}
+        }
+        let open = self.all.iter().map(|hollow| hollow.pools.borrow().open() as u64).sum();
+        let mut mark = self.shared.mark.borrow_mut();
+        (mark.cpu_s, mark.resident_kb, mark.base_kb) = (thread_cpu(), resident_kb(), self.base_kb);
+        mark.open = open;
+        (mark.late, mark.took) = (counts(&self.shared.late.seen()), counts(&self.shared.took.seen()));
+        self.shared.late.clear();
+        self.shared.took.clear();
+        let said = in_json(&*mark);
+        mark.applied.clear();
+        said
+    }
+}
--- /dev/null
+++ b/lab/src/scale/play.rs
@@ -0,0 +1,450 @@
+//! Plays the points of a scale experiment: for each a fleet, a discovery and hollow balancers in processes of
+//! their own, perhaps a real balancer; a quiet stretch, then one with ops.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_json::{json, Value};
+
+use super::discovery::{DiscoveryMark, DiscoverySpec, DiscoveryUp};
+use super::fleet::{FleetMark, FleetSpec, FleetUp};
+use super::hollow::{HollowMark, HollowSpec, HollowUp};
+use super::part::{merged, Asked, Part, Spec};
+use super::script::{Held, Script};
+use super::slope::{line, Line};
+use crate::balancers::{Balancers, Program, Use};
+use crate::figures;
+use crate::lateness::{judge, Bare, Bounds, Lateness, Verdict};
+use crate::ledger::Ledger;
+use crate::load::plan::Plan;
+use crate::load::player::{self, Played};
+use crate::play::{INTERRUPTED, STOP};
+use crate::script::{zone_name, Arm, Experiment};
+use crate::settings;
+use crate::time::{millis, Clock, MS};
+use crate::world::Seat;
+
+/// An op of a hollow balancer that begins later than this is late, in milliseconds.
+const LATE_MS: f64 = 2.0;
+/// How long changes may still come into force after the last of them.
+const AFTER: f64 = 1.5;
+
+/// One point as it was played.
+#[derive(Clone, Debug, Serialize)]
+pub struct Point {
+    pub experiment: String,
+    pub axis: &'static str,
+    pub at: f64,
+    pub seed: u64,
+    /// Why it counts for nothing, where it does.
+    pub void: Option<String>,
+    pub warning: Option<String>,
+    pub held: Held,
+    /// By name; the unit stands in it.
+    pub figures: BTreeMap<&'static str, f64>,
+}
+
+/// A figure over the axis.
+#[derive(Clone, Debug, Serialize)]
+pub struct Fitted {
+    pub figure: &'static str,
+    pub points: Vec<(f64, f64)>,
+    /// Of points that count for nothing: drawn, and left out of the line.
+    pub void: Vec<(f64, f64)>,
+    /// The line, and what it gives at the plan's size.
+    pub line: Option<Line>,
+    pub planned_at: f64,
+    /// How many times the largest point that counts the plan's size is; none where none does.
+    pub beyond: Option<f64>,
+    pub budget: Option<f64>,
+}
+
+/// The lines through all points that count, figure by figure.
+pub fn fitted(script: &Script, points: &[Point]) -> Vec<Fitted> {
+    let (sound, void): (Vec<&Point>, Vec<&Point>) = points.iter().partition(|point| point.void.is_none());
+    let names: BTreeSet<&'static str> =
+        points.iter().flat_map(|point| point.figures.keys().copied()).collect();
+    let largest = sound.iter().map(|point| point.at).fold(0.0, f64::max);
+    let planned_at = script.planned();
+    let budget = |name: &str| match name {
+        "control CPU, % of a core" => Some(100.0 * script.budget.core),
+        "memory a balancer, MB" => Some(script.budget.memory_mb),
+        "control bytes/s a balancer, both ways" => Some(script.budget.bytes_per_s),
+        _ => None,
+    };
+    let fit = |figure: &'static str| {
+        let of = |point: &&Point| Some((point.at, *point.figures.get(figure)?));
+        let points: Vec<(f64, f64)> = sound.iter().filter_map(of).collect();
+        let void = void.iter().filter_map(of).collect();
+        let line = line(&points, planned_at);
+        Fitted {
+            figure,
+            line,
+            points,
+            void,
+            planned_at,
+            beyond: Some(planned_at / largest).filter(|beyond| beyond.is_finite()),
+            budget: budget(figure),
+        }
+    };
+    names.into_iter().map(fit).collect()
+}
+
+/// The processes of a point.
+struct World {
+    fleets: Vec<Part>,
+    discovery: Part,
+    hollows: Vec<Part>,
+}
+
+/// What all said of one moment.
+struct Marks {
+    at: Instant,
+    fleets: Vec<FleetMark>,
+    discovery: DiscoveryMark,
+    hollows: Vec<HollowMark>,
+}
+
+impl World {
+    fn marks(&mut self, hollows: Asked, discovery: Asked) -> Result<Marks, String> {
+        fn all<T: DeserializeOwned>(parts: &mut [Part], asked: Asked) -> Result<Vec<T>, String> {
+            parts.iter_mut().map(|part| part.ask(asked)).collect()
+        }
+        Ok(Marks {
+            at: Instant::now(),
+            hollows: all(&mut self.hollows, hollows)?,
+            fleets: all(&mut self.fleets, Asked::Mark)?,
+            discovery: self.discovery.ask(discovery)?,
+        })
+    }
+}
+
+/// So many things over so many places, as evenly as can be: from which on, and how many.
+fn spread(things: u32, places: u32) -> Vec<(u32, u32)> {
+    let starts = |nth: u32| (u64::from(things) * u64::from(nth) / u64::from(places)) as u32;
+    let parts = (0..places).map(|nth| (starts(nth), starts(nth + 1) - starts(nth)));
+    parts.filter(|part| part.1 > 0).collect()
+}
+
+fn entries(held: &Held, addresses: &[SocketAddr]) -> Vec<Value> {
+    let entry = |(nth, address): (u32, &SocketAddr)| {
+        json!({
+            "instanceId": format!("h-{nth:05}"),
+            "hostPort": address.to_string(),
+            "zone": zone_name(nth % held.zones),
+            "machineType": "host",
+            "cell": nth,
+            "lifecycle": "active",
+            "weight": 1.0,
+            "startedAtMs": 0.0,
+        })
+    };
+    (0..).zip(addresses).map(entry).collect()
+}
+
+/// Waits, and looks whether it is to end.
+fn wait(seconds: f64, tell: &mut dyn FnMut(&str, f64)) -> Result<(), String> {
+    let began = Instant::now();
+    let mut told = 0.0;
+    while began.elapsed().as_secs_f64() < seconds {
+        if STOP.load(Ordering::Relaxed) {
+            return Err(INTERRUPTED.to_owned());
+        }
+        let elapsed = began.elapsed().as_secs_f64();
+        if elapsed.floor() > told {
+            told = elapsed.floor();
+            tell("", told);
+        }
+        thread::sleep(Duration::from_secs_f64((seconds - elapsed).clamp(0.0, 0.05)));
+    }
+    Ok(())
+}
+
+/// A real balancer with its load; the guard ends it where this process is killed.
+struct Real {
+    balancers: Balancers,
+    experiment: Experiment,
+    addresses: Vec<SocketAddr>,
+    _guard: Part,
+}
+
+fn real(experiment: &Experiment, seat: Seat, seed: u64, folder: &Path) -> Result<Real, String> {
+    let arm = Arm { name: "real".to_owned(), program: None, baseline: None, regions: None };
+    let program = Program::of(&arm)?;
+    let ledger = Ledger::new(Clock::start());
+    let balancers = Balancers::start(program, experiment, &[seat], seed, &ledger, folder)?;
+    let pid = balancers.ids().first().copied().ok_or("the real balancer has ended")?;
+    let (guard, ()) = Part::start(&Spec::Guard { pid })?;
+    let addresses = balancers.addresses();
+    Ok(Real { balancers, experiment: experiment.clone(), addresses, _guard: guard })
+}
+
+impl Real {
+    /// Its load for so long, on a thread of its own.
+    fn load(&self, seed: u64) -> Result<thread::JoinHandle<Result<Played, String>>, String> {
+        let (experiment, addresses) = (self.experiment.clone(), self.addresses.clone());
+        let load = move || {
+            let plan = Arc::new(Plan::drawn(&experiment, seed));
+            let ledger = Ledger::new(Clock::start());
+            ledger.clock.begin(100 * MS);
+            let late = Arc::new(Lateness::default());
+            player::play(&experiment, plan, seed, &addresses, &ledger, Vec::new(), Arc::default(), late)
+        };
+        thread::Builder::new()
+            .name("load".to_owned())
+            .spawn(load)
+            .map_err(|cause| format!("a thread: {cause}"))
+    }
+
+    fn used(&self) -> Use {
+        self.balancers.look().first().copied().unwrap_or_default()
+    }
+}
+
+/// Plays one point with one seed. Processes are ended when it is over, however it ends. `tell` hears of the
+/// stretch that is on and of its seconds.
+///
+/// # Errors
+/// One line where a process does not come up or fails, or where it was interrupted.
+pub fn point(
+    script: &Script,
+    at: f64,
+    seed: u64,
+    folder: &Path,
+    tell: &mut dyn FnMut(&str, f64),
+) -> Result<Point, String> {
+    let held = script.at(at);
+    let experiment = script.experiment(&held)?;
+    tell("starting", 0.0);
+    let (mut fleets, mut addresses) = (Vec::new(), Vec::new());
+    for (first, hosts) in spread(held.hosts, script.processes.fleet) {
+        let (service_ms, idle_ms, value_bytes) = (held.service_ms, held.idle_ms, held.value_bytes);
+        let spec = FleetSpec { first, hosts, service_ms, value_bytes, idle_ms };
+        let (part, up): (Part, FleetUp) = Part::start(&Spec::Fleet(spec))?;
+        addresses.extend(up.addresses);
+        fleets.push(part);
+    }
+    let entries = entries(&held, &addresses);
+    let known = json!({"generation": 1, "reset": true, "instances": entries});
+    let spec = DiscoverySpec { entries, changes_per_s: held.changes_per_s, seed };
+    let (discovery, up): (Part, DiscoveryUp) = Part::start(&Spec::Discovery(spec))?;
+    let seat = Seat { discovery: up.address, known: known.clone() };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 1));
+    let told = settings::told(&experiment, "hollow", listen, &seat, seed);
+    let mut hollows = Vec::new();
+    for (first, balancers) in spread(held.balancers, script.processes.hollow) {
+        let spec = HollowSpec {
+            settings: told["settings"].clone(),
+            known: known.clone(),
+            discovery: up.address,
+            first,
+            balancers,
+            seed,
+            rate: held.rate,
+            keys: held.keys,
+            zipf: held.zipf,
+            sockets: held.sockets,
+            target_ms: held.target_ms,
+            ttl_ms: held.ttl_ms,
+        };
+        hollows.push(Part::start::<HollowUp>(&Spec::Hollow(spec))?.0);
+    }
+    let mut world = World { fleets, discovery, hollows };
+    let real = if held.real_rate > 0.0 { Some(real(&experiment, seat, seed, folder)?) } else { None };
+    tell("settling", 0.0);
+    wait(script.settle_s, tell)?;
+    tell("quiet", 0.0);
+    let quiet = world.marks(Asked::Mark, Asked::Begin)?;
+    wait(script.quiet_s, tell)?;
+    let warming = world.marks(Asked::Begin, Asked::Mark)?;
+    tell("warming up", 0.0);
+    wait(script.settle_s, tell)?;
+    tell("loaded", 0.0);
+    let bare = Bare::start()?;
+    let used = real.as_ref().map(Real::used);
+    let loading = real.as_ref().map(|real| real.load(seed)).transpose()?;
+    let begin = world.marks(Asked::Mark, Asked::Mark)?;
+    wait(script.seconds, tell)?;
+    let end = world.marks(Asked::Mark, Asked::Mark)?;
+    let played = loading.map(|load| load.join().map_err(|_| "the generator failed".to_owned())?);
+    let played = played.transpose()?;
+    let bare = bare.stop();
+    world.marks(Asked::Rest, Asked::Rest)?;
+    wait(AFTER, tell)?;
+    let over = world.marks(Asked::Mark, Asked::Mark)?;
+    let spans = Spans { quiet: &quiet, warming: &warming, begin: &begin, end: &end, over: &over };
+    let mut figures = measured(&held, &spans);
+    let mut ops = merged(end.hollows.iter().map(|mark| &mark.late));
+    let world_late = merged(end.fleets.iter().map(|mark| &mark.late));
+    if let (Some(real), Some(played), Some(before)) = (&real, &played, used) {
+        let used = real.used();
+        let of = figures::figures(&real.experiment, &played.records, &[], played.cpu_s);
+        figures.insert("real: benefit", of.benefit);
+        figures.insert("real: p50, ms", of.latency.p50);
+        figures.insert("real: p99, ms", of.latency.p99);
+        figures.insert("real: CPU us an op", (used.cpu_s - before.cpu_s) * 1e6 / of.ops.max(1) as f64);
+        figures.insert("real: memory, MB", used.resident_kb as f64 / 1e3);
+        figures.insert("real: descriptors", used.descriptors as f64);
+        ops.add(figures::late(&played.records)).map_err(|cause| cause.to_string())?;
+    }
+    let earned = figures.get("in target, part").copied().unwrap_or(1.0);
+    let earned = figures.get("real: benefit").map_or(earned, |benefit| benefit.min(earned));
+    let bounds = Bounds { late: millis(LATE_MS), target: millis(held.target_ms), missed: 1.0 - earned };
+    figures.insert("late p99 of ops, ms", ops.value_at_quantile(0.99) as f64 / 1e3);
+    figures.insert("late p99 of the fleet, ms", world_late.value_at_quantile(0.99) as f64 / 1e3);
+    figures.insert("late p99 of a bare thread, ms", bare.value_at_quantile(0.99) as f64 / 1e3);
+    let (void, warning) = match judge(bounds, &ops, &world_late, &bare) {
+        Verdict::Sound => (None, None),
+        verdict => verdict.told(),
+    };
+    let (experiment, axis) = (script.name.clone(), script.axis.name());
+    Ok(Point { experiment, axis, at, seed, void, warning, held, figures })
+}
+
+/// The moments between which a point is measured.
+struct Spans<'a> {
+    quiet: &'a Marks,
+    warming: &'a Marks,
+    begin: &'a Marks,
+    end: &'a Marks,
+    over: &'a Marks,
+}
+
+fn sum<M>(marks: &[M], read: impl Fn(&M) -> f64) -> f64 {
+    marks.iter().map(read).sum()
+}
+
+/// How much more it was at the later moment.
+fn more<M>(from: &[M], to: &[M], read: impl Fn(&M) -> f64) -> f64 {
+    sum(to, &read) - sum(from, &read)
+}
+
+fn by_host(marks: &[FleetMark], read: fn(&FleetMark) -> &Vec<u64>) -> Vec<f64> {
+    marks.iter().flat_map(|mark| read(mark).iter().map(|&count| count as f64)).collect()
+}
+
+fn measured(held: &Held, spans: &Spans) -> BTreeMap<&'static str, f64> {
+    let Spans { quiet, warming, begin, end, .. } = *spans;
+    let balancers = f64::from(held.balancers);
+    let hosts = f64::from(held.hosts);
+    let span = |from: &Marks, to: &Marks| (to.at - from.at).as_secs_f64().max(1e-3);
+    let (still, loaded) = (span(quiet, warming), span(begin, end));
+    let mut figures = BTreeMap::new();
+    let mut put = |name: &'static str, value: f64| {
+        if value.is_finite() {
+            figures.insert(name, value);
+        }
+    };
+    // Control: the stretch without ops, with the list's changes.
+    let core = more(&quiet.hollows, &warming.hollows, |mark| mark.cpu_s) / still / balancers;
+    put("control CPU, % of a core", 100.0 * core);
+    let out = more(&quiet.hollows, &warming.hollows, |mark| mark.control_out as f64) / still / balancers;
+    let come = more(&quiet.hollows, &warming.hollows, |mark| mark.control_in as f64) / still / balancers;
+    put("control bytes/s a balancer, to discovery", out);
+    put("control bytes/s a balancer, from discovery", come);
+    put("control bytes/s a balancer, both ways", out + come);
+    let resident = |mark: &HollowMark| mark.resident_kb as f64 - mark.base_kb as f64;
+    put("memory a balancer, MB", sum(&end.hollows, resident) / 1e3 / balancers);
+    let (before, after) = (&quiet.discovery, &warming.discovery);
+    let all = balancers + f64::from(u8::from(held.real_rate > 0.0));
+    put("discovery: calls/s a balancer", (after.calls - before.calls) as f64 / still / all);
+    let bytes = |mark: &DiscoveryMark| (mark.bytes_in + mark.bytes_out) as f64;
+    put("discovery: bytes/s a balancer", (bytes(after) - bytes(before)) / still / all);
+    put("discovery: CPU, % of a core", 100.0 * (after.cpu_s - before.cpu_s) / still);
+    put("discovery: CPU us/s a balancer", (after.cpu_s - before.cpu_s) * 1e6 / still / all);
+    // Ops.
+    let ops = more(&begin.hollows, &end.hollows, |mark| mark.ops as f64);
+    let cpu = more(&begin.hollows, &end.hollows, |mark| mark.cpu_s);
+    put("ops/s", ops / loaded);
+    if ops > 0.0 {
+        let ended = |read: fn(&HollowMark) -> u64| {
+            more(&begin.hollows, &end.hollows, |mark| read(mark) as f64)
+                / more(&begin.hollows, &end.hollows, |mark| (mark.acked + mark.nacked + mark.failed) as f64)
+        };
+        put("CPU us an op, beside control", (cpu - core * balancers * loaded) * 1e6 / ops);
+        put("in target, part", ended(|mark| mark.in_target));
+        put("nacked, part", ended(|mark| mark.nacked));
+        put("failed, part", ended(|mark| mark.failed));
+        put("pushes an op", more(&begin.hollows, &end.hollows, |mark| mark.pushes as f64) / ops);
+        let took = merged(end.hollows.iter().map(|mark| &mark.took));
+        put("p50, ms", took.value_at_quantile(0.5) as f64 / 1e3);
+        put("p99, ms", took.value_at_quantile(0.99) as f64 / 1e3);
+        let opened = more(&begin.hollows, &end.hollows, |mark| mark.opened as f64) / loaded;
+        put("new connections/s a balancer", opened / balancers);
+        put("connections of a balancer", sum(&end.hollows, |mark| mark.open as f64) / balancers);
+    }
+    let open = by_host(&end.fleets, |mark| &mark.open);
+    put("connections at a host, mean", open.iter().sum::<f64>() / hosts);
+    put("connections at a host, most", open.iter().copied().fold(0.0, f64::max));
+    for (mean, most, read) in [
+        (
+            "requests/s at a host, mean",
+            "requests/s at a host, most",
+            (|mark| &mark.requests) as fn(&FleetMark) -> &Vec<u64>,
+        ),
+        ("new connections/s at a host, mean", "new connections/s at a host, most", |mark| &mark.opened),
+    ] {
+        let (from, to) = (by_host(&begin.fleets, read), by_host(&end.fleets, read));
+        let rates: Vec<f64> = from.iter().zip(&to).map(|(from, to)| (to - from) / loaded).collect();
+        put(mean, rates.iter().sum::<f64>() / hosts);
+        put(most, rates.iter().copied().fold(0.0, f64::max));
+    }
+    let told = told(spans, held.balancers);
+    put("changes seen", told.changes as f64);
+    put("told to 50%, ms", told.half_ms);
+    put("told to 99%, ms", told.most_ms);
+    put("told to all, ms", told.all_ms);
+    put("changes not told to all", told.lacking as f64);
+    figures
+}
+
+/// How long changes took until they were in force, by the share of the balancers; means over changes.
+struct Told {
+    changes: usize,
+    half_ms: f64,
+    most_ms: f64,
+    all_ms: f64,
+    /// Changes that some balancer never had.
+    lacking: usize,
+}
+
+fn told(spans: &Spans, balancers: u32) -> Told {
+    let after = [spans.warming, spans.begin, spans.end, spans.over];
+    let mut applied: BTreeMap<u32, Vec<(u64, i64)>> = BTreeMap::new();
+    for &(balancer, version, at) in
+        after.iter().flat_map(|marks| &marks.hollows).flat_map(|mark| &mark.applied)
+    {
+        applied.entry(balancer).or_default().push((version, at));
+    }
+    let of = |marks: &&Marks| marks.discovery.changes.clone();
+    let changes: Vec<(u64, i64)> = after.iter().flat_map(of).collect();
+    let mut told = Told { changes: changes.len(), half_ms: 0.0, most_ms: 0.0, all_ms: 0.0, lacking: 0 };
+    let mut whole = 0.0;
+    for (version, at) in changes {
+        // A page tells all changes up to its version.
+        let first =
+            |news: &Vec<(u64, i64)>| news.iter().find(|news| news.0 >= version).map(|news| news.1 - at);
+        let mut took: Vec<i64> = applied.values().filter_map(first).collect();
+        took.sort_unstable();
+        if took.len() < balancers as usize {
+            told.lacking += 1;
+            continue;
+        }
+        let part = |part: f64| took[((took.len() as f64 * part).ceil() as usize).clamp(1, took.len()) - 1];
+        whole += 1.0;
+        told.half_ms += part(0.5) as f64 / 1e3;
+        told.most_ms += part(0.99) as f64 / 1e3;
+        told.all_ms += part(1.0) as f64 / 1e3;
+    }
+    // Not a number where there was none: such a figure is left out.
+    (told.half_ms, told.most_ms, told.all_ms) =
+        (told.half_ms / whole, told.most_ms / whole, told.all_ms / whole);
+    told
+}
--- a/lab/src/script.rs
+++ b/lab/src/script.rs
@@ -567,6 +567,13 @@
     }
 }
 
+/// How many descriptors this process may hold, where the system says.
+pub fn allowed_descriptors() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let soft = limits.lines().find_map(|line| line.strip_prefix("Max open files"));
+    soft.and_then(|line| line.split_whitespace().next()?.parse::<usize>().ok())
+}
+
 /// A zone's name in the list, from its number (0 is the first): `z01` and on.
 pub fn zone_name(nth: u32) -> String {
     format!("z{:02}", nth + 1)
@@ -726,9 +733,7 @@
         let hosts = self.fleet.hosts + grown.sum::<usize>() + 1;
         // A balancer holds half of its descriptors at the most for clients, and all others may go to hosts.
         let needed = self.balancers * (hosts + 1 + self.load.connections + self.limits.sockets) + 64;
-        let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
-        let soft = limits.lines().find_map(|line| line.strip_prefix("Max open files"));
-        let allowed = soft.and_then(|line| line.split_whitespace().next()?.parse::<usize>().ok());
+        let allowed = allowed_descriptors();
         match allowed {
             Some(allowed) if needed > allowed => Err(format!(
                 "it needs up to {needed} descriptors and {allowed} are allowed: fewer hosts, balancers, \
--- a/lab/tests/lateness.rs
+++ b/lab/tests/lateness.rs
@@ -59,6 +59,9 @@
         }
         other => panic!("{other:?}"),
     }
+    let later = seen(&[(100, 5 * MS)]);
+    let told = judge(BOUNDS, &seen(&[(150, 6 * MS)]), &later, &later);
+    assert!(matches!(&told, Verdict::Warned(line) if line.contains("all percentiles are")), "{told:?}");
     // The ops' own lateness is judged by its part over the bound, whatever its most.
     assert!(matches!(judge(BOUNDS, &seen(&[(8, 40 * MS)]), &late, &late), Verdict::Warned(_)));
 }
