Regions: which hosts of the list make this balancer's ring, pure

Cause: flat, 14,000 balancers deal with 1,700 cache hosts each: 23.8 million pairs with 0.67 requests a second, so that hardly any finds a connection that is still kept.

Change: package regions/, without I/O, clock or chance. RegionMap reads the operators' file that gives each zone its region and names the own one, and refuses one that makes no sense in a line with file, line and way out. Regions takes list entries in, whole or changes, and gives out those that the module is to hear: the hosts of the own region, origin hosts, and whatever ends the use of a host that the module knows, wherever its entry places it. A host that leaves the ring is told as draining and then as gone, so that it goes where only draining binds too. While the own region has no host up by the list, the ring is the next region's. Nothing calls it yet.

--- /dev/null
+++ b/regions/src/hosts.rs
@@ -0,0 +1,226 @@
+//! Hosts of the list, and which of them the module is to hear of.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use basaltwood::types::Lifecycle;
+
+use crate::map::{RegionMap, Zone};
+
+/// Zones without a region that are said and counted; a list of absurd zones must not fill memory or the log.
+const MOST_SAID: usize = 1_024;
+
+/// A host as a list words it. `rest` is whatever else the shell wants to know of it again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry<T> {
+    pub host: Box<str>,
+    pub zone: Option<Box<str>>,
+    pub origin: bool,
+    pub lifecycle: Lifecycle,
+    pub rest: T,
+}
+
+/// Something that is worth a line of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// No region names this zone, or an entry names none; told once.
+    Unnamed(Option<Box<str>>),
+    /// The ring is another region's hosts from now on.
+    Ring { before: String, now: String },
+}
+
+/// What the module is to hear, in this order, as whole a list as the one that came.
+#[derive(Debug, PartialEq)]
+pub struct Passed<T> {
+    pub entries: Vec<Entry<T>>,
+    pub notes: Vec<Note>,
+    /// Hosts that came into the ring without being named: the ring is another region now.
+    pub came: usize,
+    /// Listed hosts that were taken out of it: they moved, or the ring did.
+    pub went: usize,
+}
+
+/// How many hosts of the list lie where; the origin's are in none of these.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// In the ring's region, those that drain too.
+    pub ring: usize,
+    pub outside: usize,
+    /// Those outside that no region's zone holds.
+    pub unnamed: usize,
+    /// Zones without a region that the list named so far.
+    pub zones_unnamed: usize,
+}
+
+/// What is kept of a host.
+struct Host<T> {
+    /// None where no region names its zone.
+    zone: Option<Zone>,
+    /// The zone that the module last heard of it: what went there ran there, and repeats are told apart by
+    /// zone.
+    heard: Option<Zone>,
+    lifecycle: Lifecycle,
+    origin: bool,
+    /// The module has heard of it, and the shell has not forgotten it since. One that no list names any more
+    /// is `Gone` and stays for as long: the module may go on using it, and then has to hear its drain.
+    told: bool,
+    rest: T,
+}
+
+impl<T: Clone> Host<T> {
+    fn region(&self, map: &RegionMap) -> Option<u16> {
+        self.zone.map(|zone| map.region_of(zone))
+    }
+
+    /// As the module is to hear of it, in that zone.
+    fn entry(&self, name: &str, zone: Option<Zone>, lifecycle: Lifecycle, map: &RegionMap) -> Entry<T> {
+        let (zone, rest) = (zone.map(|zone| map.zone_name(zone).into()), self.rest.clone());
+        Entry { host: name.into(), zone, origin: self.origin, lifecycle, rest }
+    }
+}
+
+/// The hosts of the list, and the ring that they make.
+pub struct Regions<T> {
+    map: RegionMap,
+    hosts: BTreeMap<Box<str>, Host<T>>,
+    /// The region whose hosts are the ring.
+    ring: u16,
+    said: BTreeSet<Option<Box<str>>>,
+}
+
+impl<T: Clone> Regions<T> {
+    pub fn new(map: RegionMap) -> Regions<T> {
+        let ring = map.own_number();
+        Regions { map, hosts: BTreeMap::new(), ring, said: BTreeSet::new() }
+    }
+
+    /// Takes the whole list, or only the entries that changed; what the module is to hear of it.
+    ///
+    /// A host that leaves the ring is told as draining and then as gone: where only draining binds, a host
+    /// that just goes would be sent to for as long as it answers.
+    pub fn hear(&mut self, whole: bool, entries: Vec<Entry<T>>) -> Passed<T> {
+        if whole {
+            let named: BTreeSet<&str> = entries.iter().map(|entry| &*entry.host).collect();
+            self.hosts.retain(|name, host| {
+                let stays = named.contains(&**name);
+                if !stays {
+                    host.lifecycle = Lifecycle::Gone;
+                }
+                stays || host.told
+            });
+        }
+        let mut notes = Vec::new();
+        entries.iter().for_each(|entry| self.note(entry, &mut notes));
+        let before = self.ring;
+        self.ring = self.by_the_list();
+        if before != self.ring {
+            let name = |region: u16| self.map.names()[usize::from(region)].clone();
+            notes.push(Note::Ring { before: name(before), now: name(self.ring) });
+        }
+        let (map, ring) = (&self.map, Some(self.ring));
+        let mut passed = Passed { entries: Vec::new(), notes, came: 0, went: 0 };
+        for entry in entries {
+            let Some(host) = self.hosts.get_mut(&entry.host) else { continue };
+            let ends = entry.lifecycle != Lifecycle::Up;
+            let zone = entry.zone.as_deref().and_then(|zone| map.zone(zone));
+            // A list may name a host twice, in two places: it is where the last entry has it.
+            let here = host.region(map) == ring && (ends || zone.map(|zone| map.region_of(zone)) == ring);
+            if host.origin || host.told && ends || here {
+                // What ends its use leaves its place as it was, whatever that says.
+                let kept = host.heard.filter(|_| host.told && ends);
+                (host.told, host.heard) = (true, kept.or(zone));
+                let kept = kept.map(|zone| map.zone_name(zone).into());
+                passed.entries.push(Entry { zone: kept.or(entry.zone), ..entry });
+            }
+        }
+        self.hosts.retain(|name, host| {
+            let region = host.region(map);
+            if host.told && !host.origin && region != ring {
+                host.told = false;
+                passed.went += usize::from(host.lifecycle != Lifecycle::Gone);
+                for lifecycle in [Lifecycle::Draining, Lifecycle::Gone] {
+                    passed.entries.push(host.entry(name, host.heard, lifecycle, map));
+                }
+                return host.lifecycle != Lifecycle::Gone;
+            }
+            if !host.told && region == ring {
+                (host.told, host.heard) = (true, host.zone);
+                passed.came += 1;
+                passed.entries.push(host.entry(name, host.zone, host.lifecycle, map));
+            }
+            true
+        });
+        passed
+    }
+
+    /// The shell knows this host no more: nothing that it does can reach it. Only one that is gone goes so.
+    pub fn forget(&mut self, host: &str) {
+        if self.hosts.get(host).is_some_and(|host| host.lifecycle == Lifecycle::Gone) {
+            self.hosts.remove(host);
+        }
+    }
+
+    /// The name of the region whose hosts are the ring.
+    pub fn ring(&self) -> &str {
+        &self.map.names()[usize::from(self.ring)]
+    }
+
+    pub fn map(&self) -> &RegionMap {
+        &self.map
+    }
+
+    pub fn counts(&self) -> Counts {
+        let mut counts = Counts { zones_unnamed: self.said.len(), ..Counts::default() };
+        let listed = |host: &&Host<T>| host.lifecycle != Lifecycle::Gone && !host.origin;
+        for host in self.hosts.values().filter(listed) {
+            let region = host.region(&self.map);
+            counts.ring += usize::from(region == Some(self.ring));
+            counts.outside += usize::from(region != Some(self.ring));
+            counts.unnamed += usize::from(region.is_none());
+        }
+        counts
+    }
+
+    /// What an entry says, into the books. One that ends a host's use may leave its place out, or name an
+    /// absurd one: that is as it was.
+    fn note(&mut self, entry: &Entry<T>, notes: &mut Vec<Note>) {
+        let up = entry.lifecycle == Lifecycle::Up;
+        let zone = entry.zone.as_deref().and_then(|zone| self.map.zone(zone));
+        let unnamed = up && zone.is_none() && !entry.origin && self.said.len() < MOST_SAID;
+        if unnamed && self.said.insert(entry.zone.clone()) {
+            notes.push(Note::Unnamed(entry.zone.clone()));
+        }
+        match self.hosts.get_mut(&entry.host) {
+            Some(host) => {
+                host.zone = zone.or(host.zone.filter(|_| !up));
+                host.origin = entry.origin || host.origin && !up;
+                host.lifecycle = entry.lifecycle;
+                host.rest = entry.rest.clone();
+                if !host.told && entry.lifecycle == Lifecycle::Gone {
+                    self.hosts.remove(&entry.host);
+                }
+            }
+            None if entry.lifecycle != Lifecycle::Gone => {
+                let Entry { origin, lifecycle, ref rest, .. } = *entry;
+                let host = Host { zone, heard: None, lifecycle, origin, told: false, rest: rest.clone() };
+                self.hosts.insert(entry.host.clone(), host);
+            }
+            None => {}
+        }
+    }
+
+    /// The region that the ring is of: the first with a host that is up, from the own one on in the file's
+    /// order and round. Where none has any it stays: an empty list may be wrong, and the module may go on
+    /// using what it has.
+    fn by_the_list(&self) -> u16 {
+        let count = self.map.names().len() as u16;
+        let mut holds = vec![false; usize::from(count)];
+        for host in self.hosts.values().filter(|host| host.lifecycle == Lifecycle::Up && !host.origin) {
+            if let Some(region) = host.region(&self.map) {
+                holds[usize::from(region)] = true;
+            }
+        }
+        let own = self.map.own_number();
+        let mut regions = (own..count).chain(0..own);
+        regions.find(|&region| holds[usize::from(region)]).unwrap_or(self.ring)
+    }
+}
--- /dev/null
+++ b/regions/src/map.rs
@@ -0,0 +1,155 @@
+//! The operators' file: zones to regions, and the own region.
+
+use std::collections::BTreeMap;
+use std::num::NonZeroU16;
+use std::ops::Range;
+
+use serde::Deserialize;
+use toml::Spanned;
+
+/// The number of a zone that a region names, in two bytes with the lack of one.
+pub(crate) type Zone = NonZeroU16;
+
+/// The file as it is written; what it says is checked by `RegionMap::parse`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    own: Spanned<String>,
+    #[serde(default)]
+    region: Vec<Table>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Table {
+    name: Spanned<String>,
+    zones: Spanned<Vec<Spanned<String>>>,
+    #[serde(default)]
+    balancers: Option<Spanned<i64>>,
+}
+
+/// Zones and the regions that they are in, in the file's order, and which region is this balancer's.
+#[derive(Clone, Debug)]
+pub struct RegionMap {
+    own: u16,
+    names: Vec<String>,
+    /// Balancers of the own region, where the file says.
+    balancers: Option<u32>,
+    /// Sorted, each with its region.
+    zones: Vec<(Box<str>, u16)>,
+}
+
+impl RegionMap {
+    /// Reads the text of a file; `file` is how a refusal calls it.
+    ///
+    /// # Errors
+    /// One line with the file, the line in it, what is wrong there, and the way out.
+    pub fn parse(file: &str, text: &str) -> Result<RegionMap, String> {
+        let line =
+            |span: Range<usize>| text.bytes().take(span.start).filter(|&byte| byte == b'\n').count() + 1;
+        let refusal = |span: Range<usize>, what: String| format!("{file} line {}: {what}", line(span));
+        let read: File = toml::from_str(text).map_err(|cause| {
+            let what = cause.message().split_whitespace().collect::<Vec<_>>().join(" ");
+            refusal(
+                cause.span().unwrap_or(0..0),
+                format!("{what}; see deploy/regions.example.toml for the form"),
+            )
+        })?;
+        if read.region.is_empty() {
+            return Err(refusal(
+                read.own.span(),
+                "no region: add a [[region]], or remove the file".to_owned(),
+            ));
+        }
+        let empty = |name: &Spanned<String>, what: &str| match name.get_ref().trim().is_empty() {
+            true => Err(refusal(name.span(), format!("{what} is empty: give it a name"))),
+            false => Ok(()),
+        };
+        empty(&read.own, "own")?;
+        let mut regions: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for (nth, region) in read.region.iter().enumerate() {
+            empty(&region.name, "the name of a region")?;
+            let name = region.name.get_ref().as_str();
+            if let Some(first) = regions.insert(name, line(region.name.span())) {
+                let what = format!("region {name:?} is named on line {first} too: make one of both");
+                return Err(refusal(region.name.span(), what));
+            }
+            if region.zones.get_ref().is_empty() {
+                let what = format!("region {name:?} has no zone: give it one, or remove the region");
+                return Err(refusal(region.zones.span(), what));
+            }
+            for zone in region.zones.get_ref() {
+                empty(zone, "the name of a zone")?;
+                let text = zone.get_ref().as_str();
+                let Some((other, first)) = zones.insert(text, (nth, line(zone.span()))) else { continue };
+                let what = match other == nth {
+                    true => format!("zone {text:?} is in region {name:?} twice: remove one"),
+                    false => format!(
+                        "zone {text:?} is in region {:?} (line {first}) and in {name:?}: remove it from one",
+                        read.region[other].name.get_ref()
+                    ),
+                };
+                return Err(refusal(zone.span(), what));
+            }
+            if let Some(balancers) = &region.balancers {
+                if u32::try_from(*balancers.get_ref()).map_or(true, |number| number == 0) {
+                    let (told, way) =
+                        (balancers.get_ref(), "say how many there are, 1 or more, or leave it out");
+                    let what = format!("region {name:?} has balancers = {told}: {way}");
+                    return Err(refusal(balancers.span(), what));
+                }
+            }
+        }
+        // One number is left for hosts of no zone.
+        if zones.len() >= usize::from(u16::MAX) || read.region.len() >= usize::from(u16::MAX) {
+            return Err(refusal(read.own.span(), "over 65,534 zones or regions: name fewer".to_owned()));
+        }
+        let own = read.own.get_ref();
+        let Some(at) = read.region.iter().position(|region| region.name.get_ref() == own) else {
+            let known = regions.keys().map(|name| format!("{name:?}")).collect::<Vec<_>>().join(", ");
+            return Err(refusal(read.own.span(), format!("no region {own:?}: own is to be one of {known}")));
+        };
+        let balancers =
+            read.region[at].balancers.as_ref().and_then(|told| u32::try_from(*told.get_ref()).ok());
+        Ok(RegionMap {
+            own: at as u16,
+            balancers,
+            zones: zones.into_iter().map(|(zone, (region, _))| (zone.into(), region as u16)).collect(),
+            names: read.region.iter().map(|region| region.name.get_ref().clone()).collect(),
+        })
+    }
+
+    /// The own region's name.
+    pub fn own(&self) -> &str {
+        &self.names[usize::from(self.own)]
+    }
+
+    /// The regions' names, in the file's order.
+    pub fn names(&self) -> &[String] {
+        &self.names
+    }
+
+    /// How many balancers the own region has, where the file says.
+    pub fn balancers(&self) -> Option<u32> {
+        self.balancers
+    }
+
+    pub(crate) fn own_number(&self) -> u16 {
+        self.own
+    }
+
+    /// The number of a zone, none where no region names it.
+    pub(crate) fn zone(&self, name: &str) -> Option<Zone> {
+        let at = self.zones.binary_search_by(|zone| (*zone.0).cmp(name)).ok()?;
+        Zone::new(at as u16 + 1)
+    }
+
+    pub(crate) fn zone_name(&self, zone: Zone) -> &str {
+        &self.zones[usize::from(zone.get()) - 1].0
+    }
+
+    pub(crate) fn region_of(&self, zone: Zone) -> u16 {
+        self.zones[usize::from(zone.get()) - 1].1
+    }
+}
--- /dev/null
+++ b/regions/tests/common/mod.rs
@@ -0,0 +1,141 @@
+//! Shared by the tests: entries in a few words, and a stand-in for the module that applies what it hears.
+#![allow(dead_code)] // each test file uses its part
+
+use std::collections::BTreeMap;
+
+use basaltwood::types::Lifecycle;
+use basaltwood_regions::{Entry, Note, Passed, RegionMap, Regions};
+
+pub const MAP: &str = r#"own = "north"
+[[region]]
+name = "west"
+zones = ["w1"]
+[[region]]
+name = "north"
+zones = ["n1", "n2"]
+[[region]]
+name = "south"
+zones = ["s1", "s2"]
+"#;
+
+/// With a number as all that the shell wants to know of a host.
+pub type Listed = Entry<u32>;
+
+pub fn regions() -> Regions<u32> {
+    Regions::new(RegionMap::parse("regions.toml", MAP).expect("it makes sense"))
+}
+
+/// `name zone lifecycle`: `-` is no zone, and a name that begins with `origin` is of an origin.
+pub fn entry(words: &str) -> Listed {
+    let mut words = words.split(' ');
+    let host = words.next().expect("a name");
+    let zone = words.next().filter(|zone| *zone != "-");
+    let lifecycle = match words.next() {
+        Some("leaving") => Lifecycle::Draining,
+        Some("left") => Lifecycle::Gone,
+        _ => Lifecycle::Up,
+    };
+    let rest = words.next().and_then(|rest| rest.parse().ok()).unwrap_or(0);
+    Entry {
+        host: host.into(),
+        zone: zone.map(Into::into),
+        origin: host.starts_with("origin"),
+        lifecycle,
+        rest,
+    }
+}
+
+pub fn entries(text: &str) -> Vec<Listed> {
+    text.split(", ").filter(|words| !words.is_empty()).map(entry).collect()
+}
+
+/// What is passed on, in a line.
+pub fn shown(passed: &Passed<u32>) -> String {
+    let word = |lifecycle| match lifecycle {
+        Lifecycle::Up => "",
+        Lifecycle::Draining => " drains",
+        Lifecycle::Gone => " gone",
+    };
+    let entry = |entry: &Listed| {
+        let zone = entry.zone.as_deref().unwrap_or("-");
+        format!("{} {zone}{}", entry.host, word(entry.lifecycle))
+    };
+    let note = |note: &Note| match note {
+        Note::Unnamed(zone) => format!("[no region for {}]", zone.as_deref().unwrap_or("-")),
+        Note::Ring { before, now } => format!("[ring {before} to {now}]"),
+    };
+    let words = passed.notes.iter().map(note).chain(passed.entries.iter().map(entry)).collect::<Vec<_>>();
+    match words.is_empty() {
+        true => "nothing".to_owned(),
+        false => words.chunks(6).map(|words| words.join(", ")).collect::<Vec<_>>().join(",\n     "),
+    }
+}
+
+/// What the module makes of what it hears. Where only draining binds it keeps hosts that a list drops without
+/// that, until they fall silent.
+#[derive(Default)]
+pub struct Module {
+    pub dropped_stay: bool,
+    pub hosts: BTreeMap<Box<str>, Known>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub entry: Listed,
+    pub drained: bool,
+    /// Only its own answers keep it.
+    pub dropped: bool,
+}
+
+impl Module {
+    pub fn hear(&mut self, whole: bool, passed: &Passed<u32>) {
+        let named: Vec<&str> = passed.entries.iter().map(|entry| &*entry.host).collect();
+        for (name, known) in &mut self.hosts {
+            if whole && !named.contains(&&**name) {
+                known.hear(Entry { lifecycle: Lifecycle::Gone, ..known.entry.clone() }, self.dropped_stay);
+            }
+        }
+        for entry in &passed.entries {
+            let known = self.hosts.entry(entry.host.clone()).or_insert_with(|| Known {
+                entry: Entry { lifecycle: Lifecycle::Gone, ..entry.clone() },
+                drained: false,
+                dropped: false,
+            });
+            known.hear(entry.clone(), self.dropped_stay);
+        }
+    }
+
+    /// Hosts that it may send to.
+    pub fn up(&self) -> BTreeMap<Box<str>, Listed> {
+        let up = self.hosts.values().filter(|known| known.entry.lifecycle == Lifecycle::Up);
+        up.map(|known| (known.entry.host.clone(), known.entry.clone())).collect()
+    }
+
+    /// Forgets hosts that are gone, as the shell has it do; their names.
+    pub fn free(&mut self) -> Vec<Box<str>> {
+        let gone = |known: &&Known| known.entry.lifecycle == Lifecycle::Gone;
+        let gone: Vec<Box<str>> =
+            self.hosts.values().filter(gone).map(|known| known.entry.host.clone()).collect();
+        gone.iter().for_each(|name| drop(self.hosts.remove(name)));
+        gone
+    }
+
+    /// A host that only its answers kept falls silent.
+    pub fn silent(&mut self, host: &str) {
+        if let Some(known) = self.hosts.get_mut(host).filter(|known| known.dropped) {
+            known.dropped = false;
+            known.entry.lifecycle = Lifecycle::Gone;
+        }
+    }
+}
+
+impl Known {
+    fn hear(&mut self, entry: Listed, dropped_stay: bool) {
+        self.drained |= entry.lifecycle == Lifecycle::Draining;
+        let stays = dropped_stay && !self.drained && self.entry.lifecycle == Lifecycle::Up;
+        self.dropped = entry.lifecycle == Lifecycle::Gone && stays;
+        if !self.dropped {
+            self.entry = entry;
+        }
+    }
+}
--- /dev/null
+++ b/regions/tests/map.rs
@@ -0,0 +1,125 @@
+//! The operators' file: what it tells, and how one that makes no sense is refused.
+
+use basaltwood_regions::RegionMap;
+use expect_test::expect;
+
+const GOOD: &str = r#"own = "north"
+
+[[region]]
+name = "north"
+zones = ["z01", "z02"]
+balancers = 519
+
+[[region]]
+name = "south"
+zones = ["z03"]
+"#;
+
+#[test]
+fn a_file_tells_its_regions() {
+    let map = RegionMap::parse("regions.toml", GOOD).expect("it makes sense");
+    assert_eq!(
+        (map.own(), map.names(), map.balancers()),
+        ("north", &["north".into(), "south".into()][..], Some(519))
+    );
+    let other = GOOD.replace("own = \"north\"", "own = \"south\"");
+    let map = RegionMap::parse("regions.toml", &other).expect("it makes sense");
+    assert_eq!((map.own(), map.balancers()), ("south", None), "only the own region's number counts");
+}
+
+#[test]
+fn a_file_without_sense_is_refused_in_one_line_that_tells_the_way_out() {
+    let mut lines = Vec::new();
+    for (part, by) in [
+        ("\"z03\"", "\"z02\""),
+        ("\"z02\"", "\"z01\""),
+        ("own = \"north\"", "own = \"west\""),
+        ("own = \"north\"", ""),
+        ("[\"z03\"]", "[]"),
+        ("zones = [\"z03\"]", ""),
+        ("\"south\"", "\"north\""),
+        ("519", "0"),
+        ("519", "-2"),
+        ("519", "5_000_000_000"),
+        ("519", "\"many\""),
+        ("own = \"north\"", "own = \"\""),
+        ("\"south\"", "\" \""),
+        ("\"z03\"", "\"\""),
+        ("zones = [\"z03\"]", "zones = [\"z03\"]\nzone = \"z04\""),
+        ("own = \"north\"", "own = \"north\"\nnext = \"south\""),
+        ("zones = [\"z03\"]", "zones = \"z03\""),
+        ("\"z03\"]", "\"z03\""),
+        (GOOD, "own = \"north\"\n"),
+        (GOOD, ""),
+    ] {
+        let text = GOOD.replacen(part, by, 1);
+        assert_ne!(text, GOOD);
+        let refusal = RegionMap::parse("regions.toml", &text).expect_err("it makes no sense");
+        assert!(!refusal.contains('\n'), "{refusal:?}");
+        lines.push(refusal.replace("; ", ";\n    ").replace(": ", ":\n    "));
+    }
+    expect![[r#"
+        regions.toml line 10:
+            zone "z02" is in region "north" (line 5) and in "south":
+            remove it from one
+        regions.toml line 5:
+            zone "z01" is in region "north" twice:
+            remove one
+        regions.toml line 1:
+            no region "west":
+            own is to be one of "north", "south"
+        regions.toml line 1:
+            missing field `own`;
+            see deploy/regions.example.toml for the form
+        regions.toml line 10:
+            region "south" has no zone:
+            give it one, or remove the region
+        regions.toml line 8:
+            missing field `zones`;
+            see deploy/regions.example.toml for the form
+        regions.toml line 9:
+            region "north" is named on line 4 too:
+            make one of both
+        regions.toml line 6:
+            region "north" has balancers = 0:
+            say how many there are, 1 or more, or leave it out
+        regions.toml line 6:
+            region "north" has balancers = -2:
+            say how many there are, 1 or more, or leave it out
+        regions.toml line 6:
+            region "north" has balancers = 5000000000:
+            say how many there are, 1 or more, or leave it out
+        regions.toml line 6:
+            invalid type:
+            string "many", expected i64;
+            see deploy/regions.example.toml for the form
+        regions.toml line 1:
+            own is empty:
+            give it a name
+        regions.toml line 9:
+            the name of a region is empty:
+            give it a name
+        regions.toml line 10:
+            the name of a zone is empty:
+            give it a name
+        regions.toml line 11:
+            unknown field `zone`, expected one of `name`, `zones`, `balancers`;
+            see deploy/regions.example.toml for the form
+        regions.toml line 2:
+            unknown field `next`, expected `own` or `region`;
+            see deploy/regions.example.toml for the form
+        regions.toml line 10:
+            invalid type:
+            string "z03", expected a sequence;
+            see deploy/regions.example.toml for the form
+        regions.toml line 10:
+            unclosed array, expected `]`;
+            see deploy/regions.example.toml for the form
+        regions.toml line 1:
+            no region:
+            add a [[region]], or remove the file
+        regions.toml line 1:
+            missing field `own`;
+            see deploy/regions.example.toml for the form"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- /dev/null
+++ b/regions/tests/rings.rs
@@ -0,0 +1,374 @@
+//! Which hosts the module hears of: traces of lists in and entries out, and properties over series of lists.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use basaltwood::types::Lifecycle;
+use basaltwood_regions::{Counts, Entry};
+use common::*;
+use expect_test::expect;
+use proptest::prelude::*;
+
+/// Lists, a line each, `all` before one that holds all there is, and what the module hears of each.
+fn trace(lists: &[&str]) -> String {
+    let mut regions = regions();
+    let lines = lists.iter().map(|list| {
+        let (whole, text) = list.strip_prefix("all: ").map_or((false, *list), |text| (true, text));
+        let passed = regions.hear(whole, entries(text));
+        format!("{}\n  => {}\n", list.trim(), shown(&passed))
+    });
+    lines.collect()
+}
+
+#[test]
+fn the_ring_holds_the_own_region_and_the_origin_is_always_passed_on() {
+    let trace = trace(&[
+        "all: a n1, b s1, c w1, origin s1, origin2 -",
+        "d n2, e s2",
+        "b s1 leaving, origin s1 leaving",
+        "all: a n1, b s1, origin s1",
+    ]);
+    expect![[r#"
+        all: a n1, b s1, c w1, origin s1, origin2 -
+          => a n1, origin s1, origin2 -
+        d n2, e s2
+          => d n2
+        b s1 leaving, origin s1 leaving
+          => origin s1 drains
+        all: a n1, b s1, origin s1
+          => a n1, origin s1
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn a_zone_that_no_region_names_is_outside_and_said_once() {
+    let trace = trace(&["all: a n1, b x1, c -, d x1", "b x1, c -, e x2, f x3 leaving, g - leaving", "a x1"]);
+    expect![[r#"
+        all: a n1, b x1, c -, d x1
+          => [no region for x1], [no region for -], a n1
+        b x1, c -, e x2, f x3 leaving, g - leaving
+          => [no region for x2]
+        a x1
+          => a n1 drains, a n1 gone
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn a_host_that_moves_out_is_gone_and_one_that_moves_in_is_up() {
+    let trace = trace(&[
+        "all: a n1, b n2, c s1",
+        "b s1",
+        "c n1",
+        "all: a s1, b n1, c n1",
+        "b n1, c n1 leaving",
+        "a s1 leaving",
+        "a n1 leaving",
+        "a n1",
+    ]);
+    expect![[r#"
+        all: a n1, b n2, c s1
+          => a n1, b n2
+        b s1
+          => b n2 drains, b n2 gone
+        c n1
+          => c n1
+        all: a s1, b n1, c n1
+          => b n1, c n1, a n1 drains, a n1 gone
+        b n1, c n1 leaving
+          => b n1, c n1 drains
+        a s1 leaving
+          => nothing
+        a n1 leaving
+          => a n1 drains
+        a n1
+          => a n1
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn what_ends_the_use_of_a_ring_host_is_passed_on_whatever_zone_it_names() {
+    let trace = trace(&[
+        "all: a n1, b n1, c n1, d n1, e n1, f n1, keep n1",
+        "a - leaving, b absurd leaving, c s1 leaving",
+        "d - left, e absurd left, f s1 left",
+        "all: keep n1",
+        "a - left, b absurd leaving",
+    ]);
+    expect![[r#"
+        all: a n1, b n1, c n1, d n1, e n1, f n1, keep n1
+          => a n1, b n1, c n1, d n1, e n1, f n1,
+             keep n1
+        a - leaving, b absurd leaving, c s1 leaving
+          => a n1 drains, b n1 drains, c n1 drains, c n1 drains, c n1 gone
+        d - left, e absurd left, f s1 left
+          => d n1 gone, e n1 gone, f n1 gone, f n1 drains, f n1 gone
+        all: keep n1
+          => keep n1
+        a - left, b absurd leaving
+          => a n1 gone, b n1 drains
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn a_region_of_six_loses_one_four_all_and_comes_back_host_by_host() {
+    let trace = trace(&[
+        "all: a n1, b n1, c n1, d n2, e n2, f n2, s s1, t s2 leaving, u s2",
+        "a n1 left",
+        "b n1 leaving, c n1 leaving, d n2 left",
+        "e n2 left, f n2 leaving",
+        "u s2 leaving, v s1",
+        "all: s s1, t s2 leaving, u s2 leaving, v s1",
+        "e n2",
+        "f n2",
+        "e n2 leaving",
+        "f n2 leaving",
+        "e n2",
+    ]);
+    expect![[r#"
+        all: a n1, b n1, c n1, d n2, e n2, f n2, s s1, t s2 leaving, u s2
+          => a n1, b n1, c n1, d n2, e n2, f n2
+        a n1 left
+          => a n1 gone
+        b n1 leaving, c n1 leaving, d n2 left
+          => b n1 drains, c n1 drains, d n2 gone
+        e n2 left, f n2 leaving
+          => [ring north to south], e n2 gone, f n2 drains, a n1 drains, a n1 gone, b n1 drains,
+             b n1 gone, c n1 drains, c n1 gone, d n2 drains, d n2 gone, e n2 drains,
+             e n2 gone, f n2 drains, f n2 gone, s s1, t s2 drains, u s2
+        u s2 leaving, v s1
+          => u s2 drains, v s1
+        all: s s1, t s2 leaving, u s2 leaving, v s1
+          => s s1, t s2 drains, u s2 drains, v s1
+        e n2
+          => [ring south to north], e n2, s s1 drains, s s1 gone, t s2 drains, t s2 gone,
+             u s2 drains, u s2 gone, v s1 drains, v s1 gone
+        f n2
+          => f n2
+        e n2 leaving
+          => e n2 drains
+        f n2 leaving
+          => [ring north to south], f n2 drains, e n2 drains, e n2 gone, f n2 drains, f n2 gone,
+             s s1, t s2 drains, u s2 drains, v s1
+        e n2
+          => [ring south to north], e n2, f n2 drains, s s1 drains, s s1 gone, t s2 drains,
+             t s2 gone, u s2 drains, u s2 gone, v s1 drains, v s1 gone
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn the_next_region_is_the_one_after_the_own_in_the_files_order_and_round() {
+    let trace = trace(&[
+        "all: a n1, s s1, w w1",
+        "a n1 leaving",
+        "s s1 leaving",
+        "w w1 leaving",
+        "w w1",
+        "all: ",
+        "s s1",
+        "a n1",
+    ]);
+    expect![[r#"
+        all: a n1, s s1, w w1
+          => a n1
+        a n1 leaving
+          => [ring north to south], a n1 drains, a n1 drains, a n1 gone, s s1
+        s s1 leaving
+          => [ring south to west], s s1 drains, s s1 drains, s s1 gone, w w1
+        w w1 leaving
+          => w w1 drains
+        w w1
+          => w w1
+        all:
+          => nothing
+        s s1
+          => [ring west to south], s s1, w w1 drains, w w1 gone
+        a n1
+          => [ring south to north], a n1, s s1 drains, s s1 gone
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn hosts_are_counted_by_where_they_lie() {
+    let mut regions = regions();
+    regions.hear(true, entries("a n1, b n2 leaving, c s1, d x1, e -, origin x9"));
+    let counted = Counts { ring: 2, outside: 3, unnamed: 2, zones_unnamed: 2 };
+    assert_eq!((regions.counts(), regions.ring()), (counted, "north"));
+    regions.hear(false, entries("a n1 left, b n2 left"));
+    let counted = Counts { ring: 1, outside: 2, ..counted };
+    assert_eq!((regions.counts(), regions.ring()), (counted, "south"));
+}
+
+/// A host that a list drops while only draining binds is used on, and its drain is heard though no list names
+/// it any more.
+#[test]
+fn a_host_that_the_list_dropped_hears_its_drain_until_it_is_forgotten() {
+    let mut regions = regions();
+    let mut module = Module { dropped_stay: true, ..Module::default() };
+    let mut hear = |whole, text: &str, module: &mut Module| {
+        let passed = regions.hear(whole, entries(text));
+        module.hear(whole, &passed);
+        module.free().iter().for_each(|name| regions.forget(name));
+        let up: Vec<_> = module.up().into_keys().collect();
+        format!("{text}\n  => {}; up: {}\n", shown(&passed), up.join(" ")).replace(": \n", ": none\n")
+    };
+    let lines = [
+        hear(true, "a n1, b n1, c n1", &mut module),
+        hear(true, "c n1", &mut module),
+        hear(false, "a - leaving", &mut module),
+        hear(false, "b s1", &mut module),
+        hear(false, "b - leaving", &mut module),
+        hear(true, "", &mut module),
+        hear(false, "c absurd leaving", &mut module),
+    ];
+    expect![[r#"
+        a n1, b n1, c n1
+          => a n1, b n1, c n1; up: a b c
+        c n1
+          => c n1; up: a b c
+        a - leaving
+          => a n1 drains; up: b c
+        b s1
+          => b n1 drains, b n1 gone; up: c
+        b - leaving
+          => nothing; up: c
+
+          => nothing; up: c
+        c absurd leaving
+          => c n1 drains; up: none
+    "#]]
+    .assert_eq(&lines.concat());
+}
+
+/// One step of a list's life.
+#[derive(Clone, Debug)]
+struct Step {
+    whole: bool,
+    entries: Vec<Listed>,
+    /// The shell looks which hosts it can forget, and this one falls silent before.
+    frees: bool,
+    silent: usize,
+}
+
+const HOSTS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "origin", "h"];
+const ZONES: [Option<&str>; 7] =
+    [Some("n1"), Some("n2"), Some("s1"), Some("s2"), Some("w1"), Some("x"), None];
+
+fn step() -> impl Strategy<Value = Step> {
+    let lifecycle = prop_oneof![
+        4 => Just(Lifecycle::Up),
+        2 => Just(Lifecycle::Draining),
+        1 => Just(Lifecycle::Gone)
+    ];
+    let entry =
+        (0..HOSTS.len(), 0..ZONES.len(), lifecycle, 0..9_u32).prop_map(|(host, zone, lifecycle, rest)| {
+            let (host, zone) = (HOSTS[host], ZONES[zone].map(Into::into));
+            Entry { host: host.into(), zone, origin: host == "origin", lifecycle, rest }
+        });
+    let entries = proptest::collection::vec(entry, 0..7);
+    (prop::bool::weighted(0.3), entries, any::<bool>(), 0..HOSTS.len())
+        .prop_map(|(whole, entries, frees, silent)| Step { whole, entries, frees, silent })
+}
+
+/// The list as discovery has it after a step.
+fn listed(list: &mut BTreeMap<Box<str>, Listed>, step: &Step) {
+    if step.whole {
+        list.clear();
+    }
+    for entry in &step.entries {
+        list.insert(entry.host.clone(), entry.clone());
+    }
+}
+
+/// Hosts that are up in the first region that has any, and origins.
+fn ring_of(list: &BTreeMap<Box<str>, Listed>) -> BTreeMap<Box<str>, Listed> {
+    let up = |entry: &&Listed| entry.lifecycle == Lifecycle::Up;
+    let of = |zones: &[&str]| -> BTreeMap<Box<str>, Listed> {
+        let here = |entry: &&Listed| entry.zone.as_deref().is_some_and(|zone| zones.contains(&zone));
+        let here = list.values().filter(up).filter(|entry| !entry.origin).filter(here);
+        here.map(|entry| (entry.host.clone(), entry.clone())).collect()
+    };
+    let regions = [&["n1", "n2"][..], &["s1", "s2"], &["w1"]];
+    let mut ring = regions.map(of).into_iter().find(|ring| !ring.is_empty()).unwrap_or_default();
+    let origins = list.values().filter(up).filter(|entry| entry.origin);
+    ring.extend(origins.map(|entry| (entry.host.clone(), entry.clone())));
+    ring
+}
+
+/// Entries of a whole list come in any order.
+fn shuffled(list: &BTreeMap<Box<str>, Listed>, by: u64) -> Vec<Listed> {
+    let mut entries: Vec<Listed> = list.values().cloned().collect();
+    entries.sort_by_key(|entry| basaltwood::types::Place::of(&entry.host).mixed(by));
+    entries
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(2_000) })]
+
+    /// Alike at all balancers of the region: whatever lists and changes a balancer heard, what it sends to is
+    /// what the list says now, and one that starts with that list whole, in any order, has the same.
+    #[test]
+    fn the_ring_is_the_lists_whatever_way_it_came(
+        steps in proptest::collection::vec(step(), 1..24),
+        order in any::<u64>(),
+    ) {
+        let (mut regions, mut module, mut list) = (regions(), Module::default(), BTreeMap::new());
+        for step in steps {
+            let passed = regions.hear(step.whole, step.entries.clone());
+            module.hear(step.whole, &passed);
+            listed(&mut list, &step);
+            let mut other = Module::default();
+            other.hear(true, &common::regions().hear(true, shuffled(&list, order)));
+            prop_assert_eq!(module.up(), ring_of(&list));
+            prop_assert_eq!(other.up(), ring_of(&list));
+            if step.frees {
+                module.free().iter().for_each(|name| regions.forget(name));
+            }
+        }
+    }
+
+    /// Rule 3, where only draining binds too: whatever a drain's entry says, and whether or not a list names
+    /// the host still, the module sends nothing there; and it uses no host outside, listed or not.
+    #[test]
+    fn a_drain_binds_whatever_was_heard_before(steps in proptest::collection::vec(step(), 1..24)) {
+        let mut regions = regions();
+        let mut module = Module { dropped_stay: true, ..Module::default() };
+        // The list, and where a host was when an entry last told of its place.
+        let (mut list, mut places) = (BTreeMap::new(), BTreeMap::new());
+        for step in steps {
+            let passed = regions.hear(step.whole, step.entries.clone());
+            module.hear(step.whole, &passed);
+            listed(&mut list, &step);
+            let up = module.up();
+            for entry in list.values().filter(|entry| entry.lifecycle == Lifecycle::Draining) {
+                prop_assert!(!up.contains_key(&entry.host), "{} drains", entry.host);
+            }
+            for (name, entry) in ring_of(&list) {
+                prop_assert_eq!(up.get(&name), Some(&entry));
+            }
+            for entry in &step.entries {
+                let named = entry.zone.as_deref().is_some_and(|zone| zone != "x");
+                if named || entry.lifecycle == Lifecycle::Up {
+                    places.insert(entry.host.clone(), entry.zone.clone());
+                }
+            }
+            for name in up.iter().filter(|(_, entry)| !entry.origin).map(|(name, _)| name) {
+                let listed = ring_of(&list).contains_key(name);
+                prop_assert!(listed || module.hosts[name].dropped, "{name} is not listed");
+                // Regions' names begin as their zones do.
+                let zone = places[name].as_deref().and_then(|zone| zone.chars().next());
+                prop_assert_eq!(zone, regions.ring().chars().next(), "{} lies outside", name);
+            }
+            module.silent(HOSTS[step.silent]);
+            if step.frees {
+                module.free().iter().for_each(|name| regions.forget(name));
+            }
+        }
+    }
+}
