Balancer: with an operators' map, only the own region's hosts make the ring

Change: the map is read from $BASALTWOOD_REGIONS, else from deploy/regions.toml where that is there; a map without sense ends the start with one line. list.rs has each list pass the regions before a number is minted or an address placed, so a host outside the ring gets no number, no connection and no place in module or pools. A map that tells the own region's balancers has module and pools go by that number (limits and paces are sums over the balancers that a host deals with); calls for the list go by the settings' as before, since discovery is shared by all. Figures edge_proxy_regions_* and counters regions_*, where there is a map. A name that goes from the books goes from the regions' too.

Before: one ring of all hosts. After, in balancer/tests/regions.rs on sockets: listeners outside see no connection; a drain binds whatever zone its entry names; a host moved out gets nothing more and what waited there goes elsewhere; a region of six loses one, five and all, and comes back; changes alone tell the same.

--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -27,7 +27,11 @@
 
 impl Count {
     pub fn add(&self) {
-        self.0.set(self.0.get() + 1);
+        self.add_many(1);
+    }
+
+    pub fn add_many(&self, more: usize) {
+        self.0.set(self.0.get() + more as u64);
     }
 }
 
@@ -45,6 +49,9 @@
     connections_opened, connections_reused, connections_stale,
     // The list; calls for it that were refused for now, came to nothing, or were answered with nonsense.
     lists, list_refused, list_silent, list_senseless, list_entries_refused, hosts_forgotten,
+    // Regions: how often the ring became another one's; hosts that came into it, and that were taken out of it
+    // while up; zones that no region names.
+    regions_rings, regions_hosts_in, regions_hosts_out, regions_zones_unnamed,
 }
 
 impl Counters {
--- a/balancer/src/figures.rs
+++ b/balancer/src/figures.rs
@@ -5,6 +5,7 @@
 
 use basaltwood::types::CategoryId;
 use basaltwood_management::Page;
+use basaltwood_regions::{Counts, Regions};
 
 /// How an op ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +23,14 @@
     active: Cell<u64>,
     /// Cache hosts listed, and those of them that are avoided.
     pool: Cell<(usize, usize)>,
+    /// None where there are no regions.
+    regions: RefCell<Option<InRegions>>,
+}
+
+/// How many hosts of the list lie where, and each region's name with whether it is the ring.
+struct InRegions {
+    counts: Counts,
+    names: Vec<(String, bool)>,
 }
 
 /// An op that was taken and has not ended for its client. Dropped without an outcome it was abandoned, and counts as
@@ -47,7 +56,7 @@
     pub fn new(categories: Vec<String>) -> Rc<Figures> {
         let ended = RefCell::new(vec![[0; 3]; categories.len()]);
         let (tries, active, pool) = (Cell::default(), Cell::default(), Cell::default());
-        Rc::new(Figures { categories, ended, tries, active, pool })
+        Rc::new(Figures { categories, ended, tries, active, pool, regions: RefCell::default() })
     }
 
     pub fn take(self: &Rc<Figures>, category: CategoryId) -> Taken {
@@ -64,6 +73,12 @@
         self.pool.set((listed, avoided));
     }
 
+    pub fn regions<T: Clone>(&self, regions: &Regions<T>) {
+        let ring = |name: &String| (name.clone(), name == regions.ring());
+        let names = regions.map().names().iter().map(ring).collect();
+        self.regions.replace(Some(InRegions { counts: regions.counts(), names }));
+    }
+
     /// There are hosts to route by.
     pub fn listed(&self) -> bool {
         self.pool.get().0 > 0
@@ -96,6 +111,19 @@
         ] {
             page.figure(name, kind, help, [(None, number)]);
         }
+        if let Some(InRegions { counts, names }) = &*self.regions.borrow() {
+            let rings = names.iter().map(|(name, ring)| (Some(("region", name.as_str())), u64::from(*ring)));
+            let help = "1 for the region whose hosts are this balancer's ring.";
+            page.figure("edge_proxy_regions_ring", "gauge", help, rings);
+            for (name, help, number) in [
+                ("edge_proxy_regions_hosts_ring", "Listed cache hosts of the ring's region.", counts.ring),
+                ("edge_proxy_regions_hosts_outside", "Listed cache hosts of no use here.", counts.outside),
+                ("edge_proxy_regions_hosts_unnamed", "Of those, in no region's zone.", counts.unnamed),
+                ("edge_proxy_regions_zones_unnamed", "Zones seen in no region.", counts.zones_unnamed),
+            ] {
+                page.figure(name, "gauge", help, [(None, number as u64)]);
+            }
+        }
         page
     }
 }
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -7,7 +7,8 @@
 
 use basaltwood::types::{Lifecycle, Listed, Micros};
 use basaltwood_membership::{Asking, Trouble};
-use basaltwood_terms::{micros, Entry};
+use basaltwood_regions::{Entry, Note, Regions};
+use basaltwood_terms::{self as terms, micros};
 use basaltwood_wire::http;
 use serde::Deserialize;
 use tokio::io::AsyncWriteExt;
@@ -54,41 +55,106 @@
     started_at_ms: Option<f64>,
 }
 
+/// What an entry tells of a host beside its place and lifecycle.
+#[derive(Clone)]
+pub struct Rest {
+    /// None where it takes nothing new.
+    address: Option<SocketAddr>,
+    started: Option<Micros>,
+    weight: Option<f64>,
+    cell: Option<u32>,
+}
+
+pub type Rings = Regions<Rest>;
+
 /// Tells the facade and the servers what a page says; its generation.
 pub fn take(desk: &Desk, page: Page, whole: bool) -> u64 {
     let now = desk.clock.now();
     let mut entries = Vec::with_capacity(page.instances.len());
     for value in page.instances {
         match entry(desk, &value, now) {
-            Ok(listed) => entries.push(listed),
+            Ok(entry) => entries.push(entry),
             Err(cause) => {
                 desk.counters.list_entries_refused.add();
                 log::warn!("list entry {}: {cause}", value.to_string().chars().take(200).collect::<String>());
             }
         }
     }
+    let heard = entries.len();
+    // A host outside the ring gets no number, and so nothing else.
+    let entries = match &desk.regions {
+        Some(regions) => in_ring(desk, &mut regions.borrow_mut(), whole, entries),
+        None => entries,
+    };
+    let entries: Vec<Listed> = entries.into_iter().map(|entry| placed(desk, entry)).collect();
     desk.counters.lists.add();
-    log::debug!(
-        "list {}: {} entries{}",
-        page.generation,
-        entries.len(),
-        if whole { ", all there are" } else { "" }
-    );
+    log::debug!("list {}: {} entries{}", page.generation, heard, if whole { ", all there are" } else { "" });
     desk.facade.borrow_mut().list(now, whole, entries);
     // Before any op is told, and for hosts that a whole list does not name too.
     desk.servers.settle(|host| desk.facade.borrow().takes(host));
     desk.ring();
     // Hosts come and go all day: what is known of one that has gone goes too.
     for host in desk.facade.borrow().free() {
+        let mut words = desk.words.borrow_mut();
         // The module names those that it has free, whether or not their numbers were forgotten before.
-        if desk.words.borrow_mut().hosts.forget(host.0) {
+        if words.hosts.forget(host.0) {
+            if let Some(regions) = &desk.regions {
+                regions.borrow_mut().forget(&words.hosts.texts[host.0 as usize]);
+            }
             desk.servers.forget(host);
             desk.counters.hosts_forgotten.add();
         }
     }
+    if let Some(regions) = &desk.regions {
+        desk.figures.regions(&regions.borrow());
+    }
     page.generation
 }
 
+/// What of a list the module is to hear where there are regions.
+fn in_ring(desk: &Desk, regions: &mut Rings, whole: bool, entries: Vec<Entry<Rest>>) -> Vec<Entry<Rest>> {
+    let passed = regions.hear(whole, entries);
+    for note in &passed.notes {
+        match note {
+            Note::Unnamed(zone) => {
+                desk.counters.regions_zones_unnamed.add();
+                let zone = zone.as_deref().map_or("no zone".to_owned(), |zone| format!("zone {zone:?}"));
+                log::warn!("regions: the list has hosts of {zone}, which no region names: not used here");
+            }
+            Note::Ring { before, now } => {
+                desk.counters.regions_rings.add();
+                log::warn!("regions: the ring is region {now:?} from now on, {before:?} before");
+            }
+        }
+    }
+    desk.counters.regions_hosts_in.add_many(passed.came);
+    desk.counters.regions_hosts_out.add_many(passed.went);
+    passed.entries
+}
+
+/// A host as the module knows it, and its place for the servers.
+fn placed(desk: &Desk, entry: Entry<Rest>) -> Listed {
+    let Entry { host, zone, origin, lifecycle, rest } = entry;
+    let listed = desk.words.borrow_mut().listed(&terms::Entry {
+        host: &host,
+        zone: zone.as_deref(),
+        kind: None,
+        cell: rest.cell,
+        lifecycle,
+        weight: rest.weight,
+        started: rest.started,
+    });
+    let listed = Listed { origin, ..listed };
+    if let Some(address) = rest.address {
+        desk.servers.place(listed.host, address, origin);
+    }
+    if lifecycle != Lifecycle::Up {
+        let ends = if lifecycle == Lifecycle::Draining { "leaving" } else { "left" };
+        log::debug!("host {} ({host}) is {ends}", listed.host.0);
+    }
+    listed
+}
+
 /// What ends a host's use is heard whatever else its entry says: a drain lost for an absurd address would break rule 3.
 fn bare(value: &serde_json::Value) -> Option<Instance> {
     let word = |name: &str| value.get(name)?.as_str().map(str::to_owned);
@@ -96,7 +162,7 @@
     Some(Instance { instance_id: word("instanceId")?, lifecycle, ..Instance::default() })
 }
 
-fn entry(desk: &Desk, value: &serde_json::Value, now: Micros) -> Result<Listed, String> {
+fn entry(desk: &Desk, value: &serde_json::Value, now: Micros) -> Result<Entry<Rest>, String> {
     let instance = match Instance::deserialize(value) {
         Ok(instance) => instance,
         Err(cause) => bare(value).ok_or_else(|| cause.to_string())?,
@@ -126,22 +192,13 @@
         _ => None,
     };
     let weight = instance.weight.filter(|weight| (1e-3..1e6).contains(weight));
-    let listed = desk.words.borrow_mut().listed(&Entry {
-        host: &instance.instance_id,
-        zone: instance.zone.as_deref(),
-        kind: instance.machine_type.as_deref(),
-        cell: instance.cell,
+    Ok(Entry {
+        host: instance.instance_id.into(),
+        zone: instance.zone.map(Into::into),
+        origin: desk.words.borrow().origin(instance.machine_type.as_deref()),
         lifecycle,
-        weight,
-        started,
-    });
-    if let Some(address) = address {
-        desk.servers.place(listed.host, address, listed.origin);
-    }
-    if !up {
-        log::debug!("host {} ({}) is {}", listed.host.0, instance.instance_id, instance.lifecycle);
-    }
-    Ok(listed)
+        rest: Rest { address, started, weight, cell: instance.cell },
+    })
 }
 
 /// Watches for ever, and moves at once where discovery is said to be elsewhere: the call under way is given up
--- a/balancer/src/ops.rs
+++ b/balancer/src/ops.rs
@@ -6,6 +6,7 @@
 
 use basaltwood::facade::{Ask, Decision, Facade};
 use basaltwood::types::*;
+use basaltwood_regions::RegionMap;
 use basaltwood_terms::Words;
 use bytes::Bytes;
 use tokio::sync::{oneshot, Notify};
@@ -15,6 +16,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::figures::Figures;
+use crate::list::Rings;
 use crate::origin;
 use crate::request::{Outcome, Request, Value};
 use crate::servers::{Note, Servers};
@@ -33,6 +35,8 @@
 pub struct Desk {
     pub facade: RefCell<Facade>,
     pub words: RefCell<Words>,
+    /// None where there are no regions.
+    pub regions: Option<RefCell<Rings>>,
     pub servers: Rc<Servers>,
     pub clock: Rc<Clock>,
     pub counters: Rc<Counters>,
@@ -56,6 +60,7 @@
         Desk {
             facade: RefCell::new(Facade::new(terms, most_held)),
             words: RefCell::new(words),
+            regions: None,
             figures: servers.figures.clone(),
             servers,
             clock,
@@ -66,6 +71,11 @@
         }
     }
 
+    /// The list passes this map of regions from now on.
+    pub fn with_regions(self, map: Option<RegionMap>) -> Desk {
+        Desk { regions: map.map(|map| RefCell::new(Rings::new(map))), ..self }
+    }
+
     /// Rings for ops that something was decided for while another was asked about.
     pub fn ring(&self) {
         for op in self.facade.borrow_mut().rung() {
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -93,15 +93,9 @@
             figures.clone(),
             clock.clone(),
         );
-        let desk = Rc::new(Desk::new(
-            &told.terms,
-            told.words,
-            told.bounds.most_held,
-            servers,
-            clock,
-            counters,
-            budget,
-        ));
+        let most_held = told.bounds.most_held;
+        let desk = Desk::new(&told.terms, told.words, most_held, servers, clock, counters, budget);
+        let desk = Rc::new(desk.with_regions(told.regions));
         let phase = Rc::new(watch::Sender::new(Phase::Starting));
         let failed = |cause: std::io::Error| cause.to_string();
         let signals = Signals {
@@ -131,7 +125,7 @@
             parts.spawn_local(Front::new(desk.clone(), phase.clone()).accept(listener));
         }
         let discovery = watch::Sender::new(told.discovery);
-        let (seed, balancers) = (told.terms.seed, told.terms.balancers);
+        let (seed, balancers) = (told.terms.seed, told.fleet);
         let grace = told.bounds.grace;
         let asking = Asking::new(membership::Terms { seed, balancers, known: Some(known), grace });
         parts.spawn_local(list::watch(desk.clone(), discovery.subscribe(), asking));
--- a/balancer/src/told.rs
+++ b/balancer/src/told.rs
@@ -1,14 +1,21 @@
-//! What a balancer is told at its start, from the file that PROXY_CONFIG names.
+//! What a balancer is told at its start, from the file that PROXY_CONFIG names, and the operators' map of
+//! regions.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use basaltwood::types::{Place, Terms};
+use basaltwood_regions::RegionMap;
 use basaltwood_terms::{Bounds, Info, Words};
 use serde::Deserialize;
 
 use crate::list::Page;
 
+/// Where the map of regions is looked for, from the working directory, unless `$BASALTWOOD_REGIONS` names
+/// another file.
+const REGIONS: &str = "deploy/regions.toml";
+
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -50,16 +57,42 @@
     pub memory: usize,
     pub sockets: usize,
     pub known: Page,
+    /// For the module and the pools: its balancers are those that a host deals with, the own region's where the
+    /// map says.
     pub terms: Terms,
+    /// All balancers that ask discovery as this one does.
+    pub fleet: u32,
+    /// None where there are no regions.
+    pub regions: Option<RegionMap>,
     pub words: Words,
     pub bounds: Bounds,
 }
 
+/// Reads the operators' map; none where there is no file and none was named.
+fn regions(named: Option<String>) -> Result<Option<RegionMap>, String> {
+    let file = named.as_deref().unwrap_or(REGIONS);
+    match std::fs::read_to_string(file) {
+        Ok(text) => RegionMap::parse(file, &text).map(Some),
+        Err(cause) if named.is_none() && cause.kind() == ErrorKind::NotFound => Ok(None),
+        Err(cause) => Err(format!("{file}: {cause}: mend $BASALTWOOD_REGIONS or the file, or remove both")),
+    }
+}
+
+/// A variable of the environment; an empty one is none.
+fn set(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|text| !text.is_empty())
+}
+
 impl Told {
     pub fn read() -> Result<Told, String> {
         let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_owned())?;
         let text = std::fs::read_to_string(&path).map_err(|cause| format!("PROXY_CONFIG {path}: {cause}"))?;
-        Told::parse(&text).map_err(|cause| format!("PROXY_CONFIG {path}: {cause}"))
+        let mut told = Told::parse(&text).map_err(|cause| format!("PROXY_CONFIG {path}: {cause}"))?;
+        told.regions = regions(set("BASALTWOOD_REGIONS"))?;
+        if let Some(balancers) = told.regions.as_ref().and_then(RegionMap::balancers) {
+            told.terms.balancers = balancers;
+        }
+        Ok(told)
     }
 
     fn parse(text: &str) -> Result<Told, String> {
@@ -69,7 +102,6 @@
         let address = |what: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{what} {text:?} is no address with a port"))
         };
-        let set = |name: &str| std::env::var(name).ok().filter(|text| !text.is_empty());
         let mgmt = file.mgmt.or_else(|| set("PROXY_MGMT"));
         let mgmt = mgmt.map(|text| address("mgmt", &text)).transpose()?;
         let inherited = set("PROXY_INHERITED_FD").map(|text| {
@@ -93,7 +125,9 @@
             memory: (file.limits.memory_mb * 1024.0 * 1024.0) as usize,
             sockets: file.limits.sockets,
             known: file.known,
+            fleet: terms.balancers,
             terms,
+            regions: None,
             words: Words::new(&file.settings),
             bounds: file.settings.bounds(),
             name: file.name,
--- /dev/null
+++ b/balancer/tests/regions.rs
@@ -0,0 +1,363 @@
+//! Rings by region on sockets: with an operators' map, what goes to which host, and what is never opened.
+
+mod closed;
+#[path = "../../tests/common/mod.rs"]
+mod common;
+
+use std::collections::BTreeSet;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
+
+use closed::{breaking_host, one_out, patient};
+use common::*;
+use expect_test::expect;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
+const MAP: &str = r#"own = "north"
+[[region]]
+name = "north"
+zones = ["n1", "n2"]
+[[region]]
+name = "south"
+zones = ["s1"]
+"#;
+
+/// An entry of the list in a zone.
+fn at(name: &str, zone: &str, address: SocketAddr, lifecycle: &str) -> String {
+    entry(name, address, lifecycle).replace(r#""zone":"a""#, &format!(r#""zone":"{zone}""#))
+}
+
+/// What a program is told that operators can call, with a discovery and these settings.
+fn told(discovery: SocketAddr, known: &[String], settings: &str) -> String {
+    let text = managed(known, [192, 1024]).replace("127.0.0.1:1\"", &format!("{discovery}\""));
+    text.replace(SETTINGS, settings)
+}
+
+fn started(discovery: SocketAddr, known: &[String], settings: &str) -> Program {
+    let mut program = Program::in_regions(BINARY, &told(discovery, known, settings), MAP);
+    program.mgmt = program.logged("mgmt on").rsplit(' ').next().expect("an address").to_owned();
+    program.serving()
+}
+
+fn named(name: &'static str) -> Peer {
+    Peer::host(move |_| hit(name))
+}
+
+/// Waits until the list of this version has been read, as the call after it says.
+fn read(discovery: &Peer, version: usize) {
+    while !discovery.next().contains(&format!("from={version}&")) {}
+}
+
+/// A place that answers nobody; whether somebody came.
+struct Untouched(TcpListener, SocketAddr);
+
+impl Untouched {
+    fn start() -> Untouched {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listener.set_nonblocking(true).expect("a socket");
+        let address = listener.local_addr().expect("an address");
+        Untouched(listener, address)
+    }
+
+    fn untouched(&self) -> bool {
+        matches!(self.0.accept(), Err(cause) if cause.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+/// Who answers reads of many keys.
+fn who(program: &Program, round: usize) -> String {
+    let mut client = program.client();
+    let ask = |nth| {
+        let (key, id) = (format!("k{nth}"), format!("id{round}-{nth}"));
+        client.asks(&["CACHE.GET", &key, &id, "c=read,d=900"])
+    };
+    (0..60).map(ask).collect::<BTreeSet<_>>().into_iter().collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn only_hosts_of_the_own_region_are_sent_to_or_opened() {
+    let (a, b) = (named("a"), Peer::host(|asked| if asked.contains("lacked") { miss() } else { hit("b") }));
+    let outside = [Untouched::start(), Untouched::start(), Untouched::start()];
+    let origin = Peer::http(|_| http_answer(200, "fetched"));
+    let discovery = Discovery::start();
+    let known = [
+        at("a", "n1", a.address, "active"),
+        at("b", "n2", b.address, "active"),
+        at("c", "s1", outside[0].1, "active"),
+        at("d", "x1", outside[1].1, "active"),
+        at("e", "x1", outside[2].1, "active"),
+        at("origin", "s1", origin.address, "active"),
+    ];
+    let program = started(discovery.peer.address, &known, SETTINGS);
+    let mut trace = vec![who(&program, 0)];
+    discovery.tell(&known);
+    read(&discovery.peer, 2);
+    trace.push(who(&program, 1));
+    // A key whose home is b: its value comes from the origin, which lies in the south.
+    let lacked = (0..).map(|nth| format!("lacked{nth}"));
+    let mut client = program.client();
+    let fetched = lacked.take(60).enumerate().any(|(nth, key)| {
+        client.asks(&["CACHE.GET", &key, &format!("id{nth}"), "c=read,d=900"]) == "fetched"
+    });
+    trace.push(format!("fetched: {fetched}"));
+    let figures = program.figures("edge_proxy_regions_hosts_ring 2");
+    trace.extend(figures.lines().filter(|line| line.contains("regions_")).map(str::to_owned));
+    let line = program.counts("lists", 2);
+    trace.extend(line.split(' ').filter(|word| word.starts_with("regions_")).map(str::to_owned));
+    assert!(outside.iter().all(Untouched::untouched), "a connection was opened to a host outside");
+    expect![[r#"
+        a b
+        a b
+        fetched: true
+        regions_ring{region="north"} 1
+        regions_ring{region="south"} 0
+        regions_hosts_ring 2
+        regions_hosts_outside 3
+        regions_hosts_unnamed 2
+        regions_zones_unnamed 1
+        regions_rings=0
+        regions_hosts_in=2
+        regions_hosts_out=0
+        regions_zones_unnamed=1"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn a_drain_of_a_ring_host_binds_whatever_zone_its_entry_names() {
+    for absurd in [
+        r#"{"instanceId":"a","lifecycle":"leaving"}"#,
+        r#"{"instanceId":"a","zone":"absurd","hostPort":"::","lifecycle":"left"}"#,
+        r#"{"instanceId":"a","zone":"s1","lifecycle":"leaving"}"#,
+        r#"{"instanceId":"a","zone":[],"hostPort":7,"lifecycle":"leaving"}"#,
+    ] {
+        let (a, b) = (named("a"), named("b"));
+        let discovery = Discovery::start();
+        let known = [at("a", "n1", a.address, "active"), at("b", "n2", b.address, "active")];
+        let program = started(discovery.peer.address, &known, SETTINGS);
+        assert_eq!(who(&program, 0), "a b");
+        discovery.tell(&[absurd.to_owned(), known[1].clone()]);
+        read(&discovery.peer, 2);
+        let line = program.counts("lists", 2);
+        assert!(line.contains(" list_entries_refused=0 "), "{line}");
+        assert_eq!(who(&program, 1), "b", "{absurd}");
+    }
+}
+
+/// One push is out at `a`, and others wait there; what they get once the list has it in another region.
+#[test]
+fn a_host_that_is_moved_out_gets_nothing_more() {
+    let (release, a) = breaking_host();
+    let b = Peer::host(|_| hit("from b"));
+    let discovery = Discovery::start();
+    let known = [at("a", "n1", a.address, "active")];
+    let program = started(discovery.peer.address, &known, &patient());
+    let (mut slow, mut trace) = one_out(&program, &a);
+    let (mut read, mut once) = (program.client(), program.client());
+    read.get("k", "id2", "c=read,d=9000");
+    once.get("l", "id3", "c=once,d=9000");
+    program.counts("ops", 4);
+    let b_up = at("b", "n2", b.address, "active");
+    discovery.tell(&[at("a", "s1", a.address, "active"), b_up.clone()]);
+    trace.extend([read.answer(), once.answer()]);
+    release.send(()).expect("it waits");
+    trace.extend([slow.answer(), a.next()]);
+    let line = program.counts("push_never_sent", 2);
+    assert!(line.contains(" push_never_sent=2 ") && line.contains(" regions_hosts_out=1 "), "{line}");
+    trace.push(who(&program, 0));
+    assert!(a.quiet(), "nothing came after it was moved out");
+    expect![[r#"
+        CACHE.GET break id0 c=read,d=..
+        closed
+        -BUSY 2000
+        CACHE.GET slow id1 c=read,d=..
+        from b
+        from b
+        from a
+        closed
+        from b"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn a_host_that_is_moved_in_is_used_and_its_drain_while_it_was_outside_binds() {
+    let (a, b, c) = (named("a"), named("b"), named("c"));
+    let discovery = Discovery::start();
+    let list = |a_in: &str, told: &str, c_in: &str| {
+        let (a, b) = (at("a", a_in, a.address, told), at("b", "n2", b.address, "active"));
+        [a, b, at("c", c_in, c.address, "active")]
+    };
+    let program = started(discovery.peer.address, &list("n1", "active", "s1"), SETTINGS);
+    let mut trace = vec![who(&program, 0)];
+    for (round, list) in [
+        list("s1", "active", "n2"),
+        list("s1", "leaving", "n2"),
+        list("n1", "leaving", "n2"),
+        list("n1", "active", "s1"),
+    ]
+    .iter()
+    .enumerate()
+    {
+        discovery.tell(list);
+        read(&discovery.peer, round + 2);
+        trace.push(who(&program, round + 1));
+    }
+    expect![[r#"
+        a b
+        b c
+        b c
+        b c
+        a b"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn a_region_of_six_loses_one_four_all_and_comes_back_host_by_host() {
+    const NAMES: [&str; 8] = ["n0", "n1", "n2", "n3", "n4", "n5", "s0", "s1"];
+    let peers = NAMES.map(named);
+    let discovery = Discovery::start();
+    let list = |up: &[&str]| -> Vec<String> {
+        let entry = |(name, peer): (&&str, &Peer)| {
+            let zone = if name.starts_with('s') { "s1" } else { "n1" };
+            at(name, zone, peer.address, if up.contains(name) { "active" } else { "leaving" })
+        };
+        NAMES.iter().zip(&peers).map(entry).collect()
+    };
+    let program = started(discovery.peer.address, &list(&NAMES), SETTINGS);
+    let mut trace = vec![who(&program, 0)];
+    let south = ["s0", "s1"];
+    for (round, north) in [
+        &["n0", "n1", "n2", "n3", "n4"][..],
+        &["n0"],
+        &[],
+        &["n3"],
+        &["n3", "n1"],
+        &["n0", "n1", "n2", "n3", "n4", "n5"],
+    ]
+    .iter()
+    .enumerate()
+    {
+        discovery.tell(&list(&[north, &south[..]].concat()));
+        read(&discovery.peer, round + 2);
+        trace.push(format!("{}: {}", north.len(), who(&program, round + 1)));
+    }
+    let line = program.counts("lists", 7);
+    trace.extend(line.split(' ').filter(|word| word.starts_with("regions_")).map(str::to_owned));
+    expect![[r#"
+        n0 n1 n2 n3 n4 n5
+        5: n0 n1 n2 n3 n4
+        1: n0
+        0: s0 s1
+        1: n3
+        2: n1 n3
+        6: n0 n1 n2 n3 n4 n5
+        regions_rings=2
+        regions_hosts_in=9
+        regions_hosts_out=2
+        regions_zones_unnamed=0"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+/// Changes that name one host each: what is known of the others is there when the ring becomes theirs.
+#[test]
+fn changes_to_the_list_tell_the_same() {
+    let (a, b) = (named("a"), named("b"));
+    let (tell, told) = channel::<(usize, String)>();
+    let told = Mutex::new(told);
+    let discovery = Peer::http(move |_| match told.lock().expect("a lock").recv() {
+        Ok((version, change)) => {
+            http_answer(200, &format!(r#"{{"generation":{version},"reset":false,"instances":[{change}]}}"#))
+        }
+        Err(_) => Says::Nothing,
+    });
+    let known = [at("a", "n1", a.address, "active"), at("b", "s1", b.address, "active")];
+    let program = started(discovery.address, &known, SETTINGS);
+    let mut trace = vec![who(&program, 0)];
+    for (round, change) in [
+        r#"{"instanceId":"a","lifecycle":"leaving"}"#.to_owned(),
+        at("a", "n2", a.address, "active"),
+        at("a", "absurd", a.address, "left"),
+        at("c", "n1", a.address, "active"),
+        at("d", "n1", a.address, "active"),
+        at("d", "n1", a.address, "left"),
+        // Of a host that is forgotten nothing is left to be ended.
+        r#"{"instanceId":"d","lifecycle":"leaving"}"#.to_owned(),
+        r#"{"instanceId":"d","lifecycle":"left"}"#.to_owned(),
+        at("c", "", a.address, "leaving"),
+    ]
+    .iter()
+    .enumerate()
+    {
+        tell.send((round + 2, change.clone())).expect("it waits");
+        read(&discovery, round + 2);
+        trace.push(who(&program, round + 1));
+    }
+    let line = program.counts("lists", 10);
+    trace.extend(line.split(' ').filter(|word| word.starts_with("hosts_forgotten")).map(str::to_owned));
+    expect![[r#"
+        a
+        b
+        a
+        b
+        a
+        a
+        a
+        a
+        a
+        b
+        hosts_forgotten=6"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+#[test]
+fn a_map_without_sense_ends_the_start_with_one_line() {
+    let text = managed(&[], [192, 1024]);
+    let mut lines = Vec::new();
+    let mut refused = |mut program: Program| {
+        let code = program.ended().code();
+        let log: Vec<String> =
+            program.rest().iter().map(|line| after(line, "basaltwood-balancer: ")).collect();
+        lines.push(format!("{code:?} {}", log.join(" / ")));
+    };
+    for map in
+        [MAP.replace("\"s1\"", "\"n2\""), MAP.replace("own = \"north\"", "own = \"west\""), "{".to_owned()]
+    {
+        refused(Program::in_regions(BINARY, &text, &map));
+    }
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::create_dir(folder.path().join("deploy")).expect("a folder");
+    std::fs::write(folder.path().join("deploy/regions.toml"), "own = \"north\"\n").expect("a file");
+    refused(Program::told_in(BINARY, &text, folder.path()));
+    expect![[r#"
+        Some(1)  line 7: zone "n2" is in region "north" (line 4) and in "south": remove it from one
+        Some(1)  line 1: no region "west": own is to be one of "north", "south"
+        Some(1)  line 1: invalid key-value pair, expected key; see deploy/regions.example.toml for the form
+        Some(1)  line 1: no region: add a [[region]], or remove the file"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+/// Named or not, a file that is there counts; none changes nothing.
+#[test]
+fn a_map_is_looked_for_where_the_platform_starts_the_program() {
+    let (a, b) = (named("a"), named("b"));
+    let known = [at("a", "n1", a.address, "active"), at("b", "s1", b.address, "active")];
+    let text = told(nowhere(), &known, SETTINGS);
+    let folder = tempfile::tempdir().expect("a folder");
+    let serve = |folder: &Path| {
+        let program = Program::told_in(BINARY, &text, folder).serving();
+        let line = program.counts("lists", 1);
+        (who(&program, 0), line.contains(" regions_rings=0 "))
+    };
+    assert_eq!(serve(folder.path()), ("a b".to_owned(), true));
+    std::fs::create_dir(folder.path().join("deploy")).expect("a folder");
+    std::fs::write(folder.path().join("deploy/regions.toml"), MAP).expect("a file");
+    assert_eq!(serve(folder.path()), ("a".to_owned(), true));
+}
+
+/// What follows the file's name or the program's in a line.
+fn after(line: &str, part: &str) -> String {
+    let line = line.split_once(part).map_or(line, |found| found.1);
+    line.split_once(".toml").map_or(line, |found| found.1).to_owned()
+}
--- a/regions/src/hosts.rs
+++ b/regions/src/hosts.rs
@@ -33,9 +33,9 @@
 pub struct Passed<T> {
     pub entries: Vec<Entry<T>>,
     pub notes: Vec<Note>,
-    /// Hosts that came into the ring without being named: the ring is another region now.
+    /// Hosts that are up and came into the ring, those of the first list too.
     pub came: usize,
-    /// Listed hosts that were taken out of it: they moved, or the ring did.
+    /// Hosts that are up and were taken out of it: they moved, or the ring did.
     pub went: usize,
 }
 
@@ -127,6 +127,7 @@
             if host.origin || host.told && ends || here {
                 // What ends its use leaves its place as it was, whatever that says.
                 let kept = host.heard.filter(|_| host.told && ends);
+                passed.came += usize::from(!host.told && !ends && !host.origin);
                 (host.told, host.heard) = (true, kept.or(zone));
                 let kept = kept.map(|zone| map.zone_name(zone).into());
                 passed.entries.push(Entry { zone: kept.or(entry.zone), ..entry });
@@ -136,7 +137,7 @@
             let region = host.region(map);
             if host.told && !host.origin && region != ring {
                 host.told = false;
-                passed.went += usize::from(host.lifecycle != Lifecycle::Gone);
+                passed.went += usize::from(host.lifecycle == Lifecycle::Up);
                 for lifecycle in [Lifecycle::Draining, Lifecycle::Gone] {
                     passed.entries.push(host.entry(name, host.heard, lifecycle, map));
                 }
@@ -144,7 +145,7 @@
             }
             if !host.told && region == ring {
                 (host.told, host.heard) = (true, host.zone);
-                passed.came += 1;
+                passed.came += usize::from(host.lifecycle == Lifecycle::Up);
                 passed.entries.push(host.entry(name, host.zone, host.lifecycle, map));
             }
             true
--- a/regions/tests/map.rs
+++ b/regions/tests/map.rs
@@ -123,3 +123,10 @@
             see deploy/regions.example.toml for the form"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn the_example_makes_sense() {
+    let text = include_str!("../../deploy/regions.example.toml");
+    let map = RegionMap::parse("regions.example.toml", text).expect("it makes sense");
+    assert_eq!((map.own(), map.names().len(), map.balancers()), ("north", 2, Some(519)));
+}
--- a/regions/tests/rings.rs
+++ b/regions/tests/rings.rs
@@ -226,6 +226,8 @@
         hear(false, "b - leaving", &mut module),
         hear(true, "", &mut module),
         hear(false, "c absurd leaving", &mut module),
+        hear(false, "c - left", &mut module),
+        hear(false, "c - leaving", &mut module),
     ];
     expect![[r#"
         a n1, b n1, c n1
@@ -242,6 +244,10 @@
           => nothing; up: c
         c absurd leaving
           => c n1 drains; up: none
+        c - left
+          => c n1 gone; up: none
+        c - leaving
+          => nothing; up: none
     "#]]
     .assert_eq(&lines.concat());
 }
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -34,8 +34,8 @@
         number
     }
 
-    /// The number stands for nothing from now on, until a new text gets it; whether it stood for one until now.
-    /// The text that it stood for last may have another number since.
+    /// The number stands for nothing from now on, until a new text gets it; whether it stood for one until
+    /// now. The text that it stood for last may have another number since.
     pub fn forget(&mut self, number: u32) -> bool {
         let text = &self.texts[number as usize];
         let stands = self.numbers.get(text) == Some(&number);
@@ -104,11 +104,16 @@
         self.customers.known(name, "customer").ok().map(|number| CustomerId(number as u16))
     }
 
+    /// Whether machines of this kind are the origin's.
+    pub fn origin(&self, kind: Option<&str>) -> bool {
+        self.origin.is_some() && kind == self.origin.as_deref()
+    }
+
     pub fn listed(&mut self, entry: &Entry) -> Listed {
         Listed {
             host: HostId(self.hosts.number(entry.host)),
             place: Place::of(entry.host),
-            origin: self.origin.is_some() && entry.kind == self.origin.as_deref(),
+            origin: self.origin(entry.kind),
             zone: ZoneId(entry.zone.map_or(0, |zone| self.zones.number(zone))),
             cell: CellId(entry.cell.unwrap_or(0)),
             lifecycle: entry.lifecycle,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -539,6 +539,23 @@
         Program::spawned(Command::new(binary), Program::file(text))
     }
 
+    /// The same with an operators' map of regions.
+    pub fn in_regions(binary: &str, text: &str, map: &str) -> Program {
+        let told = Program::file(text);
+        let file = told.with_extension("toml");
+        std::fs::write(&file, map).expect("a file");
+        let mut command = Command::new(binary);
+        command.env("BASALTWOOD_REGIONS", file);
+        Program::spawned(command, told)
+    }
+
+    /// The same from another working directory, with nothing named.
+    pub fn told_in(binary: &str, text: &str, folder: &Path) -> Program {
+        let mut command = Command::new(binary);
+        command.current_dir(folder);
+        Program::spawned(command, Program::file(text))
+    }
+
     fn file(text: &str) -> PathBuf {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let name = format!("basaltwood-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
@@ -655,6 +672,7 @@
             self.rest().iter().for_each(|line| eprintln!("{line}"));
         }
         let _ = std::fs::remove_file(&self.told);
+        let _ = std::fs::remove_file(self.told.with_extension("toml"));
     }
 }
 
