--- a/balancer/tests/regions.rs
+++ b/balancer/tests/regions.rs
@@ -10,6 +10,7 @@
 use std::path::Path;
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
+use std::time::SystemTime;
 
 use closed::{breaking_host, one_out, patient};
 use common::*;
@@ -260,6 +261,31 @@
     .assert_eq(&trace.join("\n"));
 }
 
+/// The first host that is up again has all of the region's keys, and is held to what it surely bears: the rest
+/// is nacked.
+#[test]
+fn a_region_that_comes_back_cold_sends_no_more_than_its_hosts_bear() {
+    let (a, b) = (named("a"), named("b"));
+    let discovery = Discovery::start();
+    let south = at("b", "s1", b.address, "active");
+    let program =
+        started(discovery.peer.address, &[at("a", "n1", a.address, "leaving"), south.clone()], SETTINGS);
+    let mut trace = vec![who(&program, 0)];
+    let since =
+        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("a time after it").as_millis();
+    let cold = at("a", "n1", a.address, "active")
+        .replace(r#""startedAtMs":0"#, &format!(r#""startedAtMs":{since}"#));
+    discovery.tell(&[cold, south]);
+    read(&discovery.peer, 2);
+    trace.push(who(&program, 1));
+    let pushes = std::iter::from_fn(|| a.seen()).count();
+    assert!((1..20).contains(&pushes), "{pushes} of 60 ops went to it");
+    expect![[r#"
+        b
+        -BUSY 400 a"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
 /// Changes that name one host each: what is known of the others is there when the ring becomes theirs.
 #[test]
 fn changes_to_the_list_tell_the_same() {
--- a/regions/tests/rings.rs
+++ b/regions/tests/rings.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use basaltwood::types::Lifecycle;
-use basaltwood_regions::{Counts, Entry};
+use basaltwood_regions::{Counts, Entry, RegionMap, Regions};
 use common::*;
 use expect_test::expect;
 use proptest::prelude::*;
@@ -194,6 +194,32 @@
     .assert_eq(&trace);
 }
 
+/// After a restart some have the new map and others the old one, of one list: a zone that moves is used by
+/// both regions, one that is in no region between by neither.
+#[test]
+fn each_balancer_goes_by_its_own_version_of_the_map() {
+    let moved = MAP.replace(r#""n1", "n2""#, r#""n1""#).replace(r#""s1", "s2""#, r#""s1", "s2", "n2""#);
+    let taken = MAP.replace(r#""n1", "n2""#, r#""n1""#);
+    let mut lines = String::new();
+    for (version, map) in [("old", MAP), ("in no region", &taken), ("moved", &moved)] {
+        for own in ["north", "south"] {
+            let map = map.replace("own = \"north\"", &format!("own = \"{own}\""));
+            let mut regions = Regions::new(RegionMap::parse("regions.toml", &map).expect("it makes sense"));
+            let passed = regions.hear(true, entries("a n1, b n2, c s1, d s2"));
+            lines += &format!("{version}, {own}: {}\n", shown(&passed));
+        }
+    }
+    expect![[r#"
+        old, north: a n1, b n2
+        old, south: c s1, d s2
+        in no region, north: [no region for n2], a n1
+        in no region, south: [no region for n2], c s1, d s2
+        moved, north: a n1
+        moved, south: b n2, c s1, d s2
+    "#]]
+    .assert_eq(&lines);
+}
+
 #[test]
 fn hosts_are_counted_by_where_they_lie() {
     let mut regions = regions();
