--- a/regions/src/hosts.rs
+++ b/regions/src/hosts.rs
@@ -124,7 +124,7 @@
             let zone = entry.zone.as_deref().and_then(|zone| map.zone(zone));
             // A list may name a host twice, in two places: it is where the last entry has it.
             let here = host.region(map) == ring && (ends || zone.map(|zone| map.region_of(zone)) == ring);
-            if host.origin || host.told && ends || here {
+            if host.origin || here {
                 // What ends its use leaves its place as it was, whatever that says.
                 let kept = host.heard.filter(|_| host.told && ends);
                 passed.came += usize::from(!host.told && !ends && !host.origin);
