Lab: the fleet judged beside its waits for a core; scale: a hang, discovery down

Processes of a scale run stood ready without a core for 0.4 to 2.6 times as long as they worked (schedstat, one look): a thread that works waits longer than one that only sleeps, and that is the machine's. Change: for the fleet's and the bare thread each turn is also noted less what it waited for a core since it was due (schedstat's second field), and the two are compared beside those waits. Stricter where it was lax: waits of the bare thread excuse no work of the fleet's.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -528,7 +528,7 @@
     let events = ledger.take();
     let mut figures = figures::figures(&experiment, &played.records, &events, played.cpu_s);
     // The hosts are somebody else's: nothing is known of their lateness.
-    let (bare, world) = (bare.stop(), lateness::histogram());
+    let (bare, world) = (bare.stop(), lateness::Seen::default());
     figures.note_late(&bare, &world, experiment.load.late());
     let ops = figures::late(&played.records);
     let (void, warning) = lateness::judge(experiment.bounds(figures.benefit), &ops, &world, &bare).told();
--- a/lab/src/scale/script.rs
+++ b/lab/src/scale/script.rs
@@ -15,6 +15,8 @@
 const BALANCER_KB: f64 = 200.0;
 const KNOWN_KB: f64 = 6.0;
 const CONNECTION_KB: f64 = 8.0;
+/// How long is looked on after a fault, in seconds.
+pub const RECOVERY_S: f64 = 4.0;
 /// Descriptors beside connections.
 const BESIDE: usize = 64;
 /// How much more than its part of the connections one process of a fleet may get.
@@ -69,6 +71,8 @@
     #[serde(default = "stretch")]
     pub seconds: f64,
     #[serde(default)]
+    pub faults: Faults,
+    #[serde(default)]
     pub held: Held,
     #[serde(default)]
     pub processes: Processes,
@@ -139,6 +143,16 @@
     }
 }
 
+/// What goes wrong after the stretch with ops, one after the other; 0 for nothing.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// The first host takes commands and says nothing for so long.
+    pub hang_s: f64,
+    /// Discovery says nothing for so long, while the list goes on changing; ops rest.
+    pub discovery_down_s: f64,
+}
+
 /// Over how many processes hollow balancers and hosts are spread.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -269,6 +283,8 @@
         sane("settle_s", self.settle_s, 0.1, 60.0)?;
         sane("quiet_s", self.quiet_s, 0.5, 120.0)?;
         sane("seconds", self.seconds, 0.5, 120.0)?;
+        sane("faults.hang_s", self.faults.hang_s, 0.0, 60.0)?;
+        sane("faults.discovery_down_s", self.faults.discovery_down_s, 0.0, 60.0)?;
         sane("processes.hollow", f64::from(self.processes.hollow), 1.0, 32.0)?;
         sane("processes.fleet", f64::from(self.processes.fleet), 1.0, 32.0)?;
         for &at in &self.points {
@@ -369,7 +385,10 @@
 
     /// How long it plays at the least, in seconds.
     pub fn length_s(&self) -> f64 {
+        let Faults { hang_s, discovery_down_s } = self.faults;
+        let faults = [hang_s, discovery_down_s].into_iter().filter(|&span| span > 0.0);
         let point = 2.0 * self.settle_s + self.quiet_s + self.seconds + 1.5;
+        let point = point + faults.map(|span| span + RECOVERY_S).sum::<f64>();
         point * (self.points.len() * self.repeats) as f64
     }
 
