--- a/lab/src/lateness.rs
+++ b/lab/src/lateness.rs
@@ -288,14 +288,16 @@
     // Seven wakes in a row: half of the target is what an op has to spare at the least; it is late by that only where one of its
     // wakes is by its share of it.
     let share = bounds.target / 2 / i64::from(WAKES);
-    let over = part_over(bare, share);
+    // Whatever made the fleet late, waits for a core among it, what hangs on its answers can't be told.
+    let over = part_over(bare, share).max(part_over(world, share));
     let blurred = (f64::from(WAKES) * over).min(bounds.missed);
     if blurred > LATE_PART {
         return Verdict::Void(
             Cause::Machine,
             format!(
-                "the machine was late: a bare thread woke over {:.1} ms late in {:.2}% of its turns \
-                 (p99 {bare_p99:.1}, most {:.1} ms), so up to {:.1}% of the benefit can't be told",
+                "the machine was late: a bare thread, or the fleet for want of a core, woke over {:.1} ms late in \
+                 {:.2}% of its turns (bare p99 {bare_p99:.1}, most {:.1} ms), so up to {:.1}% of the benefit can't \
+                 be told",
                 ms(share as u64),
                 100.0 * over,
                 ms(bare.max()),
--- a/lab/tests/lateness.rs
+++ b/lab/tests/lateness.rs
@@ -97,7 +97,14 @@
     // What it waited for a core is the machine's, though a thread that does nothing waits for less;
     let waited = waiting(&[(60, 5 * MS)]);
     assert!(matches!(judge(BOUNDS, &ops, &waited, &calm), Verdict::Warned(_)));
-    // and that of the bare thread excuses no work of the fleet's.
+    // where it waited so long that the benefit can't be told, the run is void all the same;
+    let waited_long = waiting(&[(2, 20 * MS)]);
+    void(
+        &judge(BOUNDS, &ops, &waited_long, &calm),
+        Cause::Machine,
+        "up to 1.4% of the benefit can't be told",
+    );
+    // and the bare thread's waits excuse no work of the fleet's.
     void(&judge(BOUNDS, &ops, &late, &waited), Cause::Lab, "2.0% also beside its waits for a core");
     let mut still = thread(&[]);
     still.late.record(300 * MS as u64).expect("within bounds");
