Regions: the map's version among the figures and in the log

Cause: which map a balancer has was told nowhere, so that a move of a zone in steps could not be followed.

Change: edge_proxy_regions_map{version="xxxxxxxx"} 1, and a line at the start: the CRC-32 of what the map says but for the own region, over what was read, so that comments, white space and the order of a region's zones don't count, nor whether a least of 1 is said. crc32fast, which knowledge/ uses already.

Before: no figure. After: copies with another own region and comments show one version, 14 other maps told apart or alike in a trace, and two maps in the running balancer.

--- a/balancer/src/figures.rs
+++ b/balancer/src/figures.rs
@@ -27,10 +27,12 @@
     regions: RefCell<Option<InRegions>>,
 }
 
-/// How many hosts of the list lie where, and each region's name with whether it is the ring.
+/// How many hosts of the list lie where, each region's name with whether it is the ring, the map's version.
 struct InRegions {
     counts: Counts,
     names: Vec<(String, bool)>,
+    /// The map's, as eight digits.
+    version: String,
 }
 
 /// An op that was taken and has not ended for its client. Dropped without an outcome it was abandoned, and counts as
@@ -76,7 +78,8 @@
     pub fn regions<T: Clone>(&self, regions: &Regions<T>) {
         let ring = |name: &String| (name.clone(), name == regions.ring());
         let names = regions.map().names().iter().map(ring).collect();
-        self.regions.replace(Some(InRegions { counts: regions.counts(), names }));
+        let version = format!("{:08x}", regions.map().version());
+        self.regions.replace(Some(InRegions { counts: regions.counts(), names, version }));
     }
 
     /// There are hosts to route by.
@@ -111,7 +114,10 @@
         ] {
             page.figure(name, kind, help, [(None, number)]);
         }
-        if let Some(InRegions { counts, names }) = &*self.regions.borrow() {
+        if let Some(InRegions { counts, names, version }) = &*self.regions.borrow() {
+            let help = "1 for the version of the map: the CRC-32 of all that it says but for the own region.";
+            let sample = (Some(("version", version.as_str())), 1);
+            page.figure("edge_proxy_regions_map", "gauge", help, [sample]);
             let rings = names.iter().map(|(name, ring)| (Some(("region", name.as_str())), u64::from(*ring)));
             let help = "1 for the region whose hosts are this balancer's ring.";
             page.figure("edge_proxy_regions_ring", "gauge", help, rings);
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -95,6 +95,9 @@
         );
         let most_held = told.bounds.most_held;
         let desk = Desk::new(&told.terms, told.words, most_held, servers, clock, counters, budget);
+        if let Some(map) = &told.regions {
+            log::info!("regions: map {:08x}, own region {:?}", map.version(), map.own());
+        }
         let desk = Rc::new(desk.with_regions(told.regions));
         let phase = Rc::new(watch::Sender::new(Phase::Starting));
         let failed = |cause: std::io::Error| cause.to_string();
--- a/balancer/tests/regions.rs
+++ b/balancer/tests/regions.rs
@@ -138,6 +138,7 @@
         a b
         a b
         fetched: true
+        regions_map{version="6289afb4"} 1
         regions_ring{region="north"} 1
         regions_ring{region="south"} 0
         regions_hosts_ring 2
@@ -450,6 +451,30 @@
     assert_eq!(serve(folder.path(), &["a"]), ("a".to_owned(), true));
 }
 
+/// In the log's line of the start, and as a figure.
+#[test]
+fn copies_of_one_map_show_the_same_version() {
+    let a = named("a");
+    let known = [at("a", "n1", a.address, "active"), at("b", "s1", a.address, "active")];
+    let text = told(nowhere(), &known, SETTINGS);
+    let versions = |map: &str| {
+        let mut program = Program::in_regions(BINARY, &text, map);
+        let line = program.logged("regions: map");
+        program.mgmt = program.logged("mgmt on").rsplit(' ').next().expect("an address").to_owned();
+        let program = program.serving();
+        let figures = program.figures("edge_proxy_regions_hosts_ring 1");
+        let figure = figures.lines().find(|line| line.starts_with("regions_map")).expect("a figure");
+        format!("{} / {figure}", line.split_once("regions: ").expect("its part").1)
+    };
+    let south = MAP.replace("own = \"north\"", "# The south's copy.\nown = \"south\"");
+    let other = MAP.replace("\"n2\"", "\"n3\"");
+    expect![[r#"
+        map 6289afb4, own region "north" / regions_map{version="6289afb4"} 1
+        map 6289afb4, own region "south" / regions_map{version="6289afb4"} 1
+        map f7f97b21, own region "north" / regions_map{version="f7f97b21"} 1"#]]
+    .assert_eq(&[MAP, &south, &other].map(versions).join("\n"));
+}
+
 /// What follows the file's name or the program's in a line.
 fn after(line: &str, part: &str) -> String {
     let line = line.split_once(part).map_or(line, |found| found.1);
--- a/regions/src/hosts.rs
+++ b/regions/src/hosts.rs
@@ -209,9 +209,9 @@
         }
     }
 
-    /// The region that the ring is of: the first with its least number of hosts up, from the own one on in the
-    /// file's order and round; where none has that, the first with any. Where none has any it stays: an empty
-    /// list may be wrong, and the module may go on using what it has.
+    /// The region that the ring is of: the first with its least number of hosts up, from the own one on in
+    /// the file's order and round; where none has that, the first with any. Where none has any it stays: an
+    /// empty list may be wrong, and the module may go on using what it has.
     fn by_the_list(&self) -> u16 {
         let count = self.map.names().len() as u16;
         let mut up = vec![0_u32; usize::from(count)];
--- a/regions/src/lib.rs
+++ b/regions/src/lib.rs
@@ -7,8 +7,8 @@
 //! forgotten a host ([`Regions::forget`]).
 //!
 //! By the list alone, and so alike at all balancers of a region, the ring is the next region in the file's
-//! order after the own one while that holds fewer hosts that are up than its least, which the file may say and
-//! which is 1 otherwise. It decides nothing about ops, and knows
+//! order after the own one while that holds fewer hosts that are up than its least, which the file may say
+//! and which is 1 otherwise. It decides nothing about ops, and knows
 //! nothing of how hosts do: spill by evidence is not built (docs/regions.md).
 
 mod hosts;
--- a/regions/src/map.rs
+++ b/regions/src/map.rs
@@ -46,6 +46,7 @@
     balancers: Option<u32>,
     /// Sorted, each with its region.
     zones: Vec<(Box<str>, u16)>,
+    version: u32,
 }
 
 impl RegionMap {
@@ -120,13 +121,49 @@
             return Err(refusal(read.own.span(), format!("no region {own:?}: own is to be one of {known}")));
         };
         let least = |region: &Table| region.hosts.as_ref().and_then(number).unwrap_or(1);
-        Ok(RegionMap {
+        let mut map = RegionMap {
             own: at as u16,
             balancers: read.region[at].balancers.as_ref().and_then(number),
             leasts: read.region.iter().map(least).collect(),
             zones: zones.into_iter().map(|(zone, (region, _))| (zone.into(), region as u16)).collect(),
             names: read.region.iter().map(|region| region.name.get_ref().clone()).collect(),
-        })
+            version: 0,
+        };
+        map.version =
+            map.checksum(read.region.iter().map(|region| region.balancers.as_ref().and_then(number)));
+        Ok(map)
+    }
+
+    /// Over the regions in the file's order: name, zones sorted, balancers (0 where none are said), least.
+    /// Numbers are of four bytes, lowest first; a text comes after its length, the zones after their number.
+    fn checksum(&self, balancers: impl Iterator<Item = Option<u32>>) -> u32 {
+        let mut sum = crc32fast::Hasher::new();
+        let number = |sum: &mut crc32fast::Hasher, number: u32| sum.update(&number.to_le_bytes());
+        let text = |sum: &mut crc32fast::Hasher, text: &str| {
+            number(sum, text.len() as u32);
+            sum.update(text.as_bytes());
+        };
+        let mut zones = vec![Vec::new(); self.names.len()];
+        for (zone, region) in &self.zones {
+            zones[usize::from(*region)].push(&**zone);
+        }
+        for (((name, zones), balancers), least) in
+            self.names.iter().zip(zones).zip(balancers).zip(&self.leasts)
+        {
+            text(&mut sum, name);
+            number(&mut sum, zones.len() as u32);
+            zones.into_iter().for_each(|zone| text(&mut sum, zone));
+            number(&mut sum, balancers.unwrap_or(0));
+            number(&mut sum, *least);
+        }
+        sum.finalize()
+    }
+
+    /// The CRC-32 (IEEE 802.3) of all that the file says but for the own region, so that all regions' copies
+    /// of one map have the same: regions in their order with names, zones, numbers of balancers and least
+    /// numbers of hosts. Comments, white space and the order of a region's zones don't count.
+    pub fn version(&self) -> u32 {
+        self.version
     }
 
     /// The own region's name.
@@ -144,7 +181,7 @@
         self.balancers
     }
 
-    /// The least number of hosts that are up with which a region's ring can stand, 1 where the file says none.
+    /// The least number of hosts that are up with which a region's ring can stand; 1 where none is said.
     pub(crate) fn least(&self, region: u16) -> u32 {
         self.leasts[usize::from(region)]
     }
--- a/regions/tests/map.rs
+++ b/regions/tests/map.rs
@@ -142,6 +142,58 @@
     .assert_eq(&lines.join("\n"));
 }
 
+/// By what the map says, whoever's copy it is and however that is written.
+#[test]
+fn a_version_tells_maps_apart_by_all_they_say_but_the_own_region() {
+    let version =
+        |text: &str| RegionMap::parse("regions.toml", text).map(|map| format!("{:08x}", map.version()));
+    let mut lines = vec![version(GOOD).expect("it makes sense")];
+    for (part, by) in [
+        ("own = \"north\"", "own = \"south\""),
+        ("own = \"north\"", "# The southern copy.\nown = 'south'   # here"),
+        ("[\"z01\", \"z02\"]", "[\n  \"z02\",\n  \"z01\", # the other\n]"),
+        ("zones = [\"z03\"]", "zones = [\"z03\"]\nhosts = 1"),
+        ("\"z02\"", "\"z04\""),
+        ("\"z02\"]", "\"z02\", \"z04\"]"),
+        ("[\"z01\", \"z02\"]", "[\"z01z02\"]"),
+        ("name = \"south\"", "name = \"east\""),
+        ("519", "518"),
+        ("balancers = 519\n", ""),
+        ("hosts = 8", "hosts = 9"),
+        ("hosts = 8\n", ""),
+        ("zones = [\"z03\"]", "zones = [\"z03\"]\nbalancers = 20"),
+        ("[[region]]", "[[region]]\nname = \"west\"\nzones = [\"z05\"]\n[[region]]"),
+    ] {
+        let text = GOOD.replacen(part, by, 1);
+        assert_ne!(text, GOOD);
+        let (version, same) = (version(&text).expect("it makes sense"), &lines[0]);
+        let word = if version == *same { "the same" } else { "another" };
+        lines.push(format!("{word}: {part:?} now {by:?}"));
+    }
+    let (north, south) = GOOD.split_at(GOOD.rfind("[[region]]").expect("it is there"));
+    let (own, north) = north.split_once("\n\n").expect("an empty line");
+    let turned = version(&format!("{own}\n{south}{north}")).expect("it makes sense");
+    lines.push(format!("{}: turned round", if turned == lines[0] { "the same" } else { "another" }));
+    expect![[r##"
+        7a4aced4
+        the same: "own = \"north\"" now "own = \"south\""
+        the same: "own = \"north\"" now "# The southern copy.\nown = 'south'   # here"
+        the same: "[\"z01\", \"z02\"]" now "[\n  \"z02\",\n  \"z01\", # the other\n]"
+        the same: "zones = [\"z03\"]" now "zones = [\"z03\"]\nhosts = 1"
+        another: "\"z02\"" now "\"z04\""
+        another: "\"z02\"]" now "\"z02\", \"z04\"]"
+        another: "[\"z01\", \"z02\"]" now "[\"z01z02\"]"
+        another: "name = \"south\"" now "name = \"east\""
+        another: "519" now "518"
+        another: "balancers = 519\n" now ""
+        another: "hosts = 8" now "hosts = 9"
+        another: "hosts = 8\n" now ""
+        another: "zones = [\"z03\"]" now "zones = [\"z03\"]\nbalancers = 20"
+        another: "[[region]]" now "[[region]]\nname = \"west\"\nzones = [\"z05\"]\n[[region]]"
+        another: turned round"##]]
+    .assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn the_example_makes_sense() {
     let text = include_str!("../../deploy/regions.example.toml");
