Balancer: tests of a region cut off from its hosts, and of maps of two versions

Three programs before the same hosts and discovery, two with a map in which a zone has moved, one with the one before: each uses its own ring, and a drain of the moved host binds at both that use it.

--- a/balancer/tests/regions.rs
+++ b/balancer/tests/regions.rs
@@ -5,16 +5,18 @@
 mod common;
 
 use std::collections::BTreeSet;
-use std::io::ErrorKind;
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
 use closed::{breaking_host, one_out, patient};
 use common::*;
 use expect_test::expect;
+use socket2::{Domain, Socket, Type};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
 const MAP: &str = r#"own = "north"
@@ -83,6 +85,43 @@
     }
 }
 
+/// A host that refuses connections until it is opened, and counts those that it has taken.
+struct Refusing {
+    socket: Socket,
+    address: SocketAddr,
+    taken: Arc<AtomicU32>,
+}
+
+impl Refusing {
+    fn start() -> Refusing {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+        let address = socket.local_addr().expect("an address").as_socket().expect("of IPv4");
+        Refusing { socket, address, taken: Arc::default() }
+    }
+
+    /// From now on it has a value for every key, its name; how many connections it has taken.
+    fn opened(self, name: &'static str) -> Arc<AtomicU32> {
+        self.socket.listen(128).expect("it listens");
+        let (listener, taken) = (TcpListener::from(self.socket), self.taken.clone());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                taken.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    let mut reading = BufReader::new(stream.try_clone().expect("a second handle"));
+                    while read_command(&mut reading).is_ok() {
+                        let Says::Text(text) = hit(name) else { break };
+                        if stream.write_all(text.as_bytes()).is_err() {
+                            break;
+                        }
+                    }
+                });
+            }
+        });
+        self.taken
+    }
+}
+
 /// Who answers reads of many keys. They are asked for again until all these have answered; whoever else does
 /// is told too, but for refusals that are not awaited: a machine that stands still for a moment has pushes
 /// time out, and their host left for a while.
@@ -451,6 +490,103 @@
     assert_eq!(serve(folder.path(), &["a"]), ("a".to_owned(), true));
 }
 
+/// The own region's hosts are up by the list and can't be reached, one hangs and one refuses, while the other
+/// region's would answer: each op ends for its client in its time, nothing goes over there, and the region
+/// serves again once its hosts answer.
+#[test]
+fn a_region_that_cannot_be_reached_waits_for_no_other_and_serves_again() {
+    let hangs = Arc::new((Mutex::new(false), Condvar::new()));
+    let shared = hangs.clone();
+    let a = Peer::host(move |_| {
+        let hangs = shared.0.lock().expect("a lock");
+        drop(shared.1.wait_while(hangs, |hangs| *hangs).expect("a lock"));
+        hit("a")
+    });
+    let (b, south) = (Refusing::start(), Refusing::start());
+    let known = [
+        at("a", "n1", a.address, "active"),
+        at("b", "n2", b.address, "active"),
+        at("s", "s1", south.address, "active"),
+    ];
+    let (address, taken) = (south.address, south.opened("s"));
+    let program = started(nowhere(), &known, SETTINGS);
+    let mut trace = vec![who(&program, &["a"])];
+    *hangs.0.lock().expect("a lock") = true;
+    let began = Instant::now();
+    let mut clients: Vec<Client> = (0..24).map(|_| program.client()).collect();
+    for (nth, client) in clients.iter_mut().enumerate() {
+        client.get(&format!("k{nth}"), &format!("cut{nth}"), "c=read,d=400");
+    }
+    let cut: Vec<String> = clients.iter_mut().map(Client::answer).collect();
+    let took = began.elapsed();
+    let refused = cut.iter().filter(|answer| answer.starts_with("-BUSY") || *answer == "-ERR dead-lettered");
+    trace.push(format!("cut: {} of {} without a value", refused.count(), cut.len()));
+    assert!(took < Duration::from_secs(2), "ops of 0.4 s took {took:?}");
+    *hangs.0.lock().expect("a lock") = false;
+    hangs.1.notify_all();
+    b.opened("b");
+    trace.push(who(&program, &["a", "b"]));
+    let line = program.counts("ops", 24);
+    trace.extend(line.split(' ').filter(|word| word.starts_with("regions_rings")).map(str::to_owned));
+    assert_eq!(taken.load(Ordering::SeqCst), 0, "a connection went to the other region");
+    // It was there all the time.
+    let mut there = Client::at(&address.to_string());
+    there.get("k", "id", "c=read,d=400");
+    trace.push(format!("over there: {}, by connection {}", there.answer(), taken.load(Ordering::SeqCst)));
+    println!("cut for {took:?}, in all {:?}", began.elapsed());
+    expect![[r#"
+        a
+        cut: 24 of 24 without a value
+        a b
+        regions_rings=0
+        over there: *3, by connection 1"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
+/// A zone is moved from the north to the south, and some balancers have the map before and others the one
+/// after: each uses its own ring, and a drain of the host that both use binds at both.
+#[test]
+fn balancers_with_maps_of_two_versions_use_each_its_own_ring() {
+    let (a, b, c) = (named("a"), named("b"), named("c"));
+    let discovery = Discovery::start();
+    let list = |told: &str| {
+        let (a, b) = (at("a", "n1", a.address, "active"), at("b", "n2", b.address, told));
+        vec![a, b, at("c", "s1", c.address, "active")]
+    };
+    let moved = MAP.replace(r#""n1", "n2""#, r#""n1""#).replace(r#""s1""#, r#""s1", "n2""#);
+    let moved_south = moved.replace("own = \"north\"", "own = \"south\"");
+    let programs = [MAP, &moved, &moved_south]
+        .map(|map| started_by(map, discovery.peer.address, &list("active"), SETTINGS));
+    let mut trace = Vec::new();
+    let awaited = [&["a", "b"][..], &["a"], &["b", "c"]];
+    for (program, awaited) in programs.iter().zip(awaited) {
+        let figures = program.figures("edge_proxy_regions_hosts_unnamed 0");
+        trace.extend(figures.lines().filter(|line| line.starts_with("regions_map")).map(str::to_owned));
+        trace.push(who(program, awaited));
+    }
+    // What nobody uses shows when this list is in force.
+    let drained = [list("leaving"), vec![at("x", "x1", nowhere(), "active")]].concat();
+    discovery.tell(&drained);
+    for program in &programs {
+        program.figures("edge_proxy_regions_hosts_unnamed 1");
+    }
+    while b.seen().is_some() {}
+    trace.extend(programs.iter().zip(["a", "a", "c"]).map(|(program, awaited)| who(program, &[awaited])));
+    let later: Vec<String> = std::iter::from_fn(|| b.seen()).filter(|seen| seen != "closed").collect();
+    assert!(later.is_empty(), "{later:?} came after its drain");
+    expect![[r#"
+        regions_map{version="6289afb4"} 1
+        a b
+        regions_map{version="2d263844"} 1
+        a
+        regions_map{version="2d263844"} 1
+        b c
+        a
+        a
+        c"#]]
+    .assert_eq(&trace.join("\n"));
+}
+
 /// In the log's line of the start, and as a figure.
 #[test]
 fn copies_of_one_map_show_the_same_version() {
