--- a/lab/src/scale/discovery.rs
+++ b/lab/src/scale/discovery.rs
@@ -90,13 +90,16 @@
     async fn change(self: Rc<Discovery>) {
         let mut rng = ChaCha8Rng::seed_from_u64(self.spec.seed);
         let mut leaving = None;
+        let mut begun = false;
         loop {
             if !self.changing.get() || self.spec.changes_per_s <= 0.0 {
+                begun = false;
                 sleep(Duration::from_millis(5)).await;
                 continue;
             }
-            // Evenly: a short stretch is to see as many with every seed.
-            sleep(Duration::from_secs_f64((1.0 / self.spec.changes_per_s).min(10.0))).await;
+            // Evenly: a short stretch is to see as many with every seed; and none at its very end.
+            let part = if std::mem::replace(&mut begun, true) { 1.0 } else { 0.25 };
+            sleep(Duration::from_secs_f64((part / self.spec.changes_per_s).min(10.0))).await;
             let hosts = self.spec.entries.len();
             let (nth, lifecycle) = match leaving.take() {
                 Some(nth) => (nth, "active"),
--- a/lab/src/scale/play.rs
+++ b/lab/src/scale/play.rs
@@ -239,7 +239,7 @@
     let listen = SocketAddr::from(([127, 0, 0, 1], 1));
     let told = settings::told(&experiment, "hollow", listen, &seat, seed);
     let mut hollows = Vec::new();
-    for (first, balancers) in spread(held.balancers, script.processes.hollow) {
+    for (first, balancers) in spread(held.balancers, script.hollow_processes(&held)) {
         let spec = HollowSpec {
             settings: told["settings"].clone(),
             known: known.clone(),
--- a/lab/src/scale/script.rs
+++ b/lab/src/scale/script.rs
@@ -159,11 +159,14 @@
 pub struct Processes {
     pub hollow: u32,
     pub fleet: u32,
+    /// Hollow balancers of a process, instead of `hollow` processes: then what a process costs by itself is the
+    /// same part of a balancer's figures at every point.
+    pub each: Option<u32>,
 }
 
 impl Default for Processes {
     fn default() -> Processes {
-        Processes { hollow: 2, fleet: 2 }
+        Processes { hollow: 2, fleet: 2, each: None }
     }
 }
 
@@ -315,6 +318,12 @@
         held
     }
 
+    /// Over how many processes a point's hollow balancers are spread.
+    pub fn hollow_processes(&self, held: &Held) -> u32 {
+        let Processes { hollow, each, .. } = self.processes;
+        each.map_or(hollow, |each| held.balancers.div_ceil(each.max(1)))
+    }
+
     /// Where the axis stands in the plan.
     pub fn planned(&self) -> f64 {
         match self.axis {
@@ -331,15 +340,16 @@
     /// # Errors
     /// The first want, in one line with the way out.
     pub fn fits(&self, machine: Machine) -> Result<(), String> {
-        let Processes { hollow, fleet } = self.processes;
+        let fleet = self.processes.fleet;
         for &point in &self.points {
             let held = self.at(point);
+            let hollow = self.hollow_processes(&held);
             let at = format!("{} = {point}", self.axis.name());
             let real = held.real_rate > 0.0;
             let processes = (hollow + fleet) as usize + 1 + usize::from(real);
             if processes > MOST_PROCESSES {
                 return Err(format!(
-                    "{at}: {processes} processes and {MOST_PROCESSES} at most: fewer processes.hollow or \
+                    "{at}: {processes} processes and {MOST_PROCESSES} at most: fewer processes.hollow (or more processes.each) or \
                      processes.fleet"
                 ));
             }
@@ -349,7 +359,7 @@
                 (
                     "a hollow process",
                     balancers.div_ceil(hollow as usize) * (held.sockets + 1) + BESIDE,
-                    "more processes.hollow, fewer held.sockets",
+                    "more processes.hollow (or fewer processes.each), fewer held.sockets",
                 ),
                 (
                     "a process of the fleet",
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -11,6 +11,7 @@
 use basaltwood_lab::scale::draw::file_name;
 use basaltwood_lab::scale::script::{Machine, Script};
 use basaltwood_lab::scale::slope::line;
+use basaltwood_lab::script::Experiment;
 use serde_json::Value;
 
 const LAB: &str = env!("CARGO_BIN_EXE_basaltwood-lab");
@@ -73,6 +74,9 @@
     assert!(line.contains("of memory, more than half of this machine's 100 MB"), "{line}");
     let many = format!("{SMALL}[processes]\nhollow = 32\nfleet = 20\n");
     assert!(refused(many, ROOMY).contains("54 processes and 40 at most"));
+    let each = format!("{SMALL}[processes]\neach = 2\n");
+    let script = Script::parse(&each, false).expect("a script");
+    assert_eq!(script.hollow_processes(&script.at(6.0)), 4);
     let fault = Script::parse(&SMALL.replace("rate = 10", "rite = 10"), false).expect_err("no such field");
     assert!(fault.starts_with("14: unknown field `rite`") && !fault.contains('\n'), "{fault}");
     let fault = Script::parse(&SMALL.replace("[6, 12]", "[]"), false).expect_err("no point");
@@ -94,7 +98,11 @@
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scale");
     let files = std::fs::read_dir(folder).expect("a folder").map(|file| file.expect("a file").path());
     let mut seen = 0;
-    for file in files.filter(|file| !file.to_string_lossy().contains("pairs-")) {
+    for file in files.filter(|file| !file.to_string_lossy().contains("/map-")) {
+        if file.to_string_lossy().contains("/pairs-") {
+            Experiment::read(&file).expect("an experiment");
+            continue;
+        }
         seen += 1;
         for quick in [false, true] {
             let script = Script::read(&file, quick).expect("a script");
