The test of a drain heard after a stop tells a dial from a request

A request that was read first dials the host, the list is read before the first byte, and the dial is let go (Servers::closed). What the test is for, that nothing is sent, is asserted as before over all that came; a dial carries nothing.

--- a/balancer/tests/drains.rs
+++ b/balancer/tests/drains.rs
@@ -311,7 +311,9 @@
     discovery.write_all(text.as_bytes()).expect("it is taken");
     program.signal("CONT");
     clients.iter_mut().for_each(|client| assert_eq!(client.answer(), "from b"));
-    assert!(a.quiet(), "nothing goes to the host that leaves");
+    // One whose request was read first may have dialled it; the list comes before the first byte.
+    let sent: Vec<String> = std::iter::from_fn(|| a.seen()).filter(|seen| seen != "closed").collect();
+    assert!(sent.is_empty(), "nothing goes to the host that leaves: {sent:?}");
 }
 
 /// Two hosts go, and one of them comes back under its name, all by changes to the list: its number is another then, and the
