--- a/lab/src/scale/discovery.rs
+++ b/lab/src/scale/discovery.rs
@@ -18,10 +18,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::part::{in_json, Asked, Role, Said};
 use crate::load::player::thread_cpu;
+use crate::world::discovery::{changes_asked, held};
 use crate::world::host::listen;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -148,22 +149,11 @@
                 mark.calls += 1;
                 mark.bytes_in += request.used as u64;
             }
-            let number = |name: &str| {
-                let query = request.path.split_once('?').map_or("", |(_, query)| query);
-                let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-                value.and_then(|value| value.parse::<u64>().ok())
-            };
-            let from = number("from");
-            if let Some(from) = from {
-                let hold = Duration::from_millis(number("hold_ms").unwrap_or(0).min(60_000));
-                let mut generation = self.generation.subscribe();
-                let newer = generation.wait_for(|&generation| generation > from);
-                let gone = async { while !matches!(stream.read(&mut [0]).await, Ok(0) | Err(_)) {} };
-                tokio::select! {
-                    _ = timeout(hold, newer) => {}
-                    () = gone => return,
-                }
+            let asked = changes_asked(&request.path);
+            if !held(&mut stream, &self.generation, asked).await {
+                return;
             }
+            let from = asked.map(|(from, _)| from);
             if silent.wait_for(|silent| !silent).await.is_err() {
                 return;
             }
--- a/lab/src/world/discovery.rs
+++ b/lab/src/world/discovery.rs
@@ -34,6 +34,33 @@
     body: Value,
 }
 
+/// After which version a call asks for changes, and for how long it may be held; none where it asks for all.
+pub(crate) fn changes_asked(path: &str) -> Option<(u64, Duration)> {
+    let number = |name: &str| {
+        let query = path.split_once('?').map_or("", |(_, query)| query);
+        let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        value.and_then(|value| value.parse::<u64>().ok())
+    };
+    Some((number("from")?, Duration::from_millis(number("hold_ms").unwrap_or(0).min(60_000))))
+}
+
+/// Holds a call for changes until there is something newer or its time is over; whether its caller is still there. One that
+/// has gone is not to be told anything: that would count as told.
+pub(crate) async fn held(
+    stream: &mut TcpStream,
+    generation: &watch::Sender<u64>,
+    asked: Option<(u64, Duration)>,
+) -> bool {
+    let Some((from, hold)) = asked else { return true };
+    let mut generation = generation.subscribe();
+    let newer = generation.wait_for(|&generation| generation > from);
+    let gone = async { while !matches!(stream.read(&mut [0]).await, Ok(0) | Err(_)) {} };
+    tokio::select! {
+        _ = timeout(hold, newer) => true,
+        () = gone => false,
+    }
+}
+
 /// What one balancer's agent knows.
 pub struct Agent {
     balancer: usize,
@@ -180,23 +207,11 @@
                 Err(_) => return,
             };
             buffer.consume(request.used);
-            let number = |name: &str| {
-                let query = request.path.split_once('?').map_or("", |(_, query)| query);
-                let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-                value.and_then(|value| value.parse::<u64>().ok())
-            };
-            let from = number("from");
-            if let Some(from) = from {
-                let hold = Duration::from_millis(number("hold_ms").unwrap_or(0).min(60_000));
-                let mut generation = self.generation.subscribe();
-                let newer = generation.wait_for(|&generation| generation > from);
-                // A balancer that has gone is not to be told anything: that would count as told.
-                let gone = async { while !matches!(stream.read(&mut [0]).await, Ok(0) | Err(_)) {} };
-                tokio::select! {
-                    _ = timeout(hold, newer) => {}
-                    () = gone => return,
-                }
+            let asked = changes_asked(&request.path);
+            if !held(&mut stream, &self.generation, asked).await {
+                return;
             }
+            let from = asked.map(|(from, _)| from);
             while self.silent.get() {
                 self.woken.notified().await;
             }
