A window begins at one place, and a call for the list has one beginning

Read again: Windows::take began windows in two ways, one with a time before all times as a stand-in, and list.rs looked at the clock twice for the same call.

--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -223,7 +223,7 @@
         let began = Instant::now();
         let next = began + APART;
         log::debug!("asks discovery from {:?}", asking.from());
-        match call(desk, &mut connection, address, asking).await {
+        match call(desk, &mut connection, address, asking, began).await {
             Ok(page) => {
                 if asking.failures() > 0 {
                     log::info!("discovery answers again");
@@ -259,8 +259,8 @@
     connection: &mut Option<Link>,
     discovery: SocketAddr,
     asking: &Asking,
+    began: Instant,
 ) -> Result<Page, Trouble> {
-    let began = Instant::now();
     let silent = |cause: std::io::Error| Trouble::Silent(cause.to_string());
     let mute = |what: &str| Trouble::Silent(what.to_owned());
     let Link { stream, buffer, .. } = match connection {
--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -157,24 +157,30 @@
             self.cleared_at = now;
             self.sends.retain(|_, window| now - window.began < length);
         }
-        let whole =
-            self.sends.entry((host, None)).or_insert(Window { began: Micros::MIN / 2, sent: 0.0, luck: 0.0 });
-        if now - whole.began >= length {
-            *whole = Window { began: now, sent: 0.0, luck: chance.part() };
-        }
+        let whole = self.window((host, None), now, length, || chance.part());
         let free = whole.sent + 1.0 <= all + whole.luck;
         let there = key.map(|(key, most)| ((host, Some(key)), most));
         let sent = there.and_then(|(at, _)| self.sends.get(&at)).filter(|window| now - window.began < length);
         let free = free && there.is_none_or(|(_, most)| sent.map_or(0.0, |window| window.sent) <= most);
         for at in there.map(|there| there.0).into_iter().chain([(host, None)]).filter(|_| free) {
-            let window = self.sends.entry(at).or_insert(Window { began: now, sent: 0.0, luck: 0.0 });
-            if now - window.began >= length {
-                (window.began, window.sent) = (now, 0.0);
-            }
-            window.sent += 1.0;
+            self.window(at, now, length, || 0.0).sent += 1.0;
         }
         free
     }
+
+    /// The present window, which begins now where the last one is over.
+    fn window(
+        &mut self,
+        at: (HostId, Option<Place>),
+        now: Micros,
+        length: Micros,
+        luck: impl FnOnce() -> f64,
+    ) -> &mut Window {
+        if self.sends.get(&at).is_none_or(|window| now - window.began >= length) {
+            self.sends.insert(at, Window { began: now, sent: 0.0, luck: luck() });
+        }
+        self.sends.get_mut(&at).expect("it is there")
+    }
 }
 
 /// Holds a second's worth of its rate; a rate of 0 has no bound.
