--- /dev/null
+++ b/balancer/tests/faults/last_reply.rs
@@ -0,0 +1,64 @@
+//! Rule 1 at the end of a process: a reply counts once its client has it, not once it is written.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use socket2::{Domain, Socket, Type};
+
+use crate::common::*;
+use crate::BINARY;
+
+/// Longer than what fits into the slow reader's window.
+const VALUE_BYTES: usize = 60_000;
+/// So little the reader's system holds for it.
+const WINDOW_BYTES: usize = 4_096;
+/// When the reader begins to read, after SIGTERM.
+const READ_AFTER: Duration = Duration::from_millis(650);
+
+fn slow_reader(address: &str) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(WINDOW_BYTES).expect("a size");
+    let address: SocketAddr = address.parse().expect("an address");
+    socket.connect(&address.into()).expect("it listens");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
+    stream
+}
+
+/// What the reader gets where it sends these bytes between SIGTERM and its first read.
+fn reply_to_reader_that_sends(meanwhile: &[u8]) -> usize {
+    let host = Peer::host(|_| hit(&"x".repeat(VALUE_BYTES)));
+    let known = [entry("a", host.address, "active")];
+    let mut program = Program::start(BINARY, nowhere(), &known, 1024);
+    let mut reader = slow_reader(&program.address);
+    let command = "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$13\r\nc=read,d=1900\r\n";
+    reader.write_all(command.as_bytes()).expect("it is taken");
+    program.wait_for_counter("succeeded", 1);
+
+    program.signal("TERM");
+    thread::sleep(READ_AFTER / 2);
+    // It may be refused where the connection is closed already.
+    let _ = reader.write_all(meanwhile);
+    thread::sleep(READ_AFTER / 2);
+    let mut reply = Vec::new();
+    // A reset ends it early, and what came until then is what counts.
+    let _ = reader.read_to_end(&mut reply);
+    drop(reader);
+    assert!(program.ended().success());
+    reply.len()
+}
+
+#[test]
+fn last_reply_at_shutdown_is_whole_whatever_its_slow_reader_sends() {
+    let head_and_end = "$60000\r\n".len() + "\r\n".len();
+    let whole = VALUE_BYTES + head_and_end;
+    let half_command: &[u8] = b"*4\r\n$9\r\nCACHE.G";
+    let command: &[u8] = b"*1\r\n$4\r\nPING\r\n";
+    for meanwhile in [b"" as &[u8], half_command, command] {
+        let got = reply_to_reader_that_sends(meanwhile);
+        let sent = String::from_utf8_lossy(meanwhile);
+        assert!(got >= whole, "{got} of {whole} bytes came to the reader that sent {sent:?}");
+    }
+}
--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -51,6 +51,21 @@
     )
 }
 
+/// The configuration of a program without an admin address.
+fn config_text(
+    discovery: SocketAddr,
+    known: &[String],
+    [memory, sockets]: [u32; 2],
+    settings: &str,
+) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},
+        "known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{settings}}}"#,
+        known.join(",")
+    )
+}
+
 impl Program {
     /// Waits until the admin interface listens, and takes its address from the log.
     pub fn wait_for_admin(&mut self) {
@@ -78,16 +93,24 @@
         binary: &str,
         discovery: SocketAddr,
         known: &[String],
-        [memory, sockets]: [u32; 2],
+        limits: [u32; 2],
+        settings: &str,
+    ) -> Program {
+        Program::with_config(binary, &config_text(discovery, known, limits, settings))
+    }
+
+    /// The same with more variables in its environment.
+    pub fn starting_with(
+        binary: &str,
+        discovery: SocketAddr,
+        known: &[String],
+        limits: [u32; 2],
         settings: &str,
+        environment: &[(&str, &Path)],
     ) -> Program {
-        let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},
-            "known":{{"generation":1,"reset":true,"instances":[{}]}},"settings":{settings}}}"#,
-            known.join(",")
-        );
-        Program::with_config(binary, &text)
+        let mut command = Command::new(binary);
+        command.envs(environment.iter().copied());
+        Program::spawned(command, Program::write_config(&config_text(discovery, known, limits, settings)))
     }
 
     /// With an address for operators beside the clients' one.
