--- a/balancer/src/budget.rs
+++ b/balancer/src/budget.rs
@@ -53,6 +53,8 @@
     /// command or none.
     idle_clients: SheddableClients,
     partial_clients: SheddableClients,
+    /// Clients whose connections are shut and that have not closed yet.
+    closing_clients: SheddableClients,
     next_silence: Cell<u64>,
 }
 
@@ -147,6 +149,7 @@
             freed: Notify::new(),
             idle_clients: SheddableClients::default(),
             partial_clients: SheddableClients::default(),
+            closing_clients: SheddableClients::default(),
             next_silence: Cell::new(0),
         };
         budget.set_limits(descriptors, memory);
@@ -207,19 +210,31 @@
     /// Waits until this client is asked to make room, by its own wakeup. Each wait begins a new
     /// silence.
     pub async fn shed_requested(&self, is_partial: bool, wakeup: &Rc<Notify>) {
-        let silence = self.next_silence.replace(self.next_silence.get() + 1);
         let clients = if is_partial { &self.partial_clients } else { &self.idle_clients };
+        self.asked_to_make_room(clients, wakeup).await;
+    }
+
+    /// Waits until the descriptor of a connection that is shut already is needed.
+    pub async fn descriptor_wanted(&self, wakeup: &Rc<Notify>) {
+        self.asked_to_make_room(&self.closing_clients, wakeup).await;
+    }
+
+    async fn asked_to_make_room(&self, clients: &SheddableClients, wakeup: &Rc<Notify>) {
+        let silence = self.next_silence.replace(self.next_silence.get() + 1);
         let _guard = SheddableGuard { clients, silence };
         clients.borrow_mut().insert(silence, wakeup.clone());
         wakeup.notified().await;
     }
 
-    /// Asks one client to make room: the one that has been idle longest, and only where none is
-    /// idle one with part of a command or none. A crowd of the latter must not keep others out.
+    /// Asks one client to make room: one whose connection is shut already, else the one that has
+    /// been idle longest, and only where none is idle one with part of a command or none. A crowd
+    /// of the latter must not keep others out.
     pub fn shed_client(&self) {
-        let idle = self.idle_clients.borrow_mut().pop_first();
-        if let Some((_, wakeup)) = idle.or_else(|| self.partial_clients.borrow_mut().pop_first()) {
-            wakeup.notify_one();
+        for clients in [&self.closing_clients, &self.idle_clients, &self.partial_clients] {
+            if let Some((_, wakeup)) = clients.borrow_mut().pop_first() {
+                wakeup.notify_one();
+                return;
+            }
         }
     }
 
--- a/balancer/src/clock.rs
+++ b/balancer/src/clock.rs
@@ -10,15 +10,12 @@
 /// The clock that all times within the process refer to.
 pub struct Clock {
     start: Instant,
-    /// The Unix time of this clock's zero.
-    unix_at_start: Micros,
 }
 
 impl Clock {
     /// Starts the clock now.
     pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |unix| unix.as_micros() as Micros);
-        Clock { start: Instant::now(), unix_at_start: unix }
+        Clock { start: Instant::now() }
     }
 
     /// The time since the start.
@@ -31,10 +28,10 @@
         (self.start + duration(time)).into()
     }
 
-    /// A Unix time on this clock. The wall clock is read at the start only: if it were read again
-    /// after it was set, an unchanged start time of a host would look like a restart.
-    pub fn time_at_unix(&self, unix: Micros) -> Micros {
-        unix - self.unix_at_start
+    /// The Unix time that the wall clock shows now. It may be stepped at any moment: no span is
+    /// measured by it.
+    pub fn unix_now(&self) -> Micros {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |unix| unix.as_micros() as Micros)
     }
 }
 
--- a/balancer/src/discovery/client.rs
+++ b/balancer/src/discovery/client.rs
@@ -7,12 +7,12 @@
 use basaltwood_membership::{WatchError, WatchSchedule};
 use basaltwood_wire::buffer::Buffer;
 use basaltwood_wire::http::{self, Response};
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
 use super::EndpointList;
 use crate::clock::duration;
+use crate::io_errors::write_all;
 use crate::read;
 use crate::upstream::UpstreamConnection;
 
@@ -99,7 +99,7 @@
     buffer: &mut Buffer,
     request: &[u8],
 ) -> Result<Response, WatchError> {
-    stream.write_all(request).await.map_err(connection_failed)?;
+    write_all(stream, request).await.map_err(connection_failed)?;
     loop {
         let bytes_read = read(stream, buffer).await.map_err(connection_failed)?;
         if bytes_read == 0 {
--- a/balancer/src/discovery/endpoints.rs
+++ b/balancer/src/discovery/endpoints.rs
@@ -1,5 +1,6 @@
 //! The list of hosts: its JSON form, and how it is applied.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use basaltwood::types::{Endpoint, Lifecycle, Micros};
@@ -9,8 +10,6 @@
 
 use crate::shared::Shared;
 
-/// A host's start time further in the future than this is invalid.
-const MAX_START_AHEAD: Micros = 3_600_000_000;
 /// Valid start times, in ms since 1970.
 const START_MS: std::ops::Range<f64> = 0.0..1e15;
 /// Valid weights; any other counts as not given.
@@ -92,7 +91,9 @@
 /// known of hosts that are gone is freed.
 pub fn apply_list(shared: &Shared, list: EndpointList, whole: bool) -> u64 {
     let now = shared.clock.now();
+    shared.start_times.borrow_mut().read_wall_clock(now, shared.clock.unix_now());
     let hosts = valid_hosts(shared, list.instances, now);
+    note_starts(shared, &hosts, whole, now);
     let listed = hosts.len();
     // Hosts outside the ring get no id, so no connection and no memory.
     let hosts = match &shared.regions {
@@ -133,6 +134,16 @@
     hosts
 }
 
+/// Closes the list for [`StartTimes`](basaltwood_membership::StartTimes): what is gone is forgotten.
+fn note_starts(shared: &Shared, hosts: &[ListedHost<HostDetails>], whole: bool, now: Micros) {
+    let mut start_times = shared.start_times.borrow_mut();
+    let all_hosts = whole.then(|| hosts.iter().map(|host| &*host.host).collect::<BTreeSet<&str>>());
+    start_times.list_read(now, all_hosts.as_ref());
+    for gone in hosts.iter().filter(|host| host.lifecycle == Lifecycle::Gone) {
+        start_times.forget(&gone.host);
+    }
+}
+
 /// The updates of hosts that are in the ring, or leave it.
 fn keep_ring_hosts(
     shared: &Shared,
@@ -212,7 +223,7 @@
         _ => return Err(InvalidInstance::Lifecycle(instance.lifecycle)),
     };
     let address = instance.host_port.parse::<SocketAddr>().ok().filter(|address| address.port() > 0);
-    let started_at = start_time(shared, instance.started_at_ms, now);
+    let started_at = start_time(shared, &instance, now);
     // A host that gets no new attempts needs neither address nor start time.
     if lifecycle == Lifecycle::Up {
         if address.is_none() {
@@ -241,18 +252,11 @@
 }
 
 /// A host's start time on this process's clock; 0 ms counts as not given.
-fn start_time(
-    shared: &Shared,
-    started_at_ms: Option<f64>,
-    now: Micros,
-) -> Result<Option<Micros>, InvalidInstance> {
-    let Some(ms) = started_at_ms.filter(|&ms| ms != 0.0) else { return Ok(None) };
+fn start_time(shared: &Shared, instance: &Instance, now: Micros) -> Result<Option<Micros>, InvalidInstance> {
+    let Some(ms) = instance.started_at_ms.filter(|&ms| ms != 0.0) else { return Ok(None) };
     if !START_MS.contains(&ms) {
         return Err(InvalidInstance::Start);
     }
-    let started_at = shared.clock.time_at_unix(micros(ms));
-    if started_at >= now + MAX_START_AHEAD {
-        return Err(InvalidInstance::Start);
-    }
-    Ok(Some(started_at))
+    let mut start_times = shared.start_times.borrow_mut();
+    Ok(Some(start_times.start_of(&instance.instance_id, micros(ms), now)))
 }
--- a/balancer/src/downstream/accept.rs
+++ b/balancer/src/downstream/accept.rs
@@ -4,24 +4,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout};
 
-use super::connection::{Close, Connection};
+use super::closing::close;
+use super::connection::Connection;
 use crate::budget::DescriptorPermit;
 use crate::lifecycle::Phase;
 use crate::shared::Shared;
 
-/// After our side is shut, the client's end is awaited so long: closing at once over bytes that
-/// were not read would reset the connection and could take the last reply with it.
-const LINGER: Duration = Duration::from_millis(200);
-/// The same after a command was refused, of which any amount may still come.
-const LINGER_AFTER_ERROR: Duration = Duration::from_secs(1);
-/// Bytes that are read and discarded at a time meanwhile.
-const DISCARD_BUFFER: usize = 16 * 1024;
 /// Between looks for a free descriptor.
 const DESCRIPTOR_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -88,21 +81,9 @@
     phase: watch::Receiver<Phase>,
 ) {
     let _permit = permit;
+    // The process does not end before this connection has: its last reply would go with it.
+    let _lives = phase.clone();
     let _ = stream.set_nodelay(true);
-    let close = Connection::new(&shared, &mut stream, phase).run().await;
-    let linger = match close {
-        Close::Immediately => return,
-        Close::AfterReply => LINGER,
-        Close::AfterError => LINGER_AFTER_ERROR,
-    };
-    if stream.shutdown().await.is_err() {
-        return;
-    }
-    let mut rest = vec![0; DISCARD_BUFFER];
-    let discard = async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} };
-    let wakeup = Rc::default();
-    tokio::select! {
-        _ = timeout(linger, discard) => {}
-        () = shared.budget.shed_requested(false, &wakeup) => {}
-    }
+    let closed = Connection::new(&shared, &mut stream, phase).run().await;
+    close(&shared, stream, closed).await;
 }
--- a/balancer/src/downstream/command.rs
+++ b/balancer/src/downstream/command.rs
@@ -12,6 +12,7 @@
 
 use super::input::{Command, SeparateValue, ValueMemory};
 use crate::lifecycle::Phase;
+use crate::presence::ClientPresence;
 use crate::request::ClientRequest;
 use crate::shared::Shared;
 
@@ -59,11 +60,11 @@
 }
 
 /// Reads one command; it has at least one word.
-pub fn parse(shared: &Shared, command: Command, phase: Phase) -> Parsed {
+pub fn parse(shared: &Shared, command: Command, phase: Phase, client: ClientPresence) -> Parsed {
     let words = &command.words;
     let name = words[0].to_ascii_uppercase();
     match &name[..] {
-        b"CACHE.GET" | b"CACHE.SET" => match request(shared, command) {
+        b"CACHE.GET" | b"CACHE.SET" => match request(shared, command, client) {
             Ok((request, new_request)) => Parsed::Request(request, new_request),
             Err(cause) => Parsed::Malformed(resp::encode_error(&cause.to_string())),
         },
@@ -79,7 +80,11 @@
 
 /// Reads a command's words into the request as hosts get it and as the policy sees it, and reserves
 /// its id.
-fn request(shared: &Shared, command: Command) -> Result<(ClientRequest, NewRequest), RequestError> {
+fn request(
+    shared: &Shared,
+    command: Command,
+    client: ClientPresence,
+) -> Result<(ClientRequest, NewRequest), RequestError> {
     let Command { words, value: separate_value } = command;
     let mut words = words.into_iter();
     let (Some(command), Some(key), Some(id), Some(facts)) =
@@ -107,7 +112,7 @@
         return Err(RequestError::IdInUse);
     }
     let finished = watch::Sender::new(false);
-    let request = ClientRequest { command, key, id, facts, value, _memory: memory, finished };
+    let request = ClientRequest { command, key, id, facts, value, _memory: memory, client, finished };
     Ok((request, new_request))
 }
 
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -13,11 +13,13 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep_until, Instant};
 
+use super::closing::{CloseReason, Closed};
 use super::command::{parse, Parsed};
 use super::input::{Command, Input, InputEvent, ProtocolError};
 use super::reply::{next_awaited, take_ready, OutgoingReply, OutputEvent, PendingReply};
 use crate::budget::MemoryGuard;
 use crate::lifecycle::Phase;
+use crate::presence::PresenceGuard;
 use crate::requests;
 use crate::shared::Shared;
 
@@ -26,7 +28,7 @@
 /// The same while a reply is being written: a client that does not read must not fill the memory of
 /// all.
 const MAX_PENDING_WHILE_WRITING: usize = 4;
-/// A client that takes longer to read one reply is disconnected.
+/// A client that takes nothing of its reply for so long is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// A command without its value must be complete within this time, the first one counted from the
 /// accept; a value must make progress within it. Clients that send nothing, or part of something,
@@ -45,17 +47,6 @@
 /// stays unread, and it sends it again elsewhere.
 const MAX_DRAIN_TIME: Duration = Duration::from_secs(3);
 
-/// How this side ends a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Close {
-    /// Nothing is owed and nothing unread, or the client is not to be waited for.
-    Immediately,
-    /// The client is to have its last reply.
-    AfterReply,
-    /// The same where it sent what was refused, and may go on sending it.
-    AfterError,
-}
-
 /// What the next step of a connection depends on.
 struct Snapshot {
     phase: Phase,
@@ -109,11 +100,13 @@
     /// By when the reply that is being written is to be taken, or the command begun to be whole.
     step_deadline: Option<Instant>,
     /// No more is read: the client asked to be let go, or broke the protocol.
-    closing: Option<Close>,
+    closing: Option<CloseReason>,
     had_command: bool,
     /// When something last came of the client, the connection itself at first.
     last_input_at: Instant,
     shed_wakeup: Rc<Notify>,
+    /// Ends with this connection: nothing begins for its client after that.
+    presence: PresenceGuard,
     /// The last reply went while another process took over.
     replied_in_takeover: bool,
     /// Since when clients are sent away.
@@ -142,32 +135,39 @@
             had_command: false,
             last_input_at: Instant::now(),
             shed_wakeup: Rc::default(),
+            presence: PresenceGuard::default(),
             replied_in_takeover: false,
             draining_since: None,
         }
     }
 
     /// Serves the connection until it is to be closed.
-    pub async fn run(mut self) -> Close {
+    pub async fn run(mut self) -> Closed {
+        let reason = self.serve().await;
+        let being_written = usize::from(!self.outgoing.is_empty());
+        Closed { reason, owed: self.pending.len() + being_written }
+    }
+
+    async fn serve(&mut self) -> CloseReason {
         loop {
             self.take_commands().await;
             self.begin_ready_reply();
             self.memory.set(self.input.unreserved_size() + self.outgoing.held_bytes());
             let is_idle = self.pending.is_empty() && self.outgoing.is_empty();
-            if let Some(close) = self.closing.filter(|_| is_idle) {
-                return close;
+            if let Some(reason) = self.closing.filter(|_| is_idle) {
+                return reason;
             }
             let snapshot = self.snapshot(is_idle);
             if snapshot.is_idle && (snapshot.drain_overdue || self.is_due_to_close(&snapshot)) {
                 if self.confirm_close(&snapshot).await {
-                    return Close::AfterReply;
+                    return CloseReason::Draining;
                 }
                 continue;
             }
             self.update_step_deadline(&snapshot);
             let event = self.next_event(&snapshot).await;
-            if let ControlFlow::Break(close) = self.handle(event) {
-                return close;
+            if let ControlFlow::Break(reason) = self.handle(event) {
+                return reason;
             }
         }
     }
@@ -194,7 +194,7 @@
         self.had_command = true;
         let size = command.unreserved_size();
         let phase = *self.phase.borrow();
-        match parse(self.shared, command, phase) {
+        match parse(self.shared, command, phase, self.presence.presence()) {
             Parsed::Request(request, new_request) => {
                 let (delivery, awaited) = oneshot::channel();
                 let mut memory = self.shared.budget.memory_guard();
@@ -207,7 +207,7 @@
             Parsed::Reply(text) => self.reply(text),
             Parsed::ReplyAndQuit(text) => {
                 self.reply(text);
-                self.closing = Some(Close::AfterReply);
+                self.closing = Some(CloseReason::ClientQuit);
             }
             Parsed::Malformed(text) => {
                 self.shared.counters.malformed.add();
@@ -222,9 +222,13 @@
 
     /// The last reply to a client that does not keep to the protocol.
     fn refuse(&mut self, cause: &ProtocolError) {
+        log::debug!("a client is refused: {cause}");
         self.shared.counters.malformed.add();
         self.reply(resp::encode_error(&format!("Protocol error: {cause}")));
-        self.closing = Some(Close::AfterError);
+        self.closing = Some(match cause {
+            ProtocolError::TimedOut => CloseReason::ClientSilent,
+            _ => CloseReason::ProtocolError,
+        });
     }
 
     /// How many commands may wait for their replies now.
@@ -368,12 +372,13 @@
         let budget = &self.shared.budget;
         let input = self.input.wait(&mut self.reader, plan.reads);
         let output = self.outgoing.advance(&mut self.writer);
+        let awaited = next_awaited(&mut self.pending, &self.shared.invariants);
         let shed_requested = budget.shed_requested(has_no_command, &self.shed_wakeup);
         tokio::select! {
             biased;
             event = input, if plan.watches_client => Event::Input(event),
             () = budget.freed.notified(), if waits_for_memory => Event::MemoryFreed,
-            reply = next_awaited(&mut self.pending), if !is_writing => Event::Reply(reply),
+            reply = awaited, if !is_writing => Event::Reply(reply),
             event = output, if is_writing => Event::Output(event),
             () = sleep_until_some(self.step_deadline) => Event::TimedOut,
             _ = self.phase.changed() => Event::PhaseChanged,
@@ -382,20 +387,19 @@
         }
     }
 
-    fn handle(&mut self, event: Event) -> ControlFlow<Close> {
+    fn handle(&mut self, event: Event) -> ControlFlow<CloseReason> {
         match event {
             Event::Input(event) => return self.handle_input(event),
             Event::Output(event) => return self.handle_output(event),
             Event::Reply(Some(reply)) => self.begin_reply(reply),
-            Event::Reply(None) => return ControlFlow::Break(Close::Immediately),
             Event::TimedOut => return self.handle_timeout(),
             Event::ShedRequested => return self.handle_shed_request(),
-            Event::MemoryFreed | Event::PhaseChanged | Event::Recheck => {}
+            Event::Reply(None) | Event::MemoryFreed | Event::PhaseChanged | Event::Recheck => {}
         }
         ControlFlow::Continue(())
     }
 
-    fn handle_input(&mut self, event: InputEvent) -> ControlFlow<Close> {
+    fn handle_input(&mut self, event: InputEvent) -> ControlFlow<CloseReason> {
         match event {
             InputEvent::Read(Ok(1..)) => {
                 // A value that is being read is bound by its progress.
@@ -405,7 +409,11 @@
                 self.last_input_at = Instant::now();
                 ControlFlow::Continue(())
             }
-            InputEvent::Read(_) => ControlFlow::Break(Close::Immediately),
+            InputEvent::Read(Ok(0)) => ControlFlow::Break(CloseReason::ClientLeft),
+            InputEvent::Read(Err(cause)) => {
+                log::debug!("a client's connection broke: {cause}");
+                ControlFlow::Break(CloseReason::ConnectionBroken)
+            }
             InputEvent::MemoryReserved => {
                 self.step_deadline = None;
                 ControlFlow::Continue(())
@@ -413,32 +421,36 @@
             InputEvent::Disconnected => {
                 let pending = self.pending.len();
                 log::debug!("a client has gone of which nothing was read; {pending} commands wait");
-                ControlFlow::Break(Close::Immediately)
+                ControlFlow::Break(CloseReason::ClientLeft)
             }
         }
     }
 
-    fn handle_output(&mut self, event: OutputEvent) -> ControlFlow<Close> {
+    fn handle_output(&mut self, event: OutputEvent) -> ControlFlow<CloseReason> {
         match event {
             OutputEvent::Wrote(Ok(count)) if count > 0 => {
                 self.outgoing.written(count);
                 self.replied_in_takeover = *self.phase.borrow() == Phase::Takeover;
-                if self.outgoing.is_empty() || self.outgoing.is_streaming() {
-                    self.step_deadline = None;
-                }
+                // It is bound by the client's progress: one that goes on taking bytes is served, however
+                // slowly, with the replies behind this one.
+                self.step_deadline = None;
                 ControlFlow::Continue(())
             }
             OutputEvent::ChunkReady => ControlFlow::Continue(()),
-            OutputEvent::Wrote(_) | OutputEvent::StreamBroken => ControlFlow::Break(Close::Immediately),
+            OutputEvent::Wrote(_) => ControlFlow::Break(CloseReason::ConnectionBroken),
+            OutputEvent::StreamBroken => ControlFlow::Break(CloseReason::ValueTruncated),
         }
     }
 
     /// The client did not take the step that it owed. One that is in the midst of a command is told
     /// so.
-    fn handle_timeout(&mut self) -> ControlFlow<Close> {
+    fn handle_timeout(&mut self) -> ControlFlow<CloseReason> {
         self.shared.counters.clients_slow.add();
-        if !self.input.is_partial() || !self.outgoing.is_empty() {
-            return ControlFlow::Break(Close::Immediately);
+        if !self.outgoing.is_empty() {
+            return ControlFlow::Break(CloseReason::ReaderStalled);
+        }
+        if !self.input.is_partial() {
+            return ControlFlow::Break(CloseReason::ClientSilent);
         }
         self.input.drop_incoming_value();
         self.refuse(&ProtocolError::TimedOut);
@@ -446,12 +458,12 @@
         ControlFlow::Continue(())
     }
 
-    fn handle_shed_request(&mut self) -> ControlFlow<Close> {
+    fn handle_shed_request(&mut self) -> ControlFlow<CloseReason> {
         if self.shared.budget.has_client_descriptor() {
             return ControlFlow::Continue(());
         }
         self.shared.counters.clients_shed.add();
-        ControlFlow::Break(Close::Immediately)
+        ControlFlow::Break(CloseReason::Shed)
     }
 }
 
--- a/balancer/src/downstream/input.rs
+++ b/balancer/src/downstream/input.rs
@@ -10,11 +10,12 @@
 use basaltwood_wire::resp::{self, CompleteCommand, ParsedCommand};
 use bytes::Bytes;
 use thiserror::Error;
-use tokio::io::{AsyncReadExt, Interest};
+use tokio::io::Interest;
 use tokio::net::tcp::ReadHalf;
 use tokio::time::sleep;
 
 use crate::budget::ValuePermit;
+use crate::io_errors::read_buf;
 use crate::read;
 use crate::shared::Shared;
 
@@ -239,7 +240,7 @@
                 InputEvent::Disconnected
             }
             Some(IncomingValue { body, .. }) if body.remaining() > 0 => {
-                let read = reader.read_buf(&mut body.unfilled()).await;
+                let read = read_buf(reader, &mut body.unfilled()).await;
                 InputEvent::Read(read.inspect(|&count| body.advance(count)))
             }
             _ => InputEvent::Read(read(reader, &mut self.buffer).await),
--- a/balancer/src/downstream/mod.rs
+++ b/balancer/src/downstream/mod.rs
@@ -5,6 +5,7 @@
 //! [`reply`] writes replies; [`command`] turns a command into a request for the policy.
 
 mod accept;
+mod closing;
 mod command;
 mod connection;
 mod input;
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -5,9 +5,11 @@
 
 use basaltwood_wire::resp;
 use bytes::{Buf, Bytes};
-use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::io::AsyncWrite;
 use tokio::sync::oneshot;
 
+use crate::invariants::{Invariant, Invariants};
+use crate::io_errors::write_some;
 use crate::metrics::{ActiveRequest, RequestOutcome};
 use crate::request::{StreamedValue, Value};
 use crate::requests::{AnswerDelivery, FinalAnswer};
@@ -88,7 +90,7 @@
         if self.text.is_empty() {
             return self.next_chunk().await;
         }
-        OutputEvent::Wrote(writer.write(&self.text).await)
+        OutputEvent::Wrote(write_some(writer, &self.text).await)
     }
 
     /// So many bytes were written. With the last one the request has ended for its client.
@@ -138,17 +140,22 @@
     }
 }
 
-/// Waits for the final answer that the first reply of the queue needs, and takes it off. `None`
-/// where the request ended without one.
-pub async fn next_awaited(pending: &mut VecDeque<PendingReply>) -> Option<OutgoingReply> {
+/// Waits for the final answer that the first reply of the queue needs, and takes it off. A request
+/// that ended without one, which is a fault of this program, has failed.
+pub async fn next_awaited(
+    pending: &mut VecDeque<PendingReply>,
+    invariants: &Invariants,
+) -> Option<OutgoingReply> {
     let delivered = match pending.front_mut() {
         Some(PendingReply::Awaited(delivery, _)) => delivery.await,
         _ => std::future::pending().await,
     };
-    match (pending.pop_front(), delivered) {
-        (Some(PendingReply::Awaited(_, request)), Ok(AnswerDelivery { answer, .. })) => {
-            Some(OutgoingReply::of_request(request, answer))
-        }
+    let answer = delivered.map(|delivery| delivery.answer).unwrap_or_else(|_| {
+        invariants.violated(Invariant::AnswerMissing, format_args!("a request ended unanswered"));
+        FinalAnswer::Failed
+    });
+    match pending.pop_front() {
+        Some(PendingReply::Awaited(_, request)) => Some(OutgoingReply::of_request(request, answer)),
         _ => None,
     }
 }
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -11,13 +11,17 @@
 mod counters;
 mod discovery;
 mod downstream;
+mod invariants;
+mod io_errors;
 mod lifecycle;
 mod listener;
 mod metrics;
+mod presence;
 mod process;
 mod request;
 mod requests;
 mod shared;
+mod socket_table;
 mod takeover;
 mod upstream;
 
@@ -25,7 +29,7 @@
 
 use basaltwood_wire::buffer::Buffer;
 use process::Process;
-use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::io::AsyncRead;
 
 pub use config::{Config, ConfigError, InvalidConfig};
 pub use listener::{InheritedError, ListenError};
@@ -58,5 +62,5 @@
 
 /// Reads once into a connection's buffer; 0 at the end of the stream. It is cancel safe.
 async fn read(from: &mut (impl AsyncRead + Unpin), buffer: &mut Buffer) -> io::Result<usize> {
-    from.read_buf(buffer.unfilled()?).await
+    io_errors::read_buf(from, buffer.unfilled()?).await
 }
--- a/balancer/src/metrics.rs
+++ b/balancer/src/metrics.rs
@@ -7,6 +7,8 @@
 use basaltwood_admin::{MetricKind, MetricsPage, Sample};
 use basaltwood_regions::{RegionCounts, Regions};
 
+use crate::invariants::Invariants;
+
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestOutcome {
@@ -27,6 +29,7 @@
     attempts_sent: Cell<u64>,
     active_requests: Cell<u64>,
     pool_size: Cell<PoolSize>,
+    invariants: Rc<Invariants>,
     /// None if the operators gave no map of regions.
     regions: RefCell<Option<RegionMetrics>>,
 }
@@ -84,6 +87,7 @@
             attempts_sent: Cell::default(),
             active_requests: Cell::default(),
             pool_size: Cell::default(),
+            invariants: Rc::default(),
             regions: RefCell::default(),
         })
     }
@@ -114,6 +118,11 @@
         }));
     }
 
+    /// The promises whose violations are shown.
+    pub fn invariants(&self) -> Rc<Invariants> {
+        self.invariants.clone()
+    }
+
     /// Whether there are cache hosts to route to.
     pub fn has_hosts(&self) -> bool {
         self.pool_size.get().listed > 0
@@ -124,6 +133,7 @@
         let mut page = MetricsPage::default();
         self.add_outcomes(&mut page);
         self.add_totals(&mut page);
+        self.add_invariants(&mut page);
         if let Some(regions) = &*self.regions.borrow() {
             regions.add_to(&mut page);
         }
@@ -142,6 +152,13 @@
         add("edge_proxy_errors", "Ops that failed.", |counts| counts.error);
     }
 
+    fn add_invariants(&self, page: &mut MetricsPage) {
+        let counts = self.invariants.counts();
+        let samples = counts.map(|(invariant, count)| Sample::labelled("name", invariant.name(), count));
+        let help = "Promises seen broken from inside; each is a fault of this program.";
+        page.add("edge_proxy_invariant_violations", MetricKind::Counter, help, samples);
+    }
+
     fn add_totals(&self, page: &mut MetricsPage) {
         let mut add = |name: &str, kind: MetricKind, help: &str, value: u64| {
             page.add(name, kind, help, [Sample::unlabelled(value)]);
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::budget::ValuePermit;
+use crate::presence::ClientPresence;
 
 /// How an attempt ended, and the value where it brought one.
 pub struct AttemptResult {
@@ -60,6 +61,8 @@
     pub value: Option<Vec<Bytes>>,
     /// The memory that was reserved for a long one.
     pub _memory: Option<ValuePermit>,
+    /// Whether its client is still there.
+    pub client: ClientPresence,
     /// Set once the request has its final answer, or its client has gone: nothing more may be sent.
     pub finished: watch::Sender<bool>,
 }
@@ -81,6 +84,11 @@
         })
     }
 
+    /// Whether the request has its final answer, or its client has gone.
+    pub fn is_finished(&self) -> bool {
+        *self.finished.borrow()
+    }
+
     /// Waits until the request has its final answer or its client has gone.
     pub async fn wait_finished(&self) {
         // The sender is our own, so this can't fail.
--- a/balancer/src/requests.rs
+++ b/balancer/src/requests.rs
@@ -13,6 +13,7 @@
 use crate::budget::MemoryGuard;
 use crate::request::{AttemptResult, ClientRequest, Value};
 use crate::shared::Shared;
+use crate::upstream::AttemptTarget;
 
 /// The final answer to a request, in no protocol's form.
 pub enum FinalAnswer {
@@ -107,8 +108,8 @@
         let mut actions: VecDeque<RequestAction> = actions.into();
         while let Some(action) = actions.pop_front() {
             match action {
-                RequestAction::StartAttempt { attempt, host, deadline } => {
-                    self.start_attempt(attempt, host, deadline);
+                RequestAction::StartAttempt { attempt, host, deadline, send_by } => {
+                    self.start_attempt(attempt, AttemptTarget { host, deadline, send_by });
                 }
                 RequestAction::CancelAttempt(attempt) => actions.extend(self.cancel_attempt(attempt)),
                 RequestAction::Succeed(_) => self.succeed(),
@@ -118,21 +119,21 @@
         }
     }
 
-    fn start_attempt(&mut self, attempt: AttemptNumber, host: HostId, deadline: Micros) {
+    fn start_attempt(&mut self, attempt: AttemptNumber, target: AttemptTarget) {
         let shared = self.shared.clone();
         shared.counters.attempts.add();
         log::debug!(
             "request {} attempt {} to host {} for {} ms",
             self.id.0,
             attempt.0,
-            host.0,
-            (deadline - shared.clock.now()) / 1000
+            target.host.0,
+            (target.deadline - shared.clock.now()) / 1000
         );
         let request = self.request.clone();
         let key = AttemptKey { request: self.id, number: attempt };
         let task = async move {
             let upstreams = &shared.upstreams;
-            let result = upstreams.attempt(host, key, &request, deadline).await;
+            let result = upstreams.attempt(&shared.router, key, &request, target).await;
             (attempt, result)
         };
         self.in_flight.insert(attempt, self.attempts.spawn_local(task));
--- a/balancer/src/shared.rs
+++ b/balancer/src/shared.rs
@@ -6,6 +6,7 @@
 
 use basaltwood::router::Router;
 use basaltwood::types::{AttemptKey, PolicyConfig, RequestId};
+use basaltwood_membership::StartTimes;
 use basaltwood_regions::RegionMap;
 use basaltwood_settings::NameTable;
 use bytes::Bytes;
@@ -15,7 +16,9 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::discovery::HostRegions;
+use crate::invariants::Invariants;
 use crate::metrics::Metrics;
+use crate::socket_table::SocketTable;
 use crate::upstream::{UpstreamEvent, Upstreams};
 
 /// All that serving a request takes. It lives from start to exit.
@@ -26,6 +29,8 @@
     pub names: RefCell<NameTable>,
     /// Which listed hosts make the ring; none where the operators gave no map of regions.
     pub regions: Option<RefCell<HostRegions>>,
+    /// When listed hosts started, on this process's clock.
+    pub start_times: RefCell<StartTimes>,
     /// Cache hosts and the origin, with the connections to them.
     pub upstreams: Rc<Upstreams>,
     /// The process's one clock.
@@ -34,6 +39,10 @@
     pub counters: Rc<Counters>,
     /// The operators' metrics.
     pub metrics: Rc<Metrics>,
+    /// Promises that are checked while the process serves.
+    pub invariants: Rc<Invariants>,
+    /// What the system shows of connections.
+    pub sockets: SocketTable,
     /// Descriptors and memory.
     pub budget: Rc<ResourceBudget>,
     /// Wakes the task of a request for which something was decided.
@@ -58,7 +67,10 @@
             router: RefCell::new(Router::new(config, max_open_requests)),
             names: RefCell::new(names),
             regions: None,
+            sockets: SocketTable::default(),
+            start_times: RefCell::default(),
             metrics: upstreams.metrics.clone(),
+            invariants: upstreams.invariants.clone(),
             upstreams,
             clock,
             counters,
--- a/balancer/src/upstream/checkout.rs
+++ b/balancer/src/upstream/checkout.rs
@@ -18,11 +18,18 @@
     upstreams: &'a Upstreams,
     id: ConnectionId,
     connection: Option<UpstreamConnection>,
+    /// The attempt had to wait until it was there.
+    waited: bool,
 }
 
 impl<'a> CheckedOut<'a> {
     pub fn new(upstreams: &'a Upstreams, id: ConnectionId, connection: UpstreamConnection) -> CheckedOut<'a> {
-        CheckedOut { upstreams, id, connection: Some(connection) }
+        CheckedOut { upstreams, id, connection: Some(connection), waited: false }
+    }
+
+    /// Whether the attempt had to wait until it was there: much may have happened meanwhile.
+    pub fn waited(&self) -> bool {
+        self.waited
     }
 
     pub fn id(&self) -> ConnectionId {
@@ -84,12 +91,14 @@
         attempt: AttemptKey,
         deadline: Instant,
     ) -> Result<CheckedOut<'_>, AttemptOutcome> {
+        let mut waited = false;
         loop {
             let checkout = self.pools.borrow_mut().checkout(self.clock.now(), host);
             self.perform_pool_actions();
             match checkout {
                 Checkout::Reuse(id) => {
-                    if let Some(checked_out) = self.reuse(id) {
+                    if let Some(mut checked_out) = self.reuse(id) {
+                        checked_out.waited = waited;
                         return Ok(checked_out);
                     }
                 }
@@ -97,7 +106,10 @@
                     self.record_event(UpstreamEvent::NewConnection(attempt));
                     return self.open(host, id, deadline).await;
                 }
-                Checkout::RetryAt(at) => self.wait_for_connection(host, at, deadline).await?,
+                Checkout::RetryAt(at) => {
+                    waited = true;
+                    self.wait_for_connection(host, at, deadline).await?;
+                }
                 Checkout::CircuitOpen => return Err(AttemptOutcome::Unreachable),
                 Checkout::Exhausted => return Err(AttemptOutcome::NotSent),
             }
@@ -167,7 +179,9 @@
             Ok(connection) => {
                 self.counters.connections_opened.add();
                 self.pools.borrow_mut().connected(id);
-                Ok(CheckedOut::new(self, id, connection))
+                let mut checked_out = CheckedOut::new(self, id, connection);
+                checked_out.waited = true;
+                Ok(checked_out)
             }
             Err(cause) => {
                 log::debug!("host {} at {address} does not come up: {cause}", host.0);
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -3,30 +3,33 @@
 //! The order of the steps, and of the arms of each `select!`, is what keeps the rules on drains,
 //! deadlines and clients that have gone; the comments say which.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
-use basaltwood::types::{AttemptKey, AttemptOutcome, HostId, Micros};
+use basaltwood::policy::{SendPermit, SendRefusal};
+use basaltwood::router::Router;
+use basaltwood::types::{AttemptKey, AttemptOutcome, Micros};
 use basaltwood_connection_pool::Fault;
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
-use tokio::time::{timeout_at, Instant};
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::checkout::CheckedOut;
 use super::duplicates::ResponseFingerprint;
 use super::messages::{LongValueHead, ParseResponse, ParsedResponse, RequestBytes, WholeResponse};
 use super::streaming::ValueStream;
-use super::Upstreams;
+use super::{AttemptTarget, Upstreams};
 use crate::read;
 use crate::request::{AttemptResult, ClientRequest, StreamedValue, Value};
 
 /// One attempt at a host, whatever the host's protocol.
 pub struct Exchange<'a> {
     pub upstreams: &'a Rc<Upstreams>,
-    pub host: HostId,
+    /// Gives the permission for the first byte.
+    pub router: &'a RefCell<Router>,
     pub attempt: AttemptKey,
     pub request: &'a ClientRequest,
-    /// The attempt is over then.
-    pub deadline: Micros,
+    pub target: AttemptTarget,
     pub parse_response: ParseResponse,
 }
 
@@ -35,12 +38,18 @@
     /// by how much time is left then: the wait for one may be as long as the request's own time,
     /// and a host must not work on what nobody waits for.
     pub async fn run(self, encode: impl FnOnce(Micros) -> RequestBytes) -> AttemptResult {
-        let mut checked_out = match self.admit().await {
+        let mut checked_out = match self.wait_for_connection().await {
             Ok(checked_out) => checked_out,
             Err(outcome) => return AttemptResult::without_value(outcome),
         };
-        let time_left = self.deadline - self.upstreams.clock.now();
-        if let Err(outcome) = self.write(&mut checked_out, encode(time_left)).await {
+        // From the permission to the first byte nothing is awaited.
+        let now = self.upstreams.clock.now();
+        let permit = match self.permit(now) {
+            Ok(permit) => permit,
+            Err(outcome) => return AttemptResult::without_value(outcome),
+        };
+        let message = encode(self.target.deadline - now);
+        if let Err(outcome) = self.write(&mut checked_out, permit, message).await {
             return AttemptResult::without_value(outcome);
         }
         self.sent(&checked_out);
@@ -48,46 +57,60 @@
     }
 
     fn deadline_at(&self) -> Instant {
-        self.upstreams.clock.at(self.deadline)
+        self.upstreams.clock.at(self.target.deadline)
     }
 
-    /// Waits for a connection, and judges once more whether anything may be sent on it.
-    async fn admit(&self) -> Result<CheckedOut<'a>, AttemptOutcome> {
-        let deadline = self.deadline_at();
-        // Rule 3 again, at the one place that every attempt passes before its first byte: the
-        // policy judged when it decided, and a throttled connect, a handshake or a connection in
-        // use may have taken longer than the grace since. A host that was announced as leaving
-        // meanwhile gets nothing, and the request learns so at once. In whatever order these
-        // futures are woken, the look at the host comes before the step that has the connection,
-        // and the first byte is written in the same poll.
+    /// Waits for a connection. An attempt that waits in vain ends unsent: at the end of its time,
+    /// with its request, or as soon as its host takes nothing new.
+    async fn wait_for_connection(&self) -> Result<CheckedOut<'a>, AttemptOutcome> {
+        let host = self.target.host;
+        let send_by = self.upstreams.clock.at(self.target.send_by);
+        // The end of a deduplication window comes before the attempt's own deadline, at which the
+        // checkout itself ends.
+        let window_ends = self.target.send_by < self.target.deadline;
         let checked_out = tokio::select! {
             biased;
             () = self.request.wait_finished() => Err(AttemptOutcome::Cancelled),
-            () = self.upstreams.stopped_accepting(self.host) => Err(AttemptOutcome::NotSent),
-            checked_out = self.upstreams.checkout(self.host, self.attempt, deadline) => checked_out,
+            () = self.upstreams.stopped_accepting(host) => Err(AttemptOutcome::NotSent),
+            checked_out = self.upstreams.checkout(host, self.attempt, self.deadline_at()) => checked_out,
+            () = sleep_until(send_by), if window_ends => Err(AttemptOutcome::NotSent),
         };
         let checked_out = checked_out?;
-        // Rule 1 again: a connection may come up in the very poll in which the time is over, and
-        // long after it where this process stood still. Nothing is begun then.
-        if Instant::now() >= deadline {
-            return Err(AttemptOutcome::NotSent);
+        // Whatever else came in the meantime is seen to first: the client's end above all.
+        let is_retry = self.attempt.number.0 > 0;
+        if checked_out.waited() || is_retry {
+            yield_now().await;
         }
         Ok(checked_out)
     }
 
+    /// Asks for the permission to write; every rule on what may be sent is judged there.
+    fn permit(&self, now: Micros) -> Result<SendPermit, AttemptOutcome> {
+        let client_present = self.request.client.is_present() && !self.request.is_finished();
+        let permit = self.router.borrow_mut().permit_send(now, self.attempt, client_present);
+        permit.map_err(|refusal| {
+            let AttemptKey { request, number } = self.attempt;
+            log::debug!("request {} attempt {}: not sent, {refusal:?}", request.0, number.0);
+            match refusal {
+                SendRefusal::ClientGone | SendRefusal::RequestEnded => AttemptOutcome::Cancelled,
+                _ => AttemptOutcome::NotSent,
+            }
+        })
+    }
+
     /// Writes the request. The host begins with the last byte: until that is written the attempt
     /// never ran. A request that is over meanwhile must not get that far, which says nothing of the
-    /// host; once it has, its response is awaited. A long value whose first byte was written in
-    /// time goes on.
+    /// host; once it has, its response is awaited.
     async fn write(
         &self,
         checked_out: &mut CheckedOut<'_>,
+        permit: SendPermit,
         message: RequestBytes,
     ) -> Result<(), AttemptOutcome> {
-        let deadline = self.deadline_at();
+        let complete_by = self.upstreams.clock.at(permit.complete_by());
         let written = async {
             let Some(connection) = checked_out.connection() else { return Err(AttemptOutcome::NotSent) };
-            match timeout_at(deadline, message.write(&mut connection.stream)).await {
+            match timeout_at(complete_by, message.write(permit, &mut connection.stream)).await {
                 Ok(Ok(())) => Ok(()),
                 _ => Err(AttemptOutcome::Unreachable),
             }
@@ -131,7 +154,7 @@
                     return self.answered(now, checked_out, response)
                 }
                 Err(cause) => {
-                    log::debug!("host {}: {cause}", self.host.0);
+                    log::debug!("host {}: {cause}", self.target.host.0);
                     return AttemptResult::without_value(AttemptOutcome::Error);
                 }
             }
@@ -144,7 +167,7 @@
         let id = checked_out.id();
         let verdict = self.upstreams.pools.borrow_mut().attempt_timed_out(now, id);
         if let Some(connection) = connection.filter(|_| verdict.await_late_response) {
-            self.upstreams.await_late_response(self.host, id, connection, self.parse_response);
+            self.upstreams.await_late_response(self.target.host, id, connection, self.parse_response);
         }
         AttemptOutcome::TimedOut
     }
@@ -154,7 +177,7 @@
         drop(checked_out.take());
         let fault = self.upstreams.pools.borrow_mut().connection_lost(now, checked_out.id());
         self.upstreams.perform_pool_actions();
-        log::debug!("host {}: a connection ended under a request, {fault:?} at fault", self.host.0);
+        log::debug!("host {}: a connection ended under a request, {fault:?} at fault", self.target.host.0);
         match fault {
             Fault::Connection => AttemptOutcome::ConnectionFault,
             Fault::Host => AttemptOutcome::ConnectionLost,
@@ -171,7 +194,7 @@
         self.upstreams.pools.borrow_mut().response_begun(now, id);
         let (sender, pieces) = mpsc::channel(1);
         let LongValueHead { length, parse_trailer, .. } = head;
-        let stream = ValueStream { host: self.host, id, connection, length, parse_trailer };
+        let stream = ValueStream { host: self.target.host, id, connection, length, parse_trailer };
         spawn_local(self.upstreams.clone().stream_value(stream, sender));
         AttemptResult::succeeded(Value::Streamed(StreamedValue { length, pieces }))
     }
@@ -200,7 +223,7 @@
         let last = connection.last_response.take();
         let last = last.filter(|_| duplicates_suspected && result.value.is_some());
         if last.is_some_and(|last| last.repeated_by(fingerprint, self.request.value.is_some())) {
-            log::debug!("host {}: the same response as to the request before", self.host.0);
+            log::debug!("host {}: the same response as to the request before", self.target.host.0);
             return AttemptResult::without_value(AttemptOutcome::ConnectionFault);
         }
         connection.last_response = Some(fingerprint);
@@ -211,7 +234,7 @@
         let Some(connection) = checked_out.take() else { return result };
         let kept = upstreams.pools.borrow_mut().answered(now, checked_out.id(), keep);
         if kept {
-            upstreams.return_connection(self.host, checked_out.id(), connection);
+            upstreams.return_connection(self.target.host, checked_out.id(), connection);
         }
         result
     }
--- a/balancer/src/upstream/messages.rs
+++ b/balancer/src/upstream/messages.rs
@@ -3,12 +3,13 @@
 
 use std::io;
 
+use basaltwood::policy::SendPermit;
 use basaltwood_wire::http;
 use basaltwood_wire::resp::RespError;
 use bytes::Bytes;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::io_errors::write_all;
 use crate::request::AttemptResult;
 
 /// Bytes from an upstream that are no response to what was sent. The connection they came on is of
@@ -76,11 +77,11 @@
         RequestBytes { head: bytes, segments: Vec::new() }
     }
 
-    /// Writes all of it.
-    pub async fn write(self, stream: &mut TcpStream) -> io::Result<()> {
-        stream.write_all(&self.head).await?;
+    /// Writes all of it, by the permission for this attempt.
+    pub async fn write(self, _permit: SendPermit, stream: &mut TcpStream) -> io::Result<()> {
+        write_all(stream, &self.head).await?;
         for segment in self.segments {
-            stream.write_all(&segment).await?;
+            write_all(stream, &segment).await?;
         }
         Ok(())
     }
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -20,6 +20,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use basaltwood::router::Router;
 use basaltwood::types::{AttemptKey, HostId, Micros};
 use basaltwood_connection_pool::{ConnectionId, ConnectionPools, PoolAction, PoolStats};
 use basaltwood_settings::RuntimeLimits;
@@ -29,6 +30,7 @@
 use crate::budget::ResourceBudget;
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::invariants::Invariants;
 use crate::metrics::Metrics;
 use crate::request::{AttemptResult, ClientRequest};
 use duplicates::DuplicateDetector;
@@ -72,6 +74,17 @@
     }
 }
 
+/// Where an attempt goes, and by when.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptTarget {
+    /// The host.
+    pub host: HostId,
+    /// The attempt is over then.
+    pub deadline: Micros,
+    /// Its last byte is written by then, or it was not sent.
+    pub send_by: Micros,
+}
+
 /// All cache hosts and the origin, and the connections to them.
 pub struct Upstreams {
     hosts: RefCell<BTreeMap<HostId, HostEntry>>,
@@ -90,6 +103,7 @@
     budget: Rc<ResourceBudget>,
     counters: Rc<Counters>,
     pub metrics: Rc<Metrics>,
+    pub invariants: Rc<Invariants>,
     pub clock: Rc<Clock>,
 }
 
@@ -115,6 +129,7 @@
             limits,
             budget,
             counters,
+            invariants: metrics.invariants(),
             metrics,
             clock,
         })
@@ -164,21 +179,21 @@
         self.perform_pool_actions();
     }
 
-    /// One attempt of a request at a host, by the protocol that the host speaks. It is over by
-    /// `deadline`.
+    /// One attempt of a request at a host, by the protocol that the host speaks. The router is asked
+    /// for the permission before its first byte.
     pub async fn attempt(
         self: &Rc<Upstreams>,
-        host: HostId,
+        router: &RefCell<Router>,
         attempt: AttemptKey,
         request: &ClientRequest,
-        deadline: Micros,
+        target: AttemptTarget,
     ) -> AttemptResult {
-        let origin = self.origin_address(host);
+        let origin = self.origin_address(target.host);
         let parse_response = match origin {
             Some(_) => origin::parse_response,
             None => cache::parse_response,
         };
-        let exchange = Exchange { upstreams: self, host, attempt, request, deadline, parse_response };
+        let exchange = Exchange { upstreams: self, router, attempt, request, target, parse_response };
         let encode = |time_left| match origin {
             Some(address) => origin::encode(address, request, time_left),
             None => cache::encode(request, time_left),
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -6,7 +6,6 @@
 use basaltwood::types::HostId;
 use basaltwood_connection_pool::ConnectionId;
 use bytes::{BufMut, Bytes, BytesMut};
-use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -14,6 +13,7 @@
 use super::messages::{ParseTrailer, Trailer};
 use super::{UpstreamConnection, Upstreams};
 use crate::budget::StreamGuard;
+use crate::io_errors::read_buf;
 use crate::read;
 
 /// A host that gives nothing of a long value for so long will not give the rest.
@@ -89,7 +89,7 @@
     if connection.buffer.is_empty() {
         let mut piece = BytesMut::with_capacity(max_bytes);
         let mut unfilled = (&mut piece).limit(max_bytes);
-        return match timeout(PIECE_TIMEOUT, connection.stream.read_buf(&mut unfilled)).await {
+        return match timeout(PIECE_TIMEOUT, read_buf(&mut connection.stream, &mut unfilled)).await {
             Ok(Ok(1..)) => Some(piece.freeze()),
             _ => None,
         };
--- a/balancer/tests/admin.rs
+++ b/balancer/tests/admin.rs
@@ -77,7 +77,15 @@
         tries 7
         active 0
         pool_size 1
-        pool_ejected 0"#]]
+        pool_ejected 0
+        invariant_violations{name="reply_owed_at_close"} 0
+        invariant_violations{name="answer_missing"} 0
+        invariant_violations{name="sent_for_departed_client"} 0
+        invariant_violations{name="sent_after_deadline"} 0
+        invariant_violations{name="unsafe_repeat"} 0
+        invariant_violations{name="sent_to_draining_host"} 0
+        invariant_violations{name="stated_time_too_long"} 0
+        invariant_violations{name="task_panicked"} 0"#]]
     .assert_eq(&page);
 }
 
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -11,6 +11,8 @@
 //! on. The first call is due at once: news that discovery has for a balancer without an open call
 //! counts as delivered, and the rule on draining hosts binds from then on.
 //!
+//! [`StartTimes`] puts the starts that a list gives by the wall clock on the caller's own clock.
+//!
 //! It never reads a list, never gives up, and never makes a call more expensive because an earlier
 //! one was refused.
 //!
@@ -21,6 +23,8 @@
 
 mod error;
 mod schedule;
+mod start_times;
 
 pub use error::WatchError;
 pub use schedule::{WatchConfig, WatchSchedule, MAX_CALL_INTERVAL};
+pub use start_times::StartTimes;
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -217,11 +217,17 @@
     }
 
     /// Books an attempt that was admitted, and has it sent.
-    pub(crate) fn record_attempt(&mut self, id: RequestId, host: HostId, mailboxes: &mut Mailboxes) {
+    pub(crate) fn record_attempt(
+        &mut self,
+        id: RequestId,
+        host: HostId,
+        is_budgeted: bool,
+        mailboxes: &mut Mailboxes,
+    ) {
         let now = mailboxes.now;
         let request = self.requests.get_mut(&id).expect("it was admitted");
         let key = request.key;
-        let attempt = AttemptKey { request: id, number: request.start_attempt(host, now) };
+        let attempt = AttemptKey { request: id, number: request.start_attempt(host, now, is_budgeted) };
         let timeout = request.expires_at - now;
         let status = &mut self.host_statuses[host.index()];
         status.in_flight += 1;
--- a/src/open_request.rs
+++ b/src/open_request.rs
@@ -22,6 +22,8 @@
     pub(crate) number: AttemptNumber,
     pub(crate) host: HostId,
     pub(crate) sent_at: Micros,
+    /// When it was counted against the slow start of its host, if it was.
+    pub(crate) budgeted_at: Option<Micros>,
 }
 
 /// A request from its arrival to its final answer.
@@ -54,10 +56,11 @@
 
 impl OpenRequest {
     /// Records an attempt that is sent now, and numbers it.
-    pub(crate) fn start_attempt(&mut self, host: HostId, now: Micros) -> AttemptNumber {
+    pub(crate) fn start_attempt(&mut self, host: HostId, now: Micros, is_budgeted: bool) -> AttemptNumber {
         let number = AttemptNumber(self.attempts_started);
         self.attempts_started += 1;
-        self.in_flight.push(SentAttempt { number, host, sent_at: now });
+        let budgeted_at = is_budgeted.then_some(now);
+        self.in_flight.push(SentAttempt { number, host, sent_at: now, budgeted_at });
         self.tried.push(host);
         number
     }
@@ -85,6 +88,25 @@
         in_flight.chain(self.may_have_run).min_by_key(|attempt| attempt.sent_at)
     }
 
+    /// The same but for one attempt, which is to be sent beside the others.
+    pub(crate) fn first_possible_run_but(&self, number: AttemptNumber) -> Option<SentAttempt> {
+        let others = self.in_flight.iter().copied().filter(|attempt| attempt.number != number);
+        others.chain(self.may_have_run).min_by_key(|attempt| attempt.sent_at)
+    }
+
+    /// An attempt in flight was counted against the slow start of its host.
+    pub(crate) fn set_budgeted(&mut self, number: AttemptNumber, at: Micros) {
+        let counted = self.in_flight.iter_mut().find(|attempt| attempt.number == number);
+        counted.into_iter().for_each(|attempt| attempt.budgeted_at = Some(at));
+    }
+
+    /// Whether an attempt that may have run, or one that is in flight, or a host that is passed
+    /// over names this host.
+    pub(crate) fn names_host(&self, host: HostId) -> bool {
+        let mut attempts = self.in_flight.iter().chain(&self.may_have_run);
+        self.tried.contains(&host) || attempts.any(|attempt| attempt.host == host)
+    }
+
     /// A host that it was sent to may have it again.
     pub(crate) fn forget_tried(&mut self, host: HostId) {
         self.tried.retain(|tried| *tried != host);
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -2,6 +2,7 @@
 //! decided before.
 
 use super::constants::*;
+use super::repeating::{judge_repeat, rejection_is_harmless, Repeat};
 use crate::dispatcher::Dispatcher;
 use crate::host_tracker::{HostStatus, Mailboxes};
 use crate::open_request::OpenRequest;
@@ -23,7 +24,9 @@
         if !self.warm_up_allows(host, key, is_retry, now) {
             return false;
         }
-        self.record_attempt(id, host, mailboxes);
+        let status = &self.host_statuses[host.index()];
+        let is_budgeted = status.is_warming_up() && status.is_cache();
+        self.record_attempt(id, host, is_budgeted, mailboxes);
         true
     }
 
@@ -37,27 +40,27 @@
     fn may_run_again_at(&self, request: &OpenRequest, host: HostId, now: Micros) -> bool {
         let Some(earlier) = request.first_possible_run() else { return true };
         let Some(there) = self.host_statuses[host.index()].endpoint.as_ref() else { return true };
-        let before = self.host_statuses[earlier.host.index()].endpoint.as_ref();
-        let is_safe = match self.classes[request.class].retry_safety {
-            RetrySafety::Idempotent => true,
-            RetrySafety::AtMostOnce => false,
-            RetrySafety::IdempotencyKey { scope, window } => {
-                let is_remembered = now - earlier.sent_at < window - SWEEP_INTERVAL;
-                is_remembered && before.is_some_and(|before| scope.joins(before, there))
-            }
-        };
-        is_safe && (request.in_flight.is_empty() || self.capabilities.hedging)
+        let earlier = self.possible_run(earlier, !request.in_flight.is_empty());
+        let safety = self.classes[request.class].retry_safety;
+        let repeat = judge_repeat(safety, Some(earlier), there, self.capabilities.hedging, now);
+        matches!(repeat, Repeat::Allowed { .. })
     }
 
     /// Rule 3: nothing new to a host that drains or is gone; its grace period is not used.
-    fn takes_new_work(&self, host: HostId) -> bool {
+    pub(super) fn takes_new_work(&self, host: HostId) -> bool {
         self.host_statuses[host.index()].is_up()
     }
 
     /// Rule 4: to a host that is warming up no more in a window than this balancer's part of what
     /// it can bear. A warm host bears the mean load at least; own sends are already this balancer's
     /// part of it.
-    fn warm_up_allows(&mut self, host: HostId, key: Option<RingPosition>, retry: bool, now: Micros) -> bool {
+    pub(super) fn warm_up_allows(
+        &mut self,
+        host: HostId,
+        key: Option<RingPosition>,
+        retry: bool,
+        now: Micros,
+    ) -> bool {
         let status = &self.host_statuses[host.index()];
         if !status.is_warming_up() || !status.is_cache() {
             return true;
@@ -89,11 +92,10 @@
     /// harmless.
     pub fn close(&mut self, id: RequestId, is_shed: bool, mailboxes: &mut Mailboxes) {
         let Some(request) = self.requests.get(&id) else { return };
-        let is_harmless = match self.classes[request.class].retry_safety {
-            RetrySafety::Idempotent => true,
-            RetrySafety::IdempotencyKey { scope: DeduplicationScope::All, .. } => true,
-            _ => request.may_have_run.is_none() && request.in_flight.is_empty(),
-        };
+        let in_flight = !request.in_flight.is_empty();
+        let earlier = request.first_possible_run().map(|earlier| self.possible_run(earlier, in_flight));
+        let safety = self.classes[request.class].retry_safety;
+        let is_harmless = rejection_is_harmless(safety, earlier, self.retry_after, mailboxes.now);
         let rejection = PolicyAction::Reject { request: id, retry_after: self.retry_after };
         let failure = PolicyAction::Fail { request: id };
         mailboxes.actions.push(if is_shed && is_harmless { rejection } else { failure });
--- a/src/policy/constants.rs
+++ b/src/policy/constants.rs
@@ -53,6 +53,7 @@
 pub const WARM_UP_KEY_SHARE: f64 = 0.1; // of all reads: one key with so much must not overload the host
 
 // Retries.
+pub const MAX_PROCESS_STALL: Micros = 150_000; // between reading the clock and writing, says the operators' page
 pub const PRIORITY_RETRIES: f64 = 2.0; // of a class of the top weight, beyond the one that each has
 pub const MAX_SPILLS: usize = 1; // hosts past a full one that a request may try for capacity
 pub const MAX_SELECTIONS: usize = 3; // hosts that are looked at when none is admitted
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,7 +4,8 @@
 //! no I/O, no global state. The vocabulary is in `types`.
 //!
 //! Each host has a tracker (`HostTracker`), and a dispatcher (`Dispatcher`) holds the requests: they share
-//! nothing but messages. `admission.rs` gates each attempt and final answer; it keeps the four rules.
+//! nothing but messages. `admission.rs` gates each attempt and final answer as it is decided,
+//! `sending.rs` each attempt once more before its first byte; `repeating.rs` is rule 2.
 
 use crate::dispatcher::Dispatcher;
 use crate::host_tracker::{HostStatus, HostTracker, Mailboxes};
@@ -18,9 +19,14 @@
 mod fleet;
 mod host;
 pub(crate) mod hot_keys;
+mod repeating;
 mod selection;
+mod sending;
 pub(crate) mod zones;
 
+pub use repeating::{judge_repeat, rejection_is_harmless, PossibleRun, Repeat};
+pub use sending::{SendPermit, SendRefusal};
+
 /// One balancer's policy.
 pub struct Policy {
     mailboxes: Mailboxes,
--- a/src/policy_views.rs
+++ b/src/policy_views.rs
@@ -13,7 +13,7 @@
     /// now on.
     pub fn released_hosts(&self) -> Vec<HostId> {
         let requests = &self.dispatcher.requests;
-        let is_named = |host: HostId| requests.values().any(|request| request.tried.contains(&host));
+        let is_named = |host: HostId| requests.values().any(|request| request.names_host(host));
         let is_gone = |endpoint: &Endpoint| endpoint.lifecycle == Lifecycle::Gone;
         let gone = self.hosts.iter().filter(|host| host.status.endpoint.as_ref().is_some_and(is_gone));
         let released = gone.filter(|host| host.in_flight.is_empty() && !is_named(host.id));
--- a/src/router.rs
+++ b/src/router.rs
@@ -10,7 +10,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::policy::Policy;
+use crate::policy::{Policy, SendPermit, SendRefusal};
 use crate::types::*;
 
 /// A request as it is submitted.
@@ -42,6 +42,8 @@
         host: HostId,
         /// What has not ended by then has timed out, and nothing of it is sent later.
         deadline: Micros,
+        /// Its last byte is written by then, or it is reported as not sent.
+        send_by: Micros,
     },
     /// Stop waiting for an attempt; it is still to be reported, as cancelled.
     CancelAttempt(AttemptNumber),
@@ -162,6 +164,21 @@
         (request, self.take_actions(request))
     }
 
+    /// Whether the first byte of an attempt may be written now; to be asked in the same step.
+    /// `client_present` says whether the client's connection was open when it was last looked at.
+    ///
+    /// # Errors
+    /// [`SendRefusal`] where a rule forbids it: nothing may be written, and the attempt is reported
+    /// as not sent, or as cancelled where nobody waits for it any more.
+    pub fn permit_send(
+        &mut self,
+        now: Micros,
+        attempt: AttemptKey,
+        client_present: bool,
+    ) -> Result<SendPermit, SendRefusal> {
+        self.policy.permit_send(now, attempt, client_present)
+    }
+
     /// An attempt ended; one that was reported before, or never made, changes nothing.
     pub fn attempt_ended(
         &mut self,
@@ -261,7 +278,9 @@
                     let Some(open) = self.requests.get_mut(&request) else { continue };
                     let attempt = open.start_attempt(host, now);
                     let deadline = now + timeout;
-                    self.deliver(request, RequestAction::StartAttempt { attempt, host, deadline });
+                    let key = AttemptKey { request, number: attempt };
+                    let send_by = self.policy.repeat_deadline(now, key).unwrap_or(deadline).min(deadline);
+                    self.deliver(request, RequestAction::StartAttempt { attempt, host, deadline, send_by });
                 }
                 PolicyAction::Reject { request, retry_after } => {
                     self.deliver(request, RequestAction::Reject { retry_after });
--- a/testbed/src/scale/simulated/request.rs
+++ b/testbed/src/scale/simulated/request.rs
@@ -106,7 +106,7 @@
 
     fn perform(&mut self, action: RequestAction) {
         match action {
-            RequestAction::StartAttempt { attempt, host, deadline } => {
+            RequestAction::StartAttempt { attempt, host, deadline, .. } => {
                 self.start_attempt(attempt, host, deadline);
             }
             RequestAction::CancelAttempt(attempt) => self.cancel_attempt(attempt),
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -21,7 +21,7 @@
 
 fn trace_of(actions: &[RequestAction]) -> String {
     let word = |action: &RequestAction| match action {
-        RequestAction::StartAttempt { attempt, host, deadline } => {
+        RequestAction::StartAttempt { attempt, host, deadline, .. } => {
             format!("attempt {} to h{} until {}", attempt.0, host.0, deadline / MS)
         }
         RequestAction::CancelAttempt(attempt) => format!("cancel {}", attempt.0),
