--- a/balancer/tests/faults/main.rs
+++ b/balancer/tests/faults/main.rs
@@ -6,8 +6,10 @@
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 
+mod copies;
 mod keyed_windows;
 mod last_reply;
+mod shortages;
 mod wall_clock;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/balancer/tests/faults/shortages.rs
@@ -0,0 +1,62 @@
+//! System calls that fail for a moment: what is this machine's own shortage is no evidence against
+//! any host, spends no attempt, and loses no request and no news.
+
+use std::thread;
+use std::time::Duration;
+
+use basaltwood_fault_control::{Call, ALWAYS};
+
+use crate::common::*;
+use crate::FaultyProgram;
+
+/// How long a call fails: shorter than a request's time.
+const SHORTAGE: Duration = Duration::from_millis(400);
+
+#[test]
+fn reload_without_a_descriptor_is_tried_again() {
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let host = Peer::host(|_| hit("v"));
+    let known = [entry("a", host.address, "active")];
+    let faulty = FaultyProgram::start(before.peer.address, &known, SETTINGS);
+    before.peer.next();
+
+    faulty.faults.fail(Call::Open, libc::EMFILE, ALWAYS).expect("a file");
+    let (old, new) = (before.peer.address.to_string(), after.peer.address.to_string());
+    faulty.program.reload_with(&old, &new);
+    thread::sleep(SHORTAGE);
+    faulty.faults.restore(Call::Open).expect("a file");
+
+    assert!(after.peer.next().starts_with("GET /v1/servers"));
+}
+
+/// Connects fail while 40 requests come: they wait, and are served.
+#[test]
+fn connects_that_fail_for_want_of_something_local_cost_no_attempt() {
+    let shortages = [
+        (Call::Socket, libc::EMFILE),
+        (Call::Socket, libc::ENFILE),
+        (Call::Socket, libc::ENOBUFS),
+        (Call::Connect, libc::EADDRNOTAVAIL),
+        (Call::Connect, libc::ENETUNREACH),
+    ];
+    for (call, errno) in shortages {
+        let hosts: Vec<Peer> = (0..3).map(|_| Peer::host(|_| hit("v"))).collect();
+        let named = ["a", "b", "c"].iter().zip(&hosts);
+        let known: Vec<String> = named.map(|(name, host)| entry(name, host.address, "active")).collect();
+        let faulty = FaultyProgram::start(nowhere(), &known, SETTINGS);
+        let mut clients: Vec<Client> = (0..40).map(|_| faulty.program.client()).collect();
+        clients.iter_mut().for_each(|client| assert_eq!(client.command(&["PING"]), "+PONG"));
+
+        faulty.faults.fail(call, errno, ALWAYS).expect("a file");
+        for (nth, client) in clients.iter_mut().enumerate() {
+            client.get(&format!("k{nth}"), &format!("id{nth}"), "c=read,d=1900");
+        }
+        thread::sleep(SHORTAGE);
+        faulty.faults.restore(call).expect("a file");
+
+        let served = clients.iter_mut().filter_map(|client| (client.answer() == "v").then_some(())).count();
+        let line = faulty.program.wait_for_counter("requests", 40);
+        assert_eq!(served, 40, "{call:?} with {errno}: {line}");
+        assert!(line.contains(" attempts_unreachable=0 "), "{call:?} with {errno}: {line}");
+    }
+}
