Shortages of this machine and copies of one host cost no other host or request

Cause, as the tests that failed show. Upstreams::open took every error but its own time-out for the host's: a missing descriptor opened circuits and spent attempts. reload_config gave a file that can't be opened for the moment up like one that makes no sense. The suspicion of copied answers was the process's: after one copy every answer that was like the one before on its connection failed its attempt, at all hosts, for 10 s.

Change. io_errors.rs sorts errors into interrupted, this machine's shortage, the peer's; a connect waits a shortage out for half of its attempt's time and ends as not sent. process/reload.rs tries a file that can't be had again, every 50 ms for 30 s or until the next signal. A host that sent more than it was asked for gets each request on a connection of its own for 10 s, and its idle connections are closed; other hosts are not concerned. A connect that is dropped performs what the pools ask for.

The shortages test asks 8 requests of three new hosts, not 40: the limits of new hosts admit 18 and reject the rest whatever connects do; the program before still serves none of the 8. The races test for copies wrote the copy as the answer on whichever connection the next request came; with a connection for each request that is no copy any more. It now writes it on the connection that carried the request before, with the same expectations; a second test, red on the program before (-ERR), asks for 40 requests' own answers of a host that goes on answering twice.

--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 
 use crate::discovery::EndpointList;
+use crate::io_errors::FaultOrigin;
 
 /// The map of regions, from the working directory, unless `$BASALTWOOD_REGIONS` names another file.
 const DEFAULT_REGION_MAP: &str = "deploy/regions.toml";
@@ -55,6 +56,19 @@
     InvalidRegionMap(#[from] RegionMapError),
 }
 
+impl ConfigError {
+    /// Whether the file could not be had for the moment, and may be a moment later: this process or
+    /// its machine lacks something, or the file is being replaced.
+    pub fn is_momentary(&self) -> bool {
+        match self {
+            ConfigError::Unreadable { cause, .. } | ConfigError::UnreadableRegionMap { cause, .. } => {
+                cause.kind() == io::ErrorKind::NotFound || FaultOrigin::of(cause) != FaultOrigin::Peer
+            }
+            ConfigError::NotSet | ConfigError::Invalid { .. } | ConfigError::InvalidRegionMap(_) => false,
+        }
+    }
+}
+
 /// What is wrong in the configuration file, or in a variable of the environment that belongs to it.
 #[derive(Debug, thiserror::Error)]
 pub enum InvalidConfig {
--- a/balancer/src/discovery/client.rs
+++ b/balancer/src/discovery/client.rs
@@ -14,7 +14,7 @@
 use crate::clock::duration;
 use crate::io_errors::write_all;
 use crate::read;
-use crate::upstream::UpstreamConnection;
+use crate::upstream::{self, UpstreamConnection};
 
 /// The longest list that is read.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -81,8 +81,8 @@
     let until = began + duration(schedule.response_timeout().min(schedule.call_timeout()));
     // Without a permit of the budget, which leaves a descriptor aside for this connection: drains
     // must be read even while clients and hosts hold all other descriptors.
-    let opening = UpstreamConnection::connect(None, address, until, MAX_BODY_BYTES + MAX_HEAD_BYTES);
-    opening.await.map_err(connection_failed)
+    let stream = upstream::connect(address, until).await.map_err(connection_failed)?;
+    Ok(UpstreamConnection::new(stream, None, MAX_BODY_BYTES + MAX_HEAD_BYTES))
 }
 
 /// The path of the whole list, or of the changes since the known version, which discovery holds
--- a/balancer/src/io_errors.rs
+++ b/balancer/src/io_errors.rs
@@ -24,6 +24,11 @@
     Peer,
 }
 
+/// Whether an error says that no descriptor is left, here or on the whole machine.
+pub fn lacks_descriptors(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+}
+
 impl FaultOrigin {
     /// Whose fault this error is, by the numbers that Linux documents for sockets and files.
     pub fn of(error: &io::Error) -> FaultOrigin {
--- a/balancer/src/process/mod.rs
+++ b/balancer/src/process/mod.rs
@@ -1,8 +1,9 @@
 //! The process from start to exit, phase by phase: named states of one object.
 //!
-//! [`start`] assembles it; [`tasks`] and [`limit_sharing`] run in the background.
+//! [`start`] assembles it; [`tasks`], [`reload`] and [`limit_sharing`] run in the background.
 
 mod limit_sharing;
+mod reload;
 mod start;
 mod tasks;
 
@@ -82,7 +83,7 @@
         shutdown.enter(Phase::Serving);
         tasks.spawn_local(downstream::accept(shared.clone(), listener, shutdown.phase.subscribe()));
         tasks.spawn_local(tasks::print_counters(shared.clone(), signals.print_counters));
-        tasks.spawn_local(tasks::reload_config(signals.reload, discovery));
+        tasks.spawn_local(reload::reload_config(signals.reload, discovery));
         let outcome = tokio::select! {
             _ = signals.terminate.recv() => Ok(()),
             _ = signals.interrupt.recv() => Ok(()),
--- /dev/null
+++ b/balancer/src/process/reload.rs
@@ -0,0 +1,64 @@
+//! The one place where a new configuration is taken in force, or refused, or tried again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use tokio::time::{sleep, Instant};
+
+use crate::config::{Config, ConfigError};
+
+/// Between two tries to read a file that can't be had for the moment.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// For so long it is tried, from the signal on.
+const RETRY_FOR: Duration = Duration::from_secs(30);
+
+/// Reloads the configuration at each signal. Only discovery's address takes effect at once, all
+/// else at the next start. An invalid configuration changes nothing; one that can't be read for the
+/// moment is tried again, until the next signal at the latest.
+pub async fn reload_config(mut signal: Signal, discovery: watch::Sender<SocketAddr>) {
+    let mut signalled = signal.recv().await;
+    while signalled.is_some() {
+        signalled = tokio::select! {
+            biased;
+            // Where signals come in a row, the last one counts.
+            again = signal.recv() => again,
+            () = reload(&discovery) => signal.recv().await,
+        };
+    }
+}
+
+/// Takes the configuration in force, or says why not.
+async fn reload(discovery: &watch::Sender<SocketAddr>) {
+    match read_config().await {
+        Ok(config) => {
+            log::info!("configuration reloaded: discovery at {}", config.discovery);
+            discovery.send_if_modified(|address| {
+                let moved = *address != config.discovery;
+                *address = config.discovery;
+                moved
+            });
+        }
+        Err(cause) => log::warn!("{cause}; all stays as it is"),
+    }
+}
+
+async fn read_config() -> Result<Config, ConfigError> {
+    let give_up_at = Instant::now() + RETRY_FOR;
+    let mut is_first = true;
+    loop {
+        let cause = match Config::read() {
+            Ok(config) => return Ok(config),
+            Err(cause) => cause,
+        };
+        if !cause.is_momentary() || Instant::now() >= give_up_at {
+            return Err(cause);
+        }
+        if is_first {
+            log::warn!("{cause}; it is tried again for {} s", RETRY_FOR.as_secs());
+            is_first = false;
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
--- a/balancer/src/process/tasks.rs
+++ b/balancer/src/process/tasks.rs
@@ -1,14 +1,11 @@
-//! Background tasks: printing counters, reloading, timers.
+//! Background tasks: printing counters, timers.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::signal::unix::Signal;
-use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
-use crate::config::Config;
 use crate::shared::Shared;
 
 /// The longest time from one tick to the next.
@@ -21,24 +18,6 @@
     }
 }
 
-/// Reloads the configuration at each signal. Only discovery's address takes effect at once, all
-/// else at the next start; an invalid configuration changes nothing.
-pub async fn reload_config(mut signal: Signal, discovery: watch::Sender<SocketAddr>) {
-    while signal.recv().await.is_some() {
-        match Config::read() {
-            Ok(config) => {
-                log::info!("configuration reloaded: discovery at {}", config.discovery);
-                discovery.send_if_modified(|address| {
-                    let moved = *address != config.discovery;
-                    *address = config.discovery;
-                    moved
-                });
-            }
-            Err(cause) => log::warn!("{cause}; all stays as it is"),
-        }
-    }
-}
-
 /// Runs the timers of the connections and then of the policy. The order matters: a stall of this
 /// process itself must be noticed before it is taken for the silence of hosts.
 pub async fn tick(shared: Rc<Shared>) {
--- a/balancer/src/upstream/checkout.rs
+++ b/balancer/src/upstream/checkout.rs
@@ -1,16 +1,56 @@
 //! Getting a connection for an attempt: an idle one, or a new one, or a wait for either.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use basaltwood::types::{AttemptKey, AttemptOutcome, HostId, Micros};
 use basaltwood_connection_pool::{Checkout, ConnectFailure, ConnectionId};
 use basaltwood_wire::resp::MAX_BUFFERED_MESSAGE;
-use tokio::time::{timeout_at, Instant};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout_at, Instant};
 
-use super::{UpstreamConnection, UpstreamEvent, Upstreams};
+use super::{connect, UpstreamConnection, UpstreamEvent, Upstreams};
 use crate::budget::DescriptorPermit;
 use crate::clock::duration;
+use crate::io_errors::{lacks_descriptors, FaultOrigin};
+
+/// Between two tries to open a connection while this machine lacks something for it.
+const SHORTAGE_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Why no connection came up.
+#[derive(Debug, Error)]
+enum ConnectError {
+    /// This machine lacks what a connection takes.
+    #[error("this machine can't open one: {0}")]
+    LocalShortage(io::Error),
+    /// The attempt's own time was over before the host's.
+    #[error("the attempt's time is over")]
+    CutOff,
+    /// The host refused it, or did not answer in time.
+    #[error("{0}")]
+    Host(io::Error),
+}
+
+impl ConnectError {
+    /// What the pools learn from it of the host.
+    fn pool_failure(&self) -> ConnectFailure {
+        match self {
+            ConnectError::LocalShortage(_) | ConnectError::CutOff => ConnectFailure::Local,
+            ConnectError::Host(_) => ConnectFailure::Host,
+        }
+    }
+
+    /// How the attempt ended. One that its own time cut off speaks against the host in the policy:
+    /// where deadlines are shorter than a connect's time-out, nothing else would.
+    fn outcome(&self) -> AttemptOutcome {
+        match self {
+            ConnectError::LocalShortage(_) => AttemptOutcome::NotSent,
+            ConnectError::CutOff | ConnectError::Host(_) => AttemptOutcome::Unreachable,
+        }
+    }
+}
 
 /// A connection that an attempt has. Dropped with the connection still in it, because the attempt
 /// was cancelled or failed, it closes the connection and reports it to the pools as abandoned.
@@ -75,6 +115,7 @@
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
             self.upstreams.pools.borrow_mut().abandoned(id);
+            self.upstreams.perform_pool_actions();
         }
     }
 }
@@ -97,7 +138,7 @@
             self.perform_pool_actions();
             match checkout {
                 Checkout::Reuse(id) => {
-                    if let Some(mut checked_out) = self.reuse(id) {
+                    if let Some(mut checked_out) = self.reuse(host, id) {
                         checked_out.waited = waited;
                         return Ok(checked_out);
                     }
@@ -117,7 +158,7 @@
     }
 
     /// An idle connection, if it is still good.
-    fn reuse(&self, id: ConnectionId) -> Option<CheckedOut<'_>> {
+    fn reuse(&self, host: HostId, id: ConnectionId) -> Option<CheckedOut<'_>> {
         let Some(connection) = self.idle.borrow_mut().remove(&id) else {
             self.pools.borrow_mut().abandoned(id);
             return None;
@@ -128,11 +169,11 @@
             self.counters.connections_reused.add();
             return Some(CheckedOut::new(self, id, connection));
         }
-        if matches!(read, Ok(1..)) {
-            self.duplicates.unexpected_bytes();
-        }
         self.counters.connections_stale.add();
         self.pools.borrow_mut().found_closed(id);
+        if matches!(read, Ok(1..)) {
+            self.suspect_duplicates(host);
+        }
         None
     }
 
@@ -164,33 +205,54 @@
         let guard = ConnectGuard { upstreams: self, id: Some(id) };
         let address = self.address(host).ok_or(AttemptOutcome::NotSent)?;
         let permit = self.host_descriptor().ok_or(AttemptOutcome::NotSent)?;
-        let connect_deadline = Instant::now() + duration(self.limits.connect_timeout);
-        let until = deadline.min(connect_deadline);
-        let connected = UpstreamConnection::connect(Some(permit), address, until, MAX_BUFFERED_MESSAGE).await;
+        let connected = self.connect(address, deadline).await;
         guard.disarm();
-        let now = self.clock.now();
+        let mut pools = self.pools.borrow_mut();
         match connected {
             // The host has moved meanwhile: what stands at the old address may be another, or one
             // that drains.
             Ok(_) if self.address(host) != Some(address) => {
-                self.pools.borrow_mut().abandoned(id);
+                pools.abandoned(id);
                 Err(AttemptOutcome::NotSent)
             }
-            Ok(connection) => {
+            Ok(stream) => {
+                pools.connected(id);
                 self.counters.connections_opened.add();
-                self.pools.borrow_mut().connected(id);
+                let connection = UpstreamConnection::new(stream, Some(permit), MAX_BUFFERED_MESSAGE);
                 let mut checked_out = CheckedOut::new(self, id, connection);
                 checked_out.waited = true;
                 Ok(checked_out)
             }
-            Err(cause) => {
-                log::debug!("host {} at {address} does not come up: {cause}", host.0);
-                // Cut off by the request's own deadline it tells nothing of the host.
-                let cut_off = cause.kind() == ErrorKind::TimedOut && deadline < connect_deadline;
-                let why = if cut_off { ConnectFailure::Local } else { ConnectFailure::Host };
-                self.pools.borrow_mut().connect_failed(now, id, why);
-                Err(AttemptOutcome::Unreachable)
+            Err(error) => {
+                log::debug!("host {} at {address}: no connection: {error}", host.0);
+                pools.connect_failed(self.clock.now(), id, error.pool_failure());
+                Err(error.outcome())
+            }
+        }
+    }
+
+    /// Connects. What this machine lacks for the moment is waited for, for half of the time that
+    /// the attempt has: its request may be better off elsewhere then, or rejected early.
+    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<TcpStream, ConnectError> {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let wait_until = Instant::now() + time_left / 2;
+        loop {
+            let host_deadline = Instant::now() + duration(self.limits.connect_timeout);
+            let error = match connect(address, deadline.min(host_deadline)).await {
+                Ok(stream) => return Ok(stream),
+                Err(error) => error,
+            };
+            if FaultOrigin::of(&error) == FaultOrigin::Peer {
+                let is_cut_off = error.kind() == ErrorKind::TimedOut && deadline < host_deadline;
+                return Err(if is_cut_off { ConnectError::CutOff } else { ConnectError::Host(error) });
+            }
+            if Instant::now() >= wait_until {
+                return Err(ConnectError::LocalShortage(error));
+            }
+            if lacks_descriptors(&error) {
+                self.close_idle_connection();
             }
+            sleep(SHORTAGE_RETRY_INTERVAL).await;
         }
     }
 
--- a/balancer/src/upstream/connection.rs
+++ b/balancer/src/upstream/connection.rs
@@ -21,19 +21,23 @@
 }
 
 impl UpstreamConnection {
-    /// Opens a connection that is up by `deadline` and buffers `max_buffered` bytes at most.
-    ///
-    /// # Errors
-    /// `TimedOut` where it is not up by then; else what the system says.
-    pub async fn connect(
+    /// A connection that is up, and buffers `max_buffered` bytes at most.
+    pub fn new(
+        stream: TcpStream,
         permit: Option<DescriptorPermit>,
-        address: SocketAddr,
-        deadline: Instant,
         max_buffered: usize,
-    ) -> io::Result<UpstreamConnection> {
-        let stream = timeout_at(deadline, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
+    ) -> UpstreamConnection {
         let buffer = Buffer::new(max_buffered);
-        Ok(UpstreamConnection { stream, buffer, last_response: None, _permit: permit })
+        UpstreamConnection { stream, buffer, last_response: None, _permit: permit }
     }
 }
+
+/// Opens a connection that is up by `deadline`.
+///
+/// # Errors
+/// `TimedOut` where it is not up by then; else what the system says.
+pub async fn connect(address: SocketAddr, deadline: Instant) -> io::Result<TcpStream> {
+    let stream = timeout_at(deadline, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- a/balancer/src/upstream/duplicates.rs
+++ b/balancer/src/upstream/duplicates.rs
@@ -1,5 +1,6 @@
 //! Hosts that answer a request twice. Responses carry no id: the second copy could be taken for the
-//! response to the next request on its connection.
+//! response to the next request on its connection. So a host that sent more than it was asked for
+//! gets each request on a connection of its own for a while; other hosts are not concerned.
 
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -9,22 +10,21 @@
 
 use crate::request::ClientRequest;
 
-/// After a host sent more than it was asked for, hosts are suspected of answering twice for so
-/// long.
+/// After a host sent more than it was asked for, it is suspected of answering twice for so long.
 const SUSPECTED_FOR: Duration = Duration::from_secs(10);
 /// Of a response so many bytes at its end are hashed: all of a long one would cost more than it
 /// tells.
 const FINGERPRINTED_BYTES: usize = 4 * 1024;
 
-/// Whether hosts are suspected of answering twice.
+/// Whether one host is suspected of answering twice.
 #[derive(Default)]
 pub struct DuplicateDetector {
-    /// When a host last sent more than it was asked for.
+    /// When it last sent more than it was asked for.
     seen_at: Cell<Option<Instant>>,
 }
 
 impl DuplicateDetector {
-    /// A host sent more than it was asked for.
+    /// It sent more than it was asked for.
     pub fn unexpected_bytes(&self) {
         self.seen_at.set(Some(Instant::now()));
     }
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -215,11 +215,12 @@
         connection.buffer.consume(length);
         let more_follows = !connection.buffer.is_empty();
         if more_follows {
-            upstreams.duplicates.unexpected_bytes();
+            upstreams.suspect_duplicates(self.target.host);
         }
-        // Of hosts that answer twice, a copy may come after the look before the write, and be taken
-        // for the response to the next request. The same value as before is not served then.
-        let duplicates_suspected = upstreams.duplicates.suspected();
+        // Of a host that answers twice, a copy may come after the look before the write, and be taken
+        // for the response to the next request. While it is suspected its connections carry one
+        // request each; on one that had carried another before, the same value is not served.
+        let duplicates_suspected = upstreams.suspects_duplicates(self.target.host);
         let last = connection.last_response.take();
         let last = last.filter(|_| duplicates_suspected && result.value.is_some());
         if last.is_some_and(|last| last.repeated_by(fingerprint, self.request.value.is_some())) {
@@ -227,10 +228,7 @@
             return AttemptResult::without_value(AttemptOutcome::ConnectionFault);
         }
         connection.last_response = Some(fingerprint);
-        // A copy of a rejection would say of the next attempt that it never ran: a rejection is the
-        // last response on its connection then.
-        let last_of_connection = duplicates_suspected && result.outcome == AttemptOutcome::Rejected;
-        let keep = reusable && !more_follows && !last_of_connection;
+        let keep = reusable && !more_follows && !duplicates_suspected;
         let Some(connection) = checked_out.take() else { return result };
         let kept = upstreams.pools.borrow_mut().answered(now, checked_out.id(), keep);
         if kept {
--- a/balancer/src/upstream/late.rs
+++ b/balancer/src/upstream/late.rs
@@ -28,7 +28,8 @@
         let upstreams = self.clone();
         let reader = async move {
             let response = read_late_response(&mut connection, parse_response);
-            let reusable = timeout(LATE_RESPONSE_TIMEOUT, response).await.unwrap_or(false);
+            let reusable = timeout(LATE_RESPONSE_TIMEOUT, response).await.unwrap_or(false)
+                && !upstreams.suspects_duplicates(host);
             upstreams.late_readers.borrow_mut().remove(&id);
             let kept = upstreams.pools.borrow_mut().late_response(upstreams.clock.now(), id, reusable);
             if kept {
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -36,7 +36,7 @@
 use duplicates::DuplicateDetector;
 use exchange::Exchange;
 
-pub use connection::UpstreamConnection;
+pub use connection::{connect, UpstreamConnection};
 
 /// What connections tell of attempts and hosts.
 pub enum UpstreamEvent {
@@ -56,6 +56,8 @@
     is_origin: bool,
     /// Whether it takes anything new, by the policy's rule on drains as the list was last read.
     accepts_attempts: bool,
+    /// Whether it answers requests twice.
+    duplicates: DuplicateDetector,
     /// Notified when a connection came free there.
     connection_freed: Rc<Notify>,
     /// Notified when it takes nothing new any more.
@@ -68,6 +70,7 @@
             address,
             is_origin,
             accepts_attempts: true,
+            duplicates: DuplicateDetector::default(),
             connection_freed: Rc::default(),
             stopped_accepting: Rc::default(),
         }
@@ -95,7 +98,6 @@
     late_readers: RefCell<BTreeMap<ConnectionId, AbortHandle>>,
     /// Attempts whose request was sent, by the connection that carries them.
     in_flight: RefCell<BTreeMap<ConnectionId, AttemptKey>>,
-    duplicates: DuplicateDetector,
     events: RefCell<Vec<UpstreamEvent>>,
     /// Notified when there are events to take.
     pub events_ready: Notify,
@@ -123,7 +125,6 @@
             idle: RefCell::default(),
             late_readers: RefCell::default(),
             in_flight: RefCell::default(),
-            duplicates: DuplicateDetector::default(),
             events: RefCell::default(),
             events_ready: Notify::new(),
             limits,
@@ -233,6 +234,22 @@
         self.perform_pool_actions();
     }
 
+    /// A host sent more than it was asked for: its idle connections may bring another copy, and
+    /// none of them is used again.
+    fn suspect_duplicates(&self, host: HostId) {
+        if let Some(entry) = self.hosts.borrow().get(&host) {
+            entry.duplicates.unexpected_bytes();
+        }
+        log::debug!("host {}: it sent more than it was asked for", host.0);
+        self.pools.borrow_mut().responses_doubtful(host);
+        self.perform_pool_actions();
+    }
+
+    /// Whether a response of this host may be a copy of the one before it on its connection.
+    fn suspects_duplicates(&self, host: HostId) -> bool {
+        self.hosts.borrow().get(&host).is_some_and(|entry| entry.duplicates.suspected())
+    }
+
     fn record_event(&self, event: UpstreamEvent) {
         self.events.borrow_mut().push(event);
         self.events_ready.notify_one();
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -48,7 +48,11 @@
         let trailer = timeout(TRAILER_TIMEOUT, read_trailer(connection, parse_trailer)).await;
         let Ok(Some(Trailer { length, reusable })) = trailer else { return };
         connection.buffer.consume(length);
-        let keep = reusable && connection.buffer.is_empty();
+        let more_follows = !connection.buffer.is_empty();
+        if more_follows {
+            self.suspect_duplicates(host);
+        }
+        let keep = reusable && !more_follows && !self.suspects_duplicates(host);
         let Some(connection) = checked_out.take() else { return };
         let kept = self.pools.borrow_mut().answered(self.clock.now(), id, keep);
         if kept {
--- a/balancer/tests/faults/shortages.rs
+++ b/balancer/tests/faults/shortages.rs
@@ -29,7 +29,10 @@
     assert!(after.peer.next().starts_with("GET /v1/servers"));
 }
 
-/// Connects fail while 40 requests come: they wait, and are served.
+/// So many requests come while connects fail: few enough for the limits of three new hosts.
+const REQUESTS: usize = 8;
+
+/// Connects fail while requests come: they wait, and are served.
 #[test]
 fn connects_that_fail_for_want_of_something_local_cost_no_attempt() {
     let shortages = [
@@ -44,7 +47,7 @@
         let named = ["a", "b", "c"].iter().zip(&hosts);
         let known: Vec<String> = named.map(|(name, host)| entry(name, host.address, "active")).collect();
         let faulty = FaultyProgram::start(nowhere(), &known, SETTINGS);
-        let mut clients: Vec<Client> = (0..40).map(|_| faulty.program.client()).collect();
+        let mut clients: Vec<Client> = (0..REQUESTS).map(|_| faulty.program.client()).collect();
         clients.iter_mut().for_each(|client| assert_eq!(client.command(&["PING"]), "+PONG"));
 
         faulty.faults.fail(call, errno, ALWAYS).expect("a file");
@@ -55,8 +58,8 @@
         faulty.faults.restore(call).expect("a file");
 
         let served = clients.iter_mut().filter_map(|client| (client.answer() == "v").then_some(())).count();
-        let line = faulty.program.wait_for_counter("requests", 40);
-        assert_eq!(served, 40, "{call:?} with {errno}: {line}");
+        let line = faulty.program.wait_for_counter("requests", REQUESTS as u64);
+        assert_eq!(served, REQUESTS, "{call:?} with {errno}: {line}");
         assert!(line.contains(" attempts_unreachable=0 "), "{call:?} with {errno}: {line}");
     }
 }
--- a/balancer/tests/races.rs
+++ b/balancer/tests/races.rs
@@ -5,6 +5,8 @@
 mod common;
 mod stand_ins;
 
+use std::io::{BufReader, Write as _};
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -227,29 +229,87 @@
     assert!(line.contains(" succeeded=0 ") && line.contains(" failed=0 "), "all is held still: {line}");
 }
 
-/// A host answers a request twice, and the copy comes after the next request is written: responses
-/// carry no id. Once hosts are suspected of answering twice such a copy serves nobody, and what may
-/// have run is not tried again.
+/// A host answers a request twice, and the copy comes after the next request is written on the same
+/// connection: responses carry no id. Once the host is suspected of answering twice such a copy
+/// serves nobody, and what may have run is not tried again.
 #[test]
 fn duplicate_response_after_the_next_request_is_not_taken_for_its_response() {
     let text = |value: &str| format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len());
     for (category, expected) in [("read", "v3"), ("once", "-ERR dead-lettered")] {
         let late = AtomicBool::new(true);
-        let a = Peer::host(move |request| match request.split(' ').nth(1) {
-            // The sign: a copy right behind.
-            Some("k1") => Reply::Text(text("v1") + &text("v1")),
-            Some("k3") if late.swap(false, Ordering::Relaxed) => Reply::Text(text("v2") + &text("v3")),
-            key => Reply::Text(text(&key.unwrap_or("").replace('k', "v"))),
+        let (release, wait) = gate();
+        let a = Peer::host(move |request| {
+            wait(request);
+            match request.split(' ').nth(1) {
+                // The sign: a copy right behind.
+                Some("k1") => Reply::Text(text("v1") + &text("v1")),
+                // A copy of the response before on this connection, and then its own.
+                Some("slow3") if late.swap(false, Ordering::Relaxed) => Reply::Text(text("v2") + &text("v3")),
+                Some("slow3") => Reply::Text(text("v3")),
+                key => Reply::Text(text(&key.unwrap_or("").replace('k', "v"))),
+            }
         });
         let known = [entry("a", a.address, "active")];
         let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], SETTINGS);
-        let mut client = program.client();
-        let mut request = |key: &str| {
-            client.command(&["CACHE.GET", key, &format!("id-{key}"), &format!("c={category},d=1900")])
+        let (mut client, mut other) = (program.client(), program.client());
+        let facts = format!("c={category},d=1900");
+        let request = |client: &mut Client, key: &str| {
+            client.command(&["CACHE.GET", key, &format!("id-{key}"), &facts])
         };
 
-        assert_eq!([request("k1"), request("k2"), request("k3")], ["v1", "v2", expected], "{category}");
+        assert_eq!(request(&mut client, "k2"), "v2");
+        // On the connection that carried the one before.
+        client.get("slow3", "id-3", &facts);
+        program.wait_for_counter("connections_reused", 1);
+        assert_eq!(request(&mut other, "k1"), "v1");
+        (0..2).for_each(|_| {
+            let _ = release.send(());
+        });
+        assert_eq!(client.answer(), expected, "{category}");
         // The same value for the same key, and for others from hosts that answer once, is no copy.
-        assert_eq!([request("k4"), request("k4"), request("k5")], ["v4", "v4", "v5"], "{category}");
+        let after = ["k4", "k4", "k5"].map(|key| request(&mut client, key));
+        assert_eq!(after, ["v4", "v4", "v5"], "{category}");
+    }
+}
+
+/// A host that goes on answering each request of a connection once more when the next one comes: after
+/// the first sign every request has a connection of its own, and gets what was made for it.
+#[test]
+fn requests_to_a_host_that_answers_twice_are_served_by_their_own_responses() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let known = [entry("a", listener.local_addr().expect("one"), "active")];
+    thread::spawn(move || {
+        listener.incoming().flatten().for_each(|stream| {
+            thread::spawn(move || answer_twice(stream));
+        })
+    });
+    let program = Program::start_by(BINARY, nowhere(), &known, [192, 1024], SETTINGS);
+    let mut client = program.client();
+
+    for category in ["read", "once"] {
+        for nth in 0..20 {
+            let key = format!("{category}{nth}");
+            let facts = format!("c={category},d=1900");
+            let answer = client.command(&["CACHE.GET", &key, &format!("id-{key}"), &facts]);
+            assert_eq!(answer, key);
+        }
+    }
+}
+
+/// Responds with the key; on a connection that carries another request the response before comes once
+/// more ahead of its own. The first response of all comes twice at once.
+fn answer_twice(stream: TcpStream) {
+    static IS_FIRST: AtomicBool = AtomicBool::new(true);
+    let mut writing = stream.try_clone().expect("a second handle");
+    let mut reading = BufReader::new(stream);
+    let mut copy = String::new();
+    while let Ok(request) = read_command(&mut reading) {
+        let key = request.split(' ').nth(1).unwrap_or("");
+        let response = format!("*3\r\n${}\r\n{key}\r\n$-1\r\n$-1\r\n", key.len());
+        let twice = if IS_FIRST.swap(false, Ordering::Relaxed) { response.as_str() } else { "" };
+        if writing.write_all(format!("{copy}{response}{twice}").as_bytes()).is_err() {
+            return;
+        }
+        copy = response;
     }
 }
--- a/connection_pool/src/pools.rs
+++ b/connection_pool/src/pools.rs
@@ -105,6 +105,16 @@
 
     /// The host takes nothing new: it needs no idle connections.
     pub fn host_draining(&mut self, host: HostId) {
+        self.close_not_in_use(host);
+    }
+
+    /// What comes on this host's connections may not be what was asked for: those that are idle are
+    /// not used again.
+    pub fn responses_doubtful(&mut self, host: HostId) {
+        self.close_not_in_use(host);
+    }
+
+    fn close_not_in_use(&mut self, host: HostId) {
         let Some(pool) = self.hosts.get(&host) else { return };
         let not_in_use = pool.not_in_use();
         self.close_all(not_in_use);
