Promises counted at run time, panics contained, a reason for every rejection and failure

Cause: nothing inside the program saw a promise broken; a panic in a request's task left its request, id and timers open for ever (resume_unwind in a spawned task ends that task alone) and its connection closed with no answer; the log did not say why a request was not served.

Change. invariants.rs names eight promises, each with a counter in the metrics (edge_proxy_invariant_violations, label name) and a line in the log; upstream/send_audit.rs looks at each attempt again once it is written, by another account than the door's: what was written of the request, when its client left, since when its host drains. panics.rs contains a panic: the request fails, its client is told, nothing of it is left; an attempt's counts as the connection's fault. Rejections and failures carry an EndReason from the policy to the log.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -50,7 +50,7 @@
             outbox.push(protocol::encode(action, &self.requests, &self.names.hosts));
             match action {
                 PolicyAction::StartAttempt { request, .. } => self.requests.attempt_started(request),
-                PolicyAction::Reject { request, .. } | PolicyAction::Fail { request } => {
+                PolicyAction::Reject { request, .. } | PolicyAction::Fail { request, .. } => {
                     self.requests.finished(request);
                 }
                 _ => {}
--- a/adapter/src/protocol/actions.rs
+++ b/adapter/src/protocol/actions.rs
@@ -44,12 +44,12 @@
             json_string(hosts.name(host.0)),
             millis(timeout)
         ),
-        PolicyAction::Reject { request, retry_after } => format!(
+        PolicyAction::Reject { request, retry_after, .. } => format!(
             r#"{{"type":"BOUNCE","ticket":{},"coolDownMs":{}}}"#,
             ticket(request),
             millis(retry_after.unwrap_or(0))
         ),
-        PolicyAction::Fail { request } => format!(r#"{{"type":"FAIL","ticket":{}}}"#, ticket(request)),
+        PolicyAction::Fail { request, .. } => format!(r#"{{"type":"FAIL","ticket":{}}}"#, ticket(request)),
         PolicyAction::CancelAttempt { request, attempt } => {
             format!(r#"{{"type":"STOP_ATTEMPT","ticket":{},"hop":{}}}"#, ticket(request), attempt.0)
         }
--- a/balancer/src/downstream/command.rs
+++ b/balancer/src/downstream/command.rs
@@ -1,6 +1,7 @@
 //! One command of a client: a request for the policy, or something that is answered at once.
 
 use std::ops::RangeInclusive;
+use std::rc::Rc;
 
 use basaltwood::router::NewRequest;
 use basaltwood::types::{Micros, RingPosition};
@@ -15,6 +16,7 @@
 use crate::presence::ClientPresence;
 use crate::request::ClientRequest;
 use crate::shared::Shared;
+use crate::upstream::WriteLog;
 
 /// What makes sense as a time to wait, in milliseconds: an hour at most.
 const WAIT_RANGE_MS: RangeInclusive<f64> = 0.0..=3_600_000.0;
@@ -50,7 +52,7 @@
 /// What becomes of a command.
 pub enum Parsed {
     /// A request for the policy, whose id is reserved now.
-    Request(ClientRequest, NewRequest),
+    Request(Rc<ClientRequest>, NewRequest),
     /// Answered at once.
     Reply(Bytes),
     /// Answered at once, and the client is to be let go after that.
@@ -65,7 +67,7 @@
     let name = words[0].to_ascii_uppercase();
     match &name[..] {
         b"CACHE.GET" | b"CACHE.SET" => match request(shared, command, client) {
-            Ok((request, new_request)) => Parsed::Request(request, new_request),
+            Ok((request, new_request)) => Parsed::Request(Rc::new(request), new_request),
             Err(cause) => Parsed::Malformed(resp::encode_error(&cause.to_string())),
         },
         // By this the load balancer in front learns that clients are to go elsewhere.
@@ -111,8 +113,18 @@
     if !shared.reserve_id(&id) {
         return Err(RequestError::IdInUse);
     }
-    let finished = watch::Sender::new(false);
-    let request = ClientRequest { command, key, id, facts, value, _memory: memory, client, finished };
+    let request = ClientRequest {
+        command,
+        key,
+        id,
+        facts,
+        value,
+        _memory: memory,
+        retry_safety: shared.retry_safety(new_request.class),
+        write_log: WriteLog::default(),
+        client,
+        finished: watch::Sender::new(false),
+    };
     Ok((request, new_request))
 }
 
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -16,6 +16,7 @@
 mod lifecycle;
 mod listener;
 mod metrics;
+mod panics;
 mod presence;
 mod process;
 mod request;
--- a/balancer/src/presence.rs
+++ b/balancer/src/presence.rs
@@ -16,6 +16,11 @@
     pub fn is_present(&self) -> bool {
         self.departed_at.get().is_none()
     }
+
+    /// When its connection was seen to end.
+    pub fn departed_at(&self) -> Option<Instant> {
+        self.departed_at.get()
+    }
 }
 
 /// Held by a client's connection: dropped, it ends the client's presence.
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -1,7 +1,7 @@
 //! What a client asked for, and what an attempt of it brought: the types that requests, cache hosts
 //! and origin share.
 
-use basaltwood::types::{AttemptOutcome, Micros};
+use basaltwood::types::{AttemptOutcome, Micros, RetrySafety};
 use basaltwood_wire::facts;
 use basaltwood_wire::resp::MAX_BUFFERED_VALUE;
 use bytes::Bytes;
@@ -9,6 +9,7 @@
 
 use crate::budget::ValuePermit;
 use crate::presence::ClientPresence;
+use crate::upstream::WriteLog;
 
 /// How an attempt ended, and the value where it brought one.
 pub struct AttemptResult {
@@ -61,6 +62,10 @@
     pub value: Option<Vec<Bytes>>,
     /// The memory that was reserved for a long one.
     pub _memory: Option<ValuePermit>,
+    /// When it may be sent again, by the settings.
+    pub retry_safety: RetrySafety,
+    /// Its attempts that were written whole.
+    pub write_log: WriteLog,
     /// Whether its client is still there.
     pub client: ClientPresence,
     /// Set once the request has its final answer, or its client has gone: nothing more may be sent.
--- a/balancer/src/requests.rs
+++ b/balancer/src/requests.rs
@@ -11,6 +11,8 @@
 use tokio::task::{AbortHandle, JoinError, JoinSet};
 
 use crate::budget::MemoryGuard;
+use crate::invariants::Invariant;
+use crate::panics::{catch_panic, Panicked};
 use crate::request::{AttemptResult, ClientRequest, Value};
 use crate::shared::Shared;
 use crate::upstream::AttemptTarget;
@@ -40,7 +42,7 @@
 /// is dropped.
 pub async fn serve(
     shared: Rc<Shared>,
-    request: ClientRequest,
+    request: Rc<ClientRequest>,
     new_request: NewRequest,
     delivery: oneshot::Sender<AnswerDelivery>,
     memory: MemoryGuard,
@@ -55,16 +57,21 @@
     let (id, actions) = shared.router.borrow_mut().submit(shared.clock.now(), new_request);
     log::debug!("request {} is the client's {}", id.0, String::from_utf8_lossy(&request.id));
     let task = RequestTask {
-        shared,
+        shared: shared.clone(),
         id,
-        request: Rc::new(request),
+        request: request.clone(),
         delivery: Some(delivery),
         memory: Some(memory),
         attempts: JoinSet::new(),
         in_flight: BTreeMap::new(),
         value: None,
     };
-    task.run(actions).await;
+    // Its client is told that it failed where its delivery is dropped.
+    if let Err(panicked) = catch_panic(task.run(actions)).await {
+        let context = format_args!("request {}: {panicked}", id.0);
+        shared.invariants.violated(Invariant::TaskPanicked, context);
+        shared.abandon_request(id, &request.id);
+    }
 }
 
 /// A request with its attempts in flight.
@@ -113,8 +120,8 @@
                 }
                 RequestAction::CancelAttempt(attempt) => actions.extend(self.cancel_attempt(attempt)),
                 RequestAction::Succeed(_) => self.succeed(),
-                RequestAction::Reject { retry_after } => self.reject(retry_after),
-                RequestAction::Fail => self.fail(),
+                RequestAction::Reject { retry_after, reason } => self.reject(retry_after, reason),
+                RequestAction::Fail { reason } => self.fail(reason),
             }
         }
     }
@@ -152,19 +159,35 @@
     ) -> Vec<RequestAction> {
         let (attempt, AttemptResult { outcome, value }) = match ended {
             Some(Ok(ended)) => ended,
-            Some(Err(cause)) if cause.is_panic() => std::panic::resume_unwind(cause.into_panic()),
-            // One that was cancelled has been reported already.
-            _ => return Vec::new(),
+            Some(Err(cause)) => match self.panicked_attempt(cause) {
+                Some(attempt) => (attempt, AttemptResult::without_value(AttemptOutcome::ConnectionFault)),
+                // One that was cancelled has been reported already.
+                None => return Vec::new(),
+            },
+            None => return Vec::new(),
         };
         if self.in_flight.remove(&attempt).is_none() {
             return Vec::new();
         }
         self.shared.counters.attempt_ended(outcome);
+        self.request.write_log.ended(attempt, outcome);
         log::debug!("request {} attempt {}: {outcome:?}", self.id.0, attempt.0);
         self.value = value;
         self.report(attempt, outcome)
     }
 
+    /// The attempt whose task panicked: it may have run, and its host is not to blame.
+    fn panicked_attempt(&self, cause: JoinError) -> Option<AttemptNumber> {
+        let task = cause.id();
+        let payload = cause.try_into_panic().ok()?;
+        let running = self.in_flight.iter().find(|(_, handle)| handle.id() == task);
+        let attempt = running.map(|(number, _)| *number)?;
+        let context =
+            format_args!("request {} attempt {}: {}", self.id.0, attempt.0, Panicked::of(&*payload));
+        self.shared.invariants.violated(Invariant::TaskPanicked, context);
+        Some(attempt)
+    }
+
     fn report(&self, attempt: AttemptNumber, outcome: AttemptOutcome) -> Vec<RequestAction> {
         self.shared.router.borrow_mut().attempt_ended(self.shared.clock.now(), self.id, attempt, outcome)
     }
@@ -183,15 +206,15 @@
         self.finish(FinalAnswer::Succeeded(value));
     }
 
-    fn reject(&mut self, retry_after: Option<Micros>) {
+    fn reject(&mut self, retry_after: Option<Micros>, reason: EndReason) {
         self.shared.counters.rejected.add();
-        log::debug!("request {} rejected", self.id.0);
+        log::debug!(request = self.id.0, reason:?; "request rejected");
         self.finish(FinalAnswer::Rejected { retry_after });
     }
 
-    fn fail(&mut self) {
+    fn fail(&mut self, reason: EndReason) {
         self.shared.counters.failed.add();
-        log::debug!("request {} failed", self.id.0);
+        log::debug!(request = self.id.0, reason:?; "request failed");
         self.finish(FinalAnswer::Failed);
     }
 
--- a/balancer/src/shared.rs
+++ b/balancer/src/shared.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use basaltwood::router::Router;
-use basaltwood::types::{AttemptKey, PolicyConfig, RequestId};
+use basaltwood::types::{AttemptKey, PolicyConfig, RequestClassId, RequestId, RetrySafety};
 use basaltwood_membership::StartTimes;
 use basaltwood_regions::RegionMap;
 use basaltwood_settings::NameTable;
@@ -45,6 +45,8 @@
     pub sockets: SocketTable,
     /// Descriptors and memory.
     pub budget: Rc<ResourceBudget>,
+    /// When requests may be sent again, by class.
+    retry_safety: Vec<RetrySafety>,
     /// Wakes the task of a request for which something was decided.
     wakeups: RefCell<BTreeMap<RequestId, Rc<Notify>>>,
     /// The clients' ids of the requests that are open: hosts drop or refuse a second one under the
@@ -75,6 +77,7 @@
             clock,
             counters,
             budget,
+            retry_safety: config.classes.iter().map(|class| class.retry_safety).collect(),
             wakeups: RefCell::default(),
             ids_in_use: RefCell::default(),
         }
@@ -134,6 +137,19 @@
         self.wake_requests();
     }
 
+    /// When a request of this class may be sent again.
+    pub fn retry_safety(&self, class: RequestClassId) -> RetrySafety {
+        self.retry_safety.get(usize::from(class.0)).copied().unwrap_or(RetrySafety::AtMostOnce)
+    }
+
+    /// A request's task ended other than by its final answer: nothing of it is left behind.
+    pub fn abandon_request(&self, request: RequestId, client_id: &Bytes) {
+        self.router.borrow_mut().abandon(self.clock.now(), request);
+        self.unregister(request);
+        self.release_id(client_id);
+        self.wake_requests();
+    }
+
     /// Takes a client's id for a request; whether it was free. [`Shared::release_id`] gives it
     /// back.
     pub fn reserve_id(&self, id: &Bytes) -> bool {
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -17,6 +17,7 @@
 use super::checkout::CheckedOut;
 use super::duplicates::ResponseFingerprint;
 use super::messages::{LongValueHead, ParseResponse, ParsedResponse, RequestBytes, WholeResponse};
+use super::send_audit::SentAttempt;
 use super::streaming::ValueStream;
 use super::{AttemptTarget, Upstreams};
 use crate::read;
@@ -48,11 +49,22 @@
             Ok(permit) => permit,
             Err(outcome) => return AttemptResult::without_value(outcome),
         };
-        let message = encode(self.target.deadline - now);
+        let time_left = self.target.deadline - now;
+        let message = encode(time_left);
+        let first_byte_at = Instant::now();
         if let Err(outcome) = self.write(&mut checked_out, permit, message).await {
             return AttemptResult::without_value(outcome);
         }
         self.sent(&checked_out);
+        self.upstreams.audit(&SentAttempt {
+            request: self.request,
+            number: self.attempt.number,
+            first_byte_at,
+            last_byte_at: Instant::now(),
+            deadline: self.deadline_at(),
+            stated: time_left,
+            draining_since: self.upstreams.draining_since(self.target.host),
+        });
         self.read(checked_out).await
     }
 
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -13,6 +13,7 @@
 mod late;
 mod messages;
 mod origin;
+mod send_audit;
 mod streaming;
 
 use std::cell::RefCell;
@@ -26,6 +27,7 @@
 use basaltwood_settings::RuntimeLimits;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use crate::budget::ResourceBudget;
 use crate::clock::Clock;
@@ -37,6 +39,7 @@
 use exchange::Exchange;
 
 pub use connection::{connect, UpstreamConnection};
+pub use send_audit::WriteLog;
 
 /// What connections tell of attempts and hosts.
 pub enum UpstreamEvent {
@@ -56,6 +59,8 @@
     is_origin: bool,
     /// Whether it takes anything new, by the policy's rule on drains as the list was last read.
     accepts_attempts: bool,
+    /// Since when it does not.
+    draining_since: Option<Instant>,
     /// Whether it answers requests twice.
     duplicates: DuplicateDetector,
     /// Notified when a connection came free there.
@@ -70,6 +75,7 @@
             address,
             is_origin,
             accepts_attempts: true,
+            draining_since: None,
             duplicates: DuplicateDetector::default(),
             connection_freed: Rc::default(),
             stopped_accepting: Rc::default(),
@@ -77,6 +83,17 @@
     }
 }
 
+impl HostEntry {
+    /// The list says whether it takes anything new.
+    fn set_accepting(&mut self, accepts_attempts: bool) {
+        self.accepts_attempts = accepts_attempts;
+        self.draining_since = match accepts_attempts {
+            true => None,
+            false => Some(self.draining_since.unwrap_or_else(Instant::now)),
+        };
+    }
+}
+
 /// Where an attempt goes, and by when.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptTarget {
@@ -153,7 +170,7 @@
     /// needs no idle connections, and attempts that wait for one of its connections are let go.
     pub fn update_accepting_hosts(&self, accepts_attempts: impl Fn(HostId) -> bool) {
         for (&host, entry) in self.hosts.borrow_mut().iter_mut() {
-            entry.accepts_attempts = accepts_attempts(host);
+            entry.set_accepting(accepts_attempts(host));
             if !entry.accepts_attempts {
                 self.pools.borrow_mut().host_draining(host);
                 entry.stopped_accepting.notify_waiters();
@@ -250,6 +267,11 @@
         self.hosts.borrow().get(&host).is_some_and(|entry| entry.duplicates.suspected())
     }
 
+    /// Since when a host takes nothing new.
+    fn draining_since(&self, host: HostId) -> Option<Instant> {
+        self.hosts.borrow().get(&host).and_then(|entry| entry.draining_since)
+    }
+
     fn record_event(&self, event: UpstreamEvent) {
         self.events.borrow_mut().push(event);
         self.events_ready.notify_one();
--- /dev/null
+++ b/balancer/src/upstream/send_audit/tests.rs
@@ -0,0 +1,96 @@
+//! Each promise broken on purpose, and none where all is kept.
+
+use basaltwood::types::DeduplicationScope;
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use super::*;
+use crate::presence::PresenceGuard;
+
+const MS: Micros = 1_000;
+const WINDOW: RetrySafety = RetrySafety::IdempotencyKey { scope: DeduplicationScope::All, window: 600 * MS };
+
+fn after(start: Instant, milliseconds: u64) -> Instant {
+    start + Duration::from_millis(milliseconds)
+}
+
+fn request(client: &PresenceGuard, retry_safety: RetrySafety) -> ClientRequest {
+    ClientRequest {
+        command: Bytes::from_static(b"CACHE.GET"),
+        key: Bytes::from_static(b"k"),
+        id: Bytes::from_static(b"id"),
+        facts: Bytes::from_static(b"c=read,d=500"),
+        value: None,
+        _memory: None,
+        retry_safety,
+        write_log: WriteLog::default(),
+        client: client.presence(),
+        finished: watch::Sender::new(false),
+    }
+}
+
+/// An attempt written at once, half a second before the end of its time.
+fn sent(request: &ClientRequest, number: u32, at: Instant) -> SentAttempt<'_> {
+    SentAttempt {
+        request,
+        number: AttemptNumber(number),
+        first_byte_at: at,
+        last_byte_at: at,
+        deadline: after(at, 500),
+        stated: 500 * MS,
+        draining_since: None,
+    }
+}
+
+fn broken(attempt: &SentAttempt<'_>) -> Vec<Invariant> {
+    attempt.broken_promises(Duration::from_millis(250))
+}
+
+#[test]
+fn attempt_that_keeps_all_promises_breaks_none() {
+    let client = PresenceGuard::default();
+    let now = Instant::now();
+    let request = request(&client, RetrySafety::AtMostOnce);
+    let draining = SentAttempt { draining_since: Some(now), ..sent(&request, 0, after(now, 249)) };
+    assert_eq!(broken(&draining), []);
+}
+
+#[test]
+fn attempt_for_a_client_that_left_is_seen() {
+    let client = PresenceGuard::default();
+    let request = request(&client, RetrySafety::Idempotent);
+    drop(client);
+    let now = Instant::now();
+    assert_eq!(broken(&sent(&request, 0, after(now, 50))), []);
+    assert_eq!(broken(&sent(&request, 1, after(now, 101))), [Invariant::SentForDepartedClient]);
+}
+
+#[test]
+fn attempt_past_its_time_or_at_a_draining_host_is_seen() {
+    let client = PresenceGuard::default();
+    let request = request(&client, RetrySafety::Idempotent);
+    let now = Instant::now();
+    let late = SentAttempt { last_byte_at: after(now, 651), ..sent(&request, 0, now) };
+    assert_eq!(broken(&late), [Invariant::SentAfterDeadline]);
+    let stated = SentAttempt { stated: 651 * MS, ..sent(&request, 1, now) };
+    assert_eq!(broken(&stated), [Invariant::StatedTimeTooLong]);
+    let draining = SentAttempt { draining_since: Some(now), ..sent(&request, 2, after(now, 251)) };
+    assert_eq!(broken(&draining), [Invariant::SentToDrainingHost]);
+}
+
+#[test]
+fn repeat_that_could_take_effect_twice_is_seen() {
+    let client = PresenceGuard::default();
+    let now = Instant::now();
+    let once = request(&client, RetrySafety::AtMostOnce);
+    assert_eq!(broken(&sent(&once, 0, now)), []);
+    once.write_log.ended(AttemptNumber(0), AttemptOutcome::Rejected);
+    assert_eq!(broken(&sent(&once, 1, now)), [], "the first never ran");
+    once.write_log.ended(AttemptNumber(1), AttemptOutcome::ConnectionLost);
+    assert_eq!(broken(&sent(&once, 2, now)), [Invariant::UnsafeRepeat]);
+
+    let keyed = request(&client, WINDOW);
+    assert_eq!(broken(&sent(&keyed, 0, now)), []);
+    assert_eq!(broken(&sent(&keyed, 1, after(now, 599))), []);
+    assert_eq!(broken(&sent(&keyed, 2, after(now, 601))), [Invariant::UnsafeRepeat]);
+}
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -150,7 +150,9 @@
             }
             PolicyEvent::LimitsLearned(limits) => self.limits_learned(limits, mailboxes),
             PolicyEvent::ClientGone { request } => self.forget(request, mailboxes),
-            PolicyEvent::ShuttingDown { request } => self.close(request, true, mailboxes),
+            PolicyEvent::ShuttingDown { request } => {
+                self.close(request, true, EndReason::ShuttingDown, mailboxes)
+            }
             PolicyEvent::AttemptInDoubt { request, attempt } => {
                 self.attempt_in_doubt(request, attempt, mailboxes)
             }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -90,14 +90,14 @@
 
     /// The gate for final answers: one for each request, and a rejection only where trying again is
     /// harmless.
-    pub fn close(&mut self, id: RequestId, is_shed: bool, mailboxes: &mut Mailboxes) {
+    pub fn close(&mut self, id: RequestId, is_shed: bool, reason: EndReason, mailboxes: &mut Mailboxes) {
         let Some(request) = self.requests.get(&id) else { return };
         let in_flight = !request.in_flight.is_empty();
         let earlier = request.first_possible_run().map(|earlier| self.possible_run(earlier, in_flight));
         let safety = self.classes[request.class].retry_safety;
         let is_harmless = rejection_is_harmless(safety, earlier, self.retry_after, mailboxes.now);
-        let rejection = PolicyAction::Reject { request: id, retry_after: self.retry_after };
-        let failure = PolicyAction::Fail { request: id };
+        let rejection = PolicyAction::Reject { request: id, retry_after: self.retry_after, reason };
+        let failure = PolicyAction::Fail { request: id, reason };
         mailboxes.actions.push(if is_shed && is_harmless { rejection } else { failure });
         self.forget(id, mailboxes);
     }
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -140,7 +140,7 @@
             request.record_possible_run(attempt);
         }
         if key_fails && outcome == AttemptOutcome::Error && request.in_flight.is_empty() {
-            return self.close(id, false, mailboxes);
+            return self.close(id, false, EndReason::KeyFails, mailboxes);
         }
         self.settle_retry_cost(id, outcome, sent);
         self.retry(id, mailboxes);
@@ -174,7 +174,8 @@
             self.retry_budget.spend();
             self.route(id, mailboxes);
         } else if request.in_flight.is_empty() {
-            self.close(id, false, mailboxes);
+            let reason = if is_in_time { EndReason::RetriesExhausted } else { EndReason::OutOfTime };
+            self.close(id, false, reason, mailboxes);
         }
     }
 
@@ -192,7 +193,7 @@
             self.requests.get_mut(&id).expect("it is open").tried.push(host);
         }
         if self.requests[&id].in_flight.is_empty() {
-            self.close(id, true, mailboxes);
+            self.close(id, true, EndReason::NoHost, mailboxes);
         }
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -53,9 +53,14 @@
     Reject {
         /// When to try again at the earliest, counted from now.
         retry_after: Option<Micros>,
+        /// Why it is not served.
+        reason: EndReason,
     },
     /// Failed, and it may have taken effect.
-    Fail,
+    Fail {
+        /// Why it is not served.
+        reason: EndReason,
+    },
 }
 
 /// An attempt that has not ended.
@@ -156,7 +161,10 @@
         let request = RequestId(self.next_request);
         self.next_request = self.next_request.wrapping_add(1);
         if self.requests.len() >= self.max_open_requests {
-            return (request, vec![RequestAction::Reject { retry_after: None }]);
+            return (
+                request,
+                vec![RequestAction::Reject { retry_after: None, reason: EndReason::TooManyOpen }],
+            );
         }
         self.requests.insert(request, RoutedRequest::default());
         let NewRequest { class, tenant, key, is_write, is_retry, deadline } = new;
@@ -234,6 +242,17 @@
         self.take_actions(request)
     }
 
+    /// A request is given up by its caller, which lost it: it counts as left by its client, and its
+    /// attempts in flight as cancelled.
+    pub fn abandon(&mut self, now: Micros, request: RequestId) {
+        self.client_gone(now, request);
+        let Some(open) = self.requests.get(&request) else { return };
+        let in_flight: Vec<AttemptNumber> = open.in_flight.keys().copied().collect();
+        for attempt in in_flight {
+            self.attempt_ended(now, request, attempt, AttemptOutcome::Cancelled);
+        }
+    }
+
     /// The process ends: every open request gets its final answer now, in its mailbox, and what is
     /// submitted from now on is rejected.
     pub fn shut_down(&mut self, now: Micros) {
@@ -282,10 +301,12 @@
                     let send_by = self.policy.repeat_deadline(now, key).unwrap_or(deadline).min(deadline);
                     self.deliver(request, RequestAction::StartAttempt { attempt, host, deadline, send_by });
                 }
-                PolicyAction::Reject { request, retry_after } => {
-                    self.deliver(request, RequestAction::Reject { retry_after });
+                PolicyAction::Reject { request, retry_after, reason } => {
+                    self.deliver(request, RequestAction::Reject { retry_after, reason });
+                }
+                PolicyAction::Fail { request, reason } => {
+                    self.deliver(request, RequestAction::Fail { reason });
                 }
-                PolicyAction::Fail { request } => self.deliver(request, RequestAction::Fail),
                 PolicyAction::CancelAttempt { request, attempt } => {
                     self.deliver(request, RequestAction::CancelAttempt(attempt));
                 }
@@ -301,7 +322,7 @@
     /// Puts an action into a request's mailbox.
     fn deliver(&mut self, request: RequestId, action: RequestAction) {
         let Some(open) = self.requests.get_mut(&request) else { return };
-        open.finished |= matches!(action, RequestAction::Reject { .. } | RequestAction::Fail);
+        open.finished |= matches!(action, RequestAction::Reject { .. } | RequestAction::Fail { .. });
         open.mailbox.push(action);
         self.requests_with_actions.insert(request);
     }
--- a/src/types/events.rs
+++ b/src/types/events.rs
@@ -156,6 +156,23 @@
     Watch,
 }
 
+/// Why a request ends without being served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// No host may have it: none is left, or all that are have no capacity for it.
+    NoHost,
+    /// Too little of its time is left for another attempt.
+    OutOfTime,
+    /// It has had its retries, or the balancer has none to give.
+    RetriesExhausted,
+    /// Its key fails at whatever host it goes to.
+    KeyFails,
+    /// The process ends.
+    ShuttingDown,
+    /// More requests are open than may be.
+    TooManyOpen,
+}
+
 /// What a policy decides on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PolicyAction {
@@ -174,11 +191,15 @@
         request: RequestId,
         /// When to try again at the earliest, counted from now.
         retry_after: Option<Micros>,
+        /// Why it is not served.
+        reason: EndReason,
     },
     /// Give the client its final answer: failed, and it may have taken effect.
     Fail {
         /// The request.
         request: RequestId,
+        /// Why it is not served.
+        reason: EndReason,
     },
     /// Stop waiting for an attempt.
     CancelAttempt {
--- a/testbed/src/scale/simulated/request.rs
+++ b/testbed/src/scale/simulated/request.rs
@@ -115,7 +115,7 @@
                 self.answered = true;
                 self.balancer.counters.count(|counters| counters.rejected += 1);
             }
-            RequestAction::Fail => {
+            RequestAction::Fail { .. } => {
                 self.answered = true;
                 self.balancer.counters.count(|counters| counters.failed += 1);
             }
--- a/tests/mixed.rs
+++ b/tests/mixed.rs
@@ -113,7 +113,7 @@
                     self.cancel((kind, nth, request), attempt, now);
                 }
                 PolicyAction::Reject { request, .. } => self.answer((kind, nth, request), true),
-                PolicyAction::Fail { request } => self.answer((kind, nth, request), false),
+                PolicyAction::Fail { request, .. } => self.answer((kind, nth, request), false),
                 PolicyAction::SetTimer { .. } | PolicyAction::WatchDiscovery => {}
             }
         }
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -26,10 +26,10 @@
         }
         RequestAction::CancelAttempt(attempt) => format!("cancel {}", attempt.0),
         RequestAction::Succeed(attempt) => format!("succeed with {}", attempt.0),
-        RequestAction::Reject { retry_after } => {
+        RequestAction::Reject { retry_after, .. } => {
             format!("reject, retry after {}", retry_after.map_or(0, |span| span / MS))
         }
-        RequestAction::Fail => "fail".to_owned(),
+        RequestAction::Fail { .. } => "fail".to_owned(),
     };
     if actions.is_empty() {
         "nothing".to_owned()
