Three more faults reproduced: record by the wall clock, SIGHUP while starting, short reads

Seen: a record of learned limits whose file time lies an hour ahead is taken for fresh, and a living predecessor's an hour back for old; SIGHUP while the configuration is read ends the process; of reads that move 3 bytes each the second never comes, for the runtime takes a short read for the last (epoll(7) allows that of a real socket; a read that is cut short by other means hangs). Accepts that fail for a moment with ECONNABORTED, EMFILE, ENFILE, ENOBUFS or EINTR, before and after SIGTERM, lose nobody: that suspect is cleared.

--- a/balancer/src/takeover/tests.rs
+++ b/balancer/src/takeover/tests.rs
@@ -1,5 +1,9 @@
 //! Slots of the processes of one balancer, in a folder of the test's own.
 
+use std::time::SystemTime;
+
+use basaltwood::types::RingPosition;
+
 use super::*;
 
 fn acquire(folder: &Path) -> ProcessSlot {
@@ -31,3 +35,38 @@
         assert!(2 * LimitShare::Half.of(whole) <= whole);
     }
 }
+
+/// A second process of the balancer that recorded something, so long ago by the wall clock, and lives
+/// or not.
+fn record_read_by_successor(modified: SystemTime, predecessor_lives: bool) -> bool {
+    let folder = tempfile::tempdir().expect("a folder");
+    let address = SocketAddr::from(([127, 0, 0, 1], 6379));
+    let predecessor = ProcessSlot::acquire(Some(folder.path()), address);
+    let limit = LearnedLimit { position: RingPosition(7), limit: 3.0 };
+    predecessor.write_record(&handover::encode(&[limit])).expect("a file");
+    let record = folder.path().join(format!("basaltwood-{address}-learnt"));
+    File::options().write(true).open(record).and_then(|file| file.set_modified(modified)).expect("a file");
+    let lives = predecessor_lives.then_some(predecessor);
+    let successor = ProcessSlot::acquire(Some(folder.path()), address);
+    let read = successor.read_record().is_ok_and(|limits| !limits.is_empty());
+    drop(lives);
+    read
+}
+
+/// The wall clock may be stepped between the record and its reading: a predecessor that lives has just
+/// written, and of one that died a record from the future is of no known age.
+#[test]
+fn record_is_fresh_by_its_writers_life_and_not_by_the_wall_clock_alone() {
+    let hour = Duration::from_secs(3_600);
+    let now = SystemTime::now();
+    let reads = [
+        (now, true),
+        (now, false),
+        (now - hour, true),
+        (now - hour, false),
+        (now + hour, true),
+        (now + hour, false),
+    ];
+    let reads = reads.map(|(modified, lives)| record_read_by_successor(modified, lives));
+    assert_eq!(reads, [true, true, true, false, true, false]);
+}
--- a/balancer/tests/faults/main.rs
+++ b/balancer/tests/faults/main.rs
@@ -10,6 +10,8 @@
 mod keyed_windows;
 mod last_reply;
 mod shortages;
+mod socket_calls;
+mod starts;
 mod wall_clock;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/balancer/tests/faults/socket_calls.rs
@@ -0,0 +1,71 @@
+//! Reads, writes and accepts that are interrupted, short, or fail for a moment.
+
+use std::thread;
+use std::time::Duration;
+
+use basaltwood_fault_control::{Call, ALWAYS};
+
+use crate::common::*;
+use crate::FaultyProgram;
+
+const REQUESTS: usize = 100;
+/// Calls of a thousand that are interrupted.
+const OFTEN: u32 = 400;
+
+fn faulty_program(host: &Peer) -> FaultyProgram {
+    FaultyProgram::start(nowhere(), &[entry("a", host.address, "active")], SETTINGS)
+}
+
+fn all_are_served(faulty: &FaultyProgram, what: &str) {
+    let mut client = faulty.program.client();
+    for nth in 0..REQUESTS {
+        let answer =
+            client.command(&["CACHE.GET", &format!("k{nth}"), &format!("{what}{nth}"), "c=once,d=1900"]);
+        assert_eq!(answer, "some value", "request {nth} while {what}");
+    }
+}
+
+#[test]
+fn interrupted_and_short_reads_and_writes_lose_no_request() {
+    let host = Peer::host(|_| hit("some value"));
+    let faulty = faulty_program(&host);
+    for call in [Call::Receive, Call::Send] {
+        faulty.faults.fail(call, libc::EINTR, OFTEN).expect("a file");
+        all_are_served(&faulty, &format!("interrupted-{call:?}"));
+        faulty.faults.fail(call, libc::ENOBUFS, OFTEN).expect("a file");
+        all_are_served(&faulty, &format!("short-of-buffers-{call:?}"));
+        faulty.faults.shorten(call, 3).expect("a file");
+        all_are_served(&faulty, &format!("short-{call:?}"));
+        faulty.faults.restore(call).expect("a file");
+    }
+}
+
+/// Clients come while accepts fail, before and after SIGTERM: each is served.
+#[test]
+fn accepts_that_fail_for_a_moment_lose_no_client() {
+    for errno in [libc::ECONNABORTED, libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::EINTR] {
+        for ends in [false, true] {
+            let host = Peer::host(|_| hit("some value"));
+            let mut faulty = faulty_program(&host);
+            assert_eq!(faulty.program.client().command(&["PING"]), "+PONG");
+            faulty.faults.fail(Call::Accept, errno, ALWAYS).expect("a file");
+            let mut clients: Vec<Client> = (0..5).map(|_| faulty.program.client()).collect();
+            for (nth, client) in clients.iter_mut().enumerate() {
+                client.get("k", &format!("id{nth}"), "c=once,d=1900");
+            }
+            if ends {
+                faulty.program.signal("TERM");
+                faulty.program.wait_for_log("Closing");
+            }
+            thread::sleep(Duration::from_millis(100));
+            faulty.faults.restore(Call::Accept).expect("a file");
+            let served =
+                clients.iter_mut().filter_map(|client| (client.answer() == "some value").then_some(()));
+            assert_eq!(served.count(), 5, "errno {errno}, {}", if ends { "ending" } else { "serving" });
+            if ends {
+                drop(clients);
+                assert!(faulty.program.ended().success());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/balancer/tests/faults/starts.rs
@@ -0,0 +1,34 @@
+//! Signals that come while a process starts.
+
+use std::fs::{self, OpenOptions};
+use std::io::Write as _;
+use std::process::Command;
+
+use crate::common::*;
+use crate::BINARY;
+
+/// SIGHUP while the configuration is being read: it counts once the process serves, and ends nothing.
+#[test]
+fn reload_signal_during_the_start_is_taken_up_after_it() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("config.json");
+    let host = Peer::host(|_| hit("v"));
+    let discovery = Discovery::start();
+    let text =
+        config_text(discovery.peer.address, &[entry("a", host.address, "active")], [192, 1024], SETTINGS);
+    assert!(Command::new("mkfifo").arg(&path).status().expect("it runs").success());
+
+    let program = Program::with_config_file(BINARY, &path);
+    // It can be opened once the program reads the other end.
+    let mut reading = OpenOptions::new().write(true).open(&path).expect("a pipe");
+    program.signal("HUP");
+    let next = folder.path().join("next.json");
+    fs::write(&next, &text).expect("a file");
+    fs::rename(&next, &path).expect("a file");
+    reading.write_all(text.as_bytes()).expect("it reads");
+    drop(reading);
+
+    let program = program.serving();
+    program.wait_for_log("configuration reloaded");
+    assert_eq!(program.client().command(&["CACHE.GET", "k", "id", "c=read,d=1900"]), "v");
+}
--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -52,7 +52,7 @@
 }
 
 /// The configuration of a program without an admin address.
-fn config_text(
+pub fn config_text(
     discovery: SocketAddr,
     known: &[String],
     [memory, sockets]: [u32; 2],
@@ -172,6 +172,11 @@
         Program::spawned(command, Program::write_config(text))
     }
 
+    /// By a configuration that the test has written itself.
+    pub fn with_config_file(binary: &str, config_file: &Path) -> Program {
+        Program::spawned(Command::new(binary), config_file.to_owned())
+    }
+
     fn write_config(text: &str) -> PathBuf {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let name = format!("basaltwood-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
