Short reads, signals during the start, and records by their writer's life

Cause, as the tests that failed show: the runtime takes a read that moved less than it might for the last one and waits for an edge; SIGHUP's handler was registered after the configuration was read; a record's age was its file's time against the wall clock. By reading, then by a unit test: records of 127.0.0.1:6379 and 127.0.0.2:6379 were written aside as one and the same file, since with_extension cuts at the last dot of the address.

Signals are registered before anything else, so run() reads the configuration itself.

--- a/balancer/src/discovery/client.rs
+++ b/balancer/src/discovery/client.rs
@@ -12,8 +12,8 @@
 
 use super::EndpointList;
 use crate::clock::duration;
-use crate::io_errors::write_all;
 use crate::read;
+use crate::socket_io::write_all;
 use crate::upstream::{self, UpstreamConnection};
 
 /// The longest list that is read.
--- a/balancer/src/downstream/closing.rs
+++ b/balancer/src/downstream/closing.rs
@@ -8,13 +8,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::{BufMut, BytesMut};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout, Instant};
 
 use crate::invariants::Invariant;
-use crate::io_errors::read_some;
 use crate::shared::Shared;
+use crate::socket_io::read_buf;
 use crate::socket_table::Delivery;
 
 /// The client's end is awaited so long: no client waits longer for an answer, by the operators'
@@ -95,11 +96,11 @@
 /// takes nothing from it then.
 async fn delivered(shared: &Shared, stream: &mut TcpStream) {
     let (Ok(local), Ok(remote)) = (stream.local_addr(), stream.peer_addr()) else { return };
-    let mut discarded = vec![0; DISCARD_BUFFER];
     let mut check_at = Instant::now() + FIRST_CHECK;
     loop {
+        let mut discarded = BytesMut::with_capacity(DISCARD_BUFFER).limit(DISCARD_BUFFER);
         tokio::select! {
-            read = read_some(stream, &mut discarded) => if !matches!(read, Ok(1..)) {
+            read = read_buf(stream, &mut discarded) => if !matches!(read, Ok(1..)) {
                 return;
             },
             () = sleep_until(check_at) => {
--- a/balancer/src/downstream/input.rs
+++ b/balancer/src/downstream/input.rs
@@ -15,9 +15,9 @@
 use tokio::time::sleep;
 
 use crate::budget::ValuePermit;
-use crate::io_errors::read_buf;
 use crate::read;
 use crate::shared::Shared;
+use crate::socket_io::read_buf;
 
 /// What a connection may hold, in bytes, while others hold all that there is: enough for commands
 /// without a value.
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -9,10 +9,10 @@
 use tokio::sync::oneshot;
 
 use crate::invariants::{Invariant, Invariants};
-use crate::io_errors::write_some;
 use crate::metrics::{ActiveRequest, RequestOutcome};
 use crate::request::{StreamedValue, Value};
 use crate::requests::{AnswerDelivery, FinalAnswer};
+use crate::socket_io::{write_some, TcpSocket};
 
 /// The reply to one command.
 pub enum PendingReply {
@@ -86,7 +86,7 @@
     }
 
     /// Writes some of the text, or waits for the next chunk where all of that is written.
-    pub async fn advance(&mut self, writer: &mut (impl AsyncWrite + Unpin)) -> OutputEvent {
+    pub async fn advance(&mut self, writer: &mut (impl AsyncWrite + TcpSocket + Unpin)) -> OutputEvent {
         if self.text.is_empty() {
             return self.next_chunk().await;
         }
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -1,7 +1,7 @@
 //! The balancer on sockets: clients, cache hosts, origin and discovery around the decisions of
 //! `basaltwood`.
 //!
-//! A program reads its [`Config`] and calls [`run`], which serves until a signal ends it. This
+//! A program calls [`run`], which reads its [`Config`] and serves until a signal ends it. This
 //! crate decides nothing about requests.
 
 mod admin;
@@ -22,6 +22,7 @@
 mod request;
 mod requests;
 mod shared;
+mod socket_io;
 mod socket_table;
 mod takeover;
 mod upstream;
@@ -29,7 +30,8 @@
 use std::io;
 
 use basaltwood_wire::buffer::Buffer;
-use process::Process;
+use process::{Process, Signals};
+use socket_io::TcpSocket;
 use tokio::io::AsyncRead;
 
 pub use config::{Config, ConfigError, InvalidConfig};
@@ -42,6 +44,9 @@
     /// The runtime could not be built.
     #[error("the runtime: {0}")]
     Runtime(io::Error),
+    /// The configuration can't be read.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     /// The process could not start.
     #[error(transparent)]
     Start(#[from] StartError),
@@ -50,18 +55,24 @@
     TaskFailed,
 }
 
-/// Serves until a signal to end (SIGTERM, SIGINT), on a runtime of its own in this thread.
+/// Reads the configuration and serves until a signal to end (SIGTERM, SIGINT), on a runtime of its
+/// own in this thread. Signals are taken up from the first moment on: one that comes while the
+/// configuration is read counts once the process serves.
 ///
 /// # Errors
-/// [`RunError`] if the process can't start, or if a background task fails.
-pub fn run(config: Config) -> Result<(), RunError> {
+/// [`RunError`] if the configuration can't be read, if the process can't start, or if a background
+/// task fails.
+pub fn run() -> Result<(), RunError> {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_all().build().map_err(RunError::Runtime)?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, async { Process::start(config)?.run().await })
+    local.block_on(&runtime, async {
+        let signals = Signals::register().map_err(StartError::System)?;
+        Process::start(Config::read()?, signals)?.run().await
+    })
 }
 
 /// Reads once into a connection's buffer; 0 at the end of the stream. It is cancel safe.
-async fn read(from: &mut (impl AsyncRead + Unpin), buffer: &mut Buffer) -> io::Result<usize> {
-    io_errors::read_buf(from, buffer.unfilled()?).await
+async fn read(from: &mut (impl AsyncRead + TcpSocket + Unpin), buffer: &mut Buffer) -> io::Result<usize> {
+    socket_io::read_buf(from, buffer.unfilled()?).await
 }
--- a/balancer/src/process/mod.rs
+++ b/balancer/src/process/mod.rs
@@ -44,7 +44,8 @@
     tasks: JoinSet<()>,
 }
 
-struct Signals {
+/// The signals that the process handles.
+pub struct Signals {
     terminate: Signal,
     interrupt: Signal,
     print_counters: Signal,
@@ -52,9 +53,12 @@
 }
 
 impl Signals {
-    /// Registers the handlers. Until then SIGHUP would end the program, so this comes before it
-    /// listens.
-    fn register() -> std::io::Result<Signals> {
+    /// Registers the handlers. Until then SIGHUP would end the program, so this comes before
+    /// anything else.
+    ///
+    /// # Errors
+    /// The system's error if a handler can't be had.
+    pub fn register() -> std::io::Result<Signals> {
         Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
--- a/balancer/src/process/start.rs
+++ b/balancer/src/process/start.rs
@@ -47,7 +47,7 @@
     ///
     /// # Errors
     /// [`StartError`] if it can't listen, or if a system call fails.
-    pub fn start(config: Config) -> Result<Process, StartError> {
+    pub fn start(config: Config, signals: Signals) -> Result<Process, StartError> {
         let shutdown = Shutdown::new(&config);
         let budget = resource_budget(&config);
         let pools = connection_pools(&config);
@@ -56,7 +56,6 @@
             log::info!("regions: map {:08x}, own region {:?}", map.version(), map.own());
         }
         let shared = Rc::new(shared.with_regions(config.region_map));
-        let signals = Signals::register()?;
         let known_version = discovery::apply_list(&shared, config.known_endpoints, true);
         let listener = match config.inherited_descriptor {
             Some(descriptor) => listener::inherited(descriptor, config.listen)?,
--- a/balancer/src/takeover.rs
+++ b/balancer/src/takeover.rs
@@ -58,6 +58,8 @@
 }
 
 struct HeldSlot {
+    /// Which of the two.
+    number: usize,
     /// Locked as long as it is open.
     _own: File,
     /// The slot of the other process.
@@ -85,7 +87,7 @@
 
 #[derive(Debug, thiserror::Error)]
 enum UnusableRecord {
-    #[error("too old to be of use")]
+    #[error("too old to be of use, or from the future")]
     TooOld,
     #[error("too long a record")]
     TooLong,
@@ -112,21 +114,38 @@
     /// # Errors
     /// The system's error if the file can't be written.
     pub fn write_record(&self, bytes: &[u8]) -> io::Result<()> {
-        let Some(record) = &self.record else { return Ok(()) };
-        let unfinished = record.with_extension("new");
+        let (Some(record), Some(unfinished)) = (&self.record, self.unfinished_record()) else {
+            return Ok(());
+        };
         std::fs::write(&unfinished, bytes)?;
         std::fs::rename(&unfinished, record)
     }
 
-    /// The limits that another process has recorded within [`MAX_RECORD_AGE`]; empty if there is no
-    /// record.
+    /// Where a record is written before it replaces the one that is there: a file that no other
+    /// process writes, which only the holder of this slot is. None without a slot: another process
+    /// may record then.
+    fn unfinished_record(&self) -> Option<PathBuf> {
+        let held = self.held.as_ref()?;
+        let mut name = self.record.as_ref()?.file_name()?.to_owned();
+        name.push(format!("-new-{}", held.number));
+        Some(self.record.as_ref()?.with_file_name(name))
+    }
+
+    /// Whether another process of this balancer lives.
+    fn other_lives(&self) -> bool {
+        self.held.as_ref().is_some_and(|held| matches!(try_lock(&held.other), Ok(None)))
+    }
+
+    /// The limits that another process has recorded; empty if there is no record. One that lives
+    /// recorded until this one came; of one that has ended a record counts for [`MAX_RECORD_AGE`].
     ///
     /// # Errors
     /// [`RecordFileError`] if there is a record that can't be used.
     pub fn read_record(&self) -> Result<Vec<LearnedLimit>, RecordFileError> {
         let Some(path) = &self.record else { return Ok(Vec::new()) };
         let Ok(metadata) = std::fs::metadata(path) else { return Ok(Vec::new()) };
-        read_fresh_record(path, &metadata).map_err(|cause| RecordFileError { path: path.clone(), cause })
+        read_record(path, &metadata, self.other_lives())
+            .map_err(|cause| RecordFileError { path: path.clone(), cause })
     }
 
     /// The share of the limits to use now, by whether another process holds the other slot.
@@ -145,9 +164,9 @@
         let folder = folder.ok_or(SlotError::NoFolder)?;
         let slot = |number: u32| folder.join(format!("basaltwood-{address}-{number}"));
         for _ in 0..ACQUIRE_ATTEMPTS {
-            for (own, other) in [(slot(0), slot(1)), (slot(1), slot(0))] {
+            for (number, own, other) in [(0, slot(0), slot(1)), (1, slot(1), slot(0))] {
                 match try_lock(&own) {
-                    Ok(Some(file)) => return Ok(HeldSlot { _own: file, other }),
+                    Ok(Some(file)) => return Ok(HeldSlot { number, _own: file, other }),
                     Ok(None) => {}
                     Err(cause) => return Err(SlotError::Unusable { path: own, cause }),
                 }
@@ -168,10 +187,18 @@
     }
 }
 
-fn read_fresh_record(path: &Path, metadata: &std::fs::Metadata) -> Result<Vec<LearnedLimit>, UnusableRecord> {
-    // A time in the future, after the wall clock was set back, counts as now.
-    let age = metadata.modified()?.elapsed().unwrap_or_default();
-    if age > MAX_RECORD_AGE {
+fn read_record(
+    path: &Path,
+    metadata: &std::fs::Metadata,
+    writer_lives: bool,
+) -> Result<Vec<LearnedLimit>, UnusableRecord> {
+    // The wall clock tells a file's age only while it is not stepped: one from the future may be of
+    // any age.
+    let age = match metadata.modified()?.elapsed() {
+        Ok(age) => age,
+        Err(ahead) => ahead.duration(),
+    };
+    if !writer_lives && age > MAX_RECORD_AGE {
         return Err(UnusableRecord::TooOld);
     }
     if metadata.len() > handover::MAX_RECORD_BYTES as u64 {
--- a/balancer/src/takeover/tests.rs
+++ b/balancer/src/takeover/tests.rs
@@ -70,3 +70,16 @@
     let reads = reads.map(|(modified, lives)| record_read_by_successor(modified, lives));
     assert_eq!(reads, [true, true, true, false, true, false]);
 }
+
+/// Records of balancers whose addresses differ in the last part alone, or of two processes of one
+/// balancer, are written aside under different names.
+#[test]
+fn unfinished_records_of_different_processes_have_different_names() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let addresses = [([127, 0, 0, 1], 6379), ([127, 0, 0, 2], 6379)].map(SocketAddr::from);
+    let slots = addresses.map(|address| [(); 2].map(|()| ProcessSlot::acquire(Some(folder.path()), address)));
+    let mut names: Vec<PathBuf> = slots.iter().flatten().filter_map(ProcessSlot::unfinished_record).collect();
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), 4, "{names:?}");
+}
--- a/balancer/src/upstream/messages.rs
+++ b/balancer/src/upstream/messages.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use tokio::net::TcpStream;
 
-use crate::io_errors::write_all;
 use crate::request::AttemptResult;
+use crate::socket_io::write_all;
 
 /// Bytes from an upstream that are no response to what was sent. The connection they came on is of
 /// no use any more.
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -13,8 +13,8 @@
 use super::messages::{ParseTrailer, Trailer};
 use super::{UpstreamConnection, Upstreams};
 use crate::budget::StreamGuard;
-use crate::io_errors::read_buf;
 use crate::read;
+use crate::socket_io::read_buf;
 
 /// A host that gives nothing of a long value for so long will not give the rest.
 const PIECE_TIMEOUT: Duration = Duration::from_secs(5);
