testbed soak: overlapping troubles against dozens of balancers, judged twice

Cause: nothing played two or three rare events at once against real processes.

Judged by the audit and by the balancers' own invariants; a script that fails is cut down to the troubles it needs. The audit also asks that nothing begins over 0.1 s after a client left, and a reply's time counts from when those before it on its connection had come, as the protocol has it.

--- a/fault_control/src/lib.rs
+++ b/fault_control/src/lib.rs
@@ -83,6 +83,16 @@
         Ok(FaultControl { file, path: path.to_owned(), library: library.to_owned() })
     }
 
+    /// The control file at this path as it is, or a new one without any fault.
+    ///
+    /// # Errors
+    /// The system's error if the file can't be had.
+    pub fn open(path: &Path, library: &Path) -> io::Result<FaultControl> {
+        let file = OpenOptions::new().create(true).truncate(false).read(true).write(true).open(path)?;
+        file.set_len(8 * FIELDS as u64)?;
+        Ok(FaultControl { file, path: path.to_owned(), library: library.to_owned() })
+    }
+
     /// The variables of the environment under which the program has to be started.
     pub fn environment(&self) -> [(&'static str, &Path); 2] {
         [("LD_PRELOAD", &self.library), (CONTROL_VARIABLE, &self.path)]
--- a/testbed/src/audit.rs
+++ b/testbed/src/audit.rs
@@ -140,7 +140,8 @@
                 self.request(*id).sent = Some(sent);
             }
             Observation::ReplyReceived { id, answer } => self.request(*id).replies.push((at, *answer)),
-            Observation::ClientLeft { id } => self.request(*id).client_left = true,
+            Observation::ClientLeft { id } => self.request(*id).client_left_at = Some(at),
+            Observation::ReplyIsNext { id } => self.request(*id).next_at = Some(at),
             Observation::ConnectionClosed { id } => self.request(*id).connection_closed_at = Some(at),
             Observation::Unanswered { id } => self.request(*id).unanswered = true,
             Observation::UnsolicitedReply { balancer } => {
--- a/testbed/src/audit/request.rs
+++ b/testbed/src/audit/request.rs
@@ -3,7 +3,10 @@
 use super::{AuditSettings, Rule};
 use crate::experiment::{Category, DeduplicationScope, RetrySafety};
 use crate::ledger::{HostNo, Reply, RequestId};
-use crate::time::{millis, Micros, SECOND};
+use crate::time::{millis, Micros, MS, SECOND};
+
+/// An attempt that begins later after its client has gone is a breach. Source: the operators' terms.
+const DEPARTURE_GRACE: Micros = 100 * MS;
 
 /// How a request left its client.
 pub(super) struct SentRequest {
@@ -45,7 +48,9 @@
 pub(super) struct RequestHistory {
     pub(super) sent: Option<SentRequest>,
     pub(super) replies: Vec<(Micros, Reply)>,
-    pub(super) client_left: bool,
+    pub(super) client_left_at: Option<Micros>,
+    /// When the replies before its own had come, if it had to wait for any.
+    pub(super) next_at: Option<Micros>,
     pub(super) connection_closed_at: Option<Micros>,
     pub(super) unanswered: bool,
     pub(super) attempts: Vec<Attempt>,
@@ -95,6 +100,7 @@
         judge.final_answer(was_killed);
         judge.values();
         judge.attempts_after_end();
+        judge.attempts_after_departure();
         match category.retry_safety {
             RetrySafety::Idempotent => {}
             RetrySafety::AtMostOnce => judge.at_most_once(),
@@ -106,7 +112,7 @@
     fn judge_unsent(&self, id: RequestId, breaches: &mut Vec<RequestBreach>) {
         let Some(attempt) = self.attempts.first() else { return };
         // The request's last byte may have gone out as the client went away.
-        if !self.client_left && self.connection_closed_at.is_none() && !self.unanswered {
+        if self.client_left_at.is_none() && self.connection_closed_at.is_none() && !self.unanswered {
             let what = format!("{} was sent op {id} that nobody asked", attempt.host);
             breaches.push(RequestBreach { rule: Rule::Answered, at: attempt.at, what });
         }
@@ -146,6 +152,7 @@
     fn final_answer(&mut self, was_killed: &dyn Fn(Micros, Micros) -> bool) {
         let SentRequest { at: sent_at, balancer, deadline, .. } = *self.sent;
         let id = self.id;
+        let due = self.request.next_at.map_or(deadline, |next_at| next_at.max(deadline));
         match (self.answered_at(), self.request.connection_closed_at) {
             (None, Some(closed_at)) if !was_killed(sent_at, closed_at) => {
                 let what = format!("balancer {balancer} ended the connection over op {id}");
@@ -155,8 +162,8 @@
                 let what = format!("op {id} got no answer from balancer {balancer}");
                 self.add(Rule::Answered, deadline, what);
             }
-            (Some(at), _) if at > deadline + self.settings.slack => {
-                let what = format!("op {id} was answered {:.1} ms too late", as_ms(at - deadline));
+            (Some(at), _) if at > due + self.settings.slack => {
+                let what = format!("op {id} was answered {:.1} ms too late", as_ms(at - due));
                 self.add(Rule::Answered, at, what);
             }
             _ => {}
@@ -195,6 +202,19 @@
         }
     }
 
+    /// Rule 1: no attempt begins over a tenth of a second after the client has gone.
+    fn attempts_after_departure(&mut self) {
+        let Some(left_at) = self.request.client_left_at else { return };
+        for attempt in &self.request.attempts {
+            if attempt.began > left_at + DEPARTURE_GRACE + self.settings.slack {
+                let late_ms = as_ms(attempt.began - left_at);
+                let what =
+                    format!("op {} went to {} {late_ms:.1} ms after its client left", self.id, attempt.host);
+                self.add(Rule::Answered, attempt.at, what);
+            }
+        }
+    }
+
     /// Rule 2 for requests that may run once at most.
     fn at_most_once(&mut self) {
         let (id, request) = (self.id, self.request);
--- a/testbed/src/balancers/mod.rs
+++ b/testbed/src/balancers/mod.rs
@@ -14,6 +14,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use basaltwood_fault_control::FaultControl;
 use serde_json::Value;
 use thiserror::Error;
 
@@ -230,6 +231,63 @@
         }
     }
 
+    /// Sends a signal, as `kill` names it, to one that runs.
+    pub fn signal(&self, nth: usize, name: &str) {
+        let inner = self.inner();
+        let process = inner.balancers[nth].process.as_ref();
+        let Some(id) = process.map(|process| process.child.id().to_string()) else { return };
+        let sent = Command::new("kill").args([&format!("-{name}"), &id]).stderr(Stdio::null()).status();
+        if let Err(cause) = sent {
+            log::warn!("SIG{name} to balancer {nth}: {cause}");
+        }
+    }
+
+    /// Ends one as operators do, by SIGTERM, and by SIGKILL where it has not ended after `patience`.
+    ///
+    /// # Errors
+    /// How it ended, where that was neither well nor by that SIGKILL.
+    pub fn terminate(&self, nth: usize, patience: Duration) -> Result<(), String> {
+        self.signal(nth, "TERM");
+        let Some(mut process) = self.inner().balancers[nth].process.take() else { return Ok(()) };
+        let began = Instant::now();
+        loop {
+            match process.child.try_wait() {
+                Ok(Some(status)) if status.success() => return Ok(()),
+                Ok(Some(status)) => {
+                    let last_line = self.inner().last_log_line(nth);
+                    return Err(format!("balancer {nth} ended after SIGTERM with {status}: {last_line}"));
+                }
+                Ok(None) if began.elapsed() < patience => std::thread::sleep(READY_POLL_INTERVAL),
+                _ => break,
+            }
+        }
+        let _ = process.child.kill();
+        let _ = process.child.wait();
+        Ok(())
+    }
+
+    /// Starts one that was ended again, at its address and with the list that it had at first.
+    pub fn start_again(&self, nth: usize) {
+        let known = self.inner().bootstraps[nth].known.clone();
+        self.restart(nth, &known);
+    }
+
+    /// The faults of one's system calls, where its program has the preload library.
+    ///
+    /// # Errors
+    /// The system's error if the control file can't be had.
+    pub fn faults(&self, nth: usize) -> std::io::Result<Option<FaultControl>> {
+        let inner = self.inner();
+        let library = inner.program.fault_library.as_ref();
+        library.map(|library| FaultControl::open(&inner.faults_path(nth), library)).transpose()
+    }
+
+    /// The lines in each log that hold this text.
+    pub fn log_lines_with(&self, text: &str) -> Vec<Vec<String>> {
+        let inner = self.inner();
+        (0..inner.balancers.len()).map(|nth| inner.log_lines_with(nth, text)).collect()
+    }
+
     /// Observation each has used so far; also finds those that have ended by themselves.
     pub fn sample_usage(&self) -> Vec<ResourceUsage> {
         self.inner().sample_usage()
@@ -300,9 +358,16 @@
         if let Some(regions) = &self.program.regions {
             command.env(REGIONS_VARIABLE, regions);
         }
+        if let Some(library) = &self.program.fault_library {
+            command.envs(FaultControl::open(&self.faults_path(nth), library)?.environment());
+        }
         command.stdout(Stdio::null()).stderr(log).spawn()
     }
 
+    fn faults_path(&self, nth: usize) -> PathBuf {
+        self.folder.join(format!("balancer-{nth}.faults"))
+    }
+
     fn sample_usage(&mut self) -> Vec<ResourceUsage> {
         for nth in 0..self.balancers.len() {
             if let Some(status) = self.balancers[nth].sample_usage() {
--- a/testbed/src/balancers/program.rs
+++ b/testbed/src/balancers/program.rs
@@ -37,6 +37,8 @@
     pub arguments: Vec<String>,
     /// An operators' map of zones to regions, if it is given one.
     pub regions: Option<PathBuf>,
+    /// The preload library by which its system calls are made to fail, if they are.
+    pub fault_library: Option<PathBuf>,
 }
 
 impl Program {
@@ -49,14 +51,16 @@
         let regions = arm.regions.clone();
         let program = match (&arm.program, arm.baseline) {
             (Some(_), Some(_)) => return Err(ProgramError::Ambiguous { arm: arm.name.clone() }),
-            (Some(path), None) => Program { path: path.clone(), arguments: Vec::new(), regions },
+            (Some(path), None) => {
+                Program { path: path.clone(), arguments: Vec::new(), regions, fault_library: None }
+            }
             (None, Some(baseline)) => {
                 let arguments = vec!["router".to_owned(), baseline.name().to_owned()];
-                Program { path: own_path()?, arguments, regions }
+                Program { path: own_path()?, arguments, regions, fault_library: None }
             }
             (None, None) => {
                 let path = own_path()?.with_file_name("basaltwood-balancer");
-                Program { path, arguments: Vec::new(), regions }
+                Program { path, arguments: Vec::new(), regions, fault_library: None }
             }
         };
         if !program.path.is_file() {
--- a/testbed/src/cli/arguments.rs
+++ b/testbed/src/cli/arguments.rs
@@ -108,6 +108,36 @@
     /// A process of a scale run.
     #[command(hide = true)]
     ScalePart,
+    /// Two or three troubles that overlap in time, drawn from a seed, against many balancer
+    /// processes: faults of hosts, proxies and discovery, signals, failing system calls and stepped
+    /// clocks. Judged by the audit and by the balancers' own invariants; a script that fails is cut
+    /// down to the troubles it needs.
+    #[command(after_help = "Example: basaltwood-testbed soak --seed 1 --seeds 20 --seconds 12")]
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds, one after the other.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// How long requests arrive.
+        #[arg(long, default_value_t = 12.0)]
+        seconds: f64,
+        /// Balancer processes.
+        #[arg(long, default_value_t = 24)]
+        balancers: usize,
+        /// These troubles instead of drawn ones.
+        #[arg(long, value_name = "TROUBLE+TROUBLE")]
+        only: Option<String>,
+        /// A balancer; the one beside this program otherwise.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// A script that fails is not cut down.
+        #[arg(long)]
+        keep_whole: bool,
+        #[arg(long, default_value = "lab-results")]
+        out: PathBuf,
+    },
     /// Writes a result's page anew.
     Report { folder: PathBuf },
     /// Measures the generator's own ceiling, what a balancer carries on one core and what time it
--- a/testbed/src/cli/mod.rs
+++ b/testbed/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod run;
 mod scale;
 mod signals;
+mod soak;
 mod trace;
 mod up;
 
@@ -81,6 +82,10 @@
         Command::Load { file, to, seed, json } => load::load(&file, &to, seed, json),
         Command::Compare { a, b, json } => compare::compare(&a, &b, json),
         Command::Scale { file, quick, out, json } => scale::scale(&file, quick, &out, json),
+        Command::Soak { seed, seeds, seconds, balancers, only, program, keep_whole, out } => {
+            let reduces = !keep_whole;
+            soak::soak(&soak::Selection { seed, seeds, seconds, balancers, only, program, reduces, out })
+        }
         Command::Report { folder } => compare::report(&folder),
         Command::Trace { command } => trace::trace(command),
         Command::Measure { program, json } => measure::measure(program, json),
--- a/testbed/src/experiment/faults.rs
+++ b/testbed/src/experiment/faults.rs
@@ -55,6 +55,20 @@
     DiscoveryWrong,
     /// A balancer is killed, and started again at the end.
     BalancerKill,
+    /// Between balancer and machine: a piece of a response comes late with probability `part`.
+    ProxyDelay,
+    /// The same: it comes byte by byte.
+    ProxyDrip,
+    /// The same: half of it comes, and the connection is reset.
+    ProxyCut,
+    /// The same: it comes a second time, some milliseconds later.
+    ProxyCopy,
+    /// The same: nothing passes on its connection any more, which stays open.
+    ProxySilence,
+    /// The same: it comes, and the machine's side of the connection is closed behind it.
+    ProxyHalfClose,
+    /// The same: the connection is reset instead.
+    ProxyReset,
     /// The generator itself stops: this voids the run, and shows that it does.
     GeneratorStop,
     /// Each request costs the generator's thread `factor` milliseconds more: this voids the run,
--- a/testbed/src/ledger.rs
+++ b/testbed/src/ledger.rs
@@ -105,6 +105,12 @@
         /// The command.
         id: RequestId,
     },
+    /// The replies before this command's on its connection have come: the time until then does not
+    /// count.
+    ReplyIsNext {
+        /// The command.
+        id: RequestId,
+    },
     /// The balancer ended the connection over the command.
     ConnectionClosed {
         /// The command.
@@ -213,6 +219,7 @@
             }
             Observation::ClientLeft { id } => write!(f, "Left {{ id: Id({}) }}", id.0),
             Observation::ConnectionClosed { id } => write!(f, "Cut {{ id: Id({}) }}", id.0),
+            Observation::ReplyIsNext { id } => write!(f, "Next {{ id: Id({}) }}", id.0),
             Observation::Unanswered { id } => write!(f, "Unanswered {{ id: Id({}) }}", id.0),
             Observation::UnsolicitedReply { balancer } => write!(f, "Stray {{ balancer: {balancer} }}"),
             Observation::AttemptReceived { id, host, balancer, began } => write!(
@@ -268,6 +275,7 @@
             | Observation::ClientLeft { id }
             | Observation::ConnectionClosed { id }
             | Observation::Unanswered { id }
+            | Observation::ReplyIsNext { id }
             | Observation::AttemptReceived { id, .. }
             | Observation::AttemptRejected { id, .. }
             | Observation::KeyMissing { id, .. }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod router;
 pub mod scale;
 pub mod settings;
+pub mod soak;
 pub mod thread_stats;
 pub mod time;
 pub mod world;
--- a/testbed/src/load/client.rs
+++ b/testbed/src/load/client.rs
@@ -208,10 +208,16 @@
         let mut sent = self.send(request, &target, connection, now, is_retry);
         let wait_until = sent.reply_due + LATE_REPLY_WAIT;
         let abandon_at = request.abandon_after.map(|after| sent.sent_at + after);
-        let patience_ends = abandon_at.map_or(wait_until, |at| at.min(wait_until));
-        match timeout_at(clock.tokio_instant(patience_ends), &mut sent.reply).await {
-            Ok(reply) => self.handle_reply(&sent, &target, reply.ok()),
-            Err(_) => self.go_away(&sent, patience_ends),
+        let mut patience_ends = abandon_at.map_or(wait_until, |at| at.min(wait_until));
+        loop {
+            match timeout_at(clock.tokio_instant(patience_ends), &mut sent.reply).await {
+                Ok(reply) => return self.handle_reply(&sent, &target, reply.ok()),
+                // Time spent behind other replies does not count against this one.
+                Err(_) if patience_ends >= wait_until && sent.connection.is_blocked(sent.id) => {
+                    patience_ends = clock.now() + LATE_REPLY_WAIT;
+                }
+                Err(_) => return self.go_away(&sent, patience_ends),
+            }
         }
     }
 
@@ -269,8 +275,13 @@
     fn handle_reply(&self, sent: &SentAttempt, target: &Target, reply: Option<ClientReply>) -> AttemptResult {
         let id = sent.id;
         let Some(reply) = reply else {
-            self.ledger.note(Observation::ConnectionClosed { id });
             target.freed.notify_one();
+            // Another request of the same client gave the connection up.
+            if sent.connection.was_left() {
+                self.ledger.note(Observation::ClientLeft { id });
+                return AttemptResult::new(RequestOutcome::Abandoned);
+            }
+            self.ledger.note(Observation::ConnectionClosed { id });
             return AttemptResult::new(RequestOutcome::ConnectionLost);
         };
         let (answer, outcome, retry_after_ms) = match reply {
--- a/testbed/src/load/connection.rs
+++ b/testbed/src/load/connection.rs
@@ -57,6 +57,8 @@
     awaited: RefCell<VecDeque<Awaited>>,
     changed: Notify,
     closed: Cell<bool>,
+    /// This side ended it.
+    left: Cell<bool>,
 }
 
 impl Connection {
@@ -85,8 +87,19 @@
         receiver
     }
 
+    /// Whether replies to earlier commands are still to come.
+    pub(super) fn is_blocked(&self, id: RequestId) -> bool {
+        self.awaited.borrow().front().is_some_and(|first| first.id != id)
+    }
+
+    /// Whether this side ended it: all its commands were given up then.
+    pub(super) fn was_left(&self) -> bool {
+        self.left.get()
+    }
+
     /// Ends the connection.
     pub(super) fn close(&self) {
+        self.left.set(true);
         self.closed.set(true);
         self.changed.notify_one();
     }
@@ -135,6 +148,9 @@
             };
             // A client that has gone away in this moment needs none.
             let _ = awaited.reply.send(reply);
+            if let Some(next) = self.awaited.borrow().front() {
+                ledger.note(Observation::ReplyIsNext { id: next.id });
+            }
         }
         Ok(())
     }
--- a/testbed/src/play.rs
+++ b/testbed/src/play.rs
@@ -142,6 +142,32 @@
     run.finish(arm, seed)
 }
 
+/// Plays as [`play`] does, while `disturb` runs beside it on a thread of its own and does to the
+/// balancers what it likes; `extra_slack` is allowed on top of each time that the audit compares.
+/// Returns what `disturb` returned too.
+///
+/// # Errors
+/// As of [`play`].
+pub fn play_disturbed<T: Send + 'static>(
+    experiment: &Experiment,
+    program: &Program,
+    seed: u64,
+    folder: &Path,
+    extra_slack: Micros,
+    disturb: impl FnOnce(Balancers, Ledger) -> T + Send + 'static,
+) -> Result<(Run, T), PlayError> {
+    std::fs::create_dir_all(folder)
+        .map_err(|cause| PlayError::Unusable { path: folder.to_owned(), cause })?;
+    let mut run = RunningArm::start(experiment, program, seed, folder)?;
+    run.extra_slack = extra_slack;
+    let (balancers, ledger) = (run.balancers.clone(), run.ledger.clone());
+    let thread = thread::Builder::new().name("disturb".to_owned());
+    let disturbing = thread.spawn(move || disturb(balancers, ledger)).map_err(ThreadError::from)?;
+    run.wait(&mut |_| {})?;
+    let disturbed = disturbing.join().map_err(|_| PlayError::GeneratorPanicked)?;
+    Ok((run.finish("soak", seed)?, disturbed))
+}
+
 /// What a fault plants in the generator, if it does.
 fn stall(window: &FaultWindow) -> Option<Stall> {
     let each = match window.kind {
@@ -165,6 +191,8 @@
     ledger: Ledger,
     /// The world's CPU time until the run began.
     world_us_before: u64,
+    /// Allowed on top of each time that the audit compares.
+    extra_slack: Micros,
 }
 
 impl<'a> RunningArm<'a> {
@@ -209,6 +237,7 @@
             world,
             ledger,
             world_us_before,
+            extra_slack: 0,
         })
     }
 
@@ -256,7 +285,9 @@
         figures.opened_per_s = connections as f64 / experiment.seconds;
         figures.cpu_us_per_request = usage.iter().map(|used| used.cpu_s).sum::<f64>() * 1e6 / requests;
         figures.balancers = usage;
-        let mut breaches = audit(&events, &audit_settings(experiment, &world_lateness, &self.lateness));
+        let mut settings = audit_settings(experiment, &world_lateness, &self.lateness);
+        settings.slack += self.extra_slack;
+        let mut breaches = audit(&events, &settings);
         let exits = unexpected_exits.into_iter().map(|exit| exit_breach(exit, &events));
         breaches.extend(exits);
         let late = figures::late(&played.records);
--- a/testbed/src/world/director.rs
+++ b/testbed/src/world/director.rs
@@ -15,6 +15,7 @@
 use super::faults::{FaultSchedule, FaultWindow};
 use super::host::{Host, HostSettings, Shared};
 use super::machine::MachineSettings;
+use super::proxy::FaultProxies;
 use super::service_time::ServiceTimes;
 use crate::balancers::Balancers;
 use crate::experiment::{CacheMode, Experiment, FaultKind};
@@ -65,10 +66,17 @@
             rng.clone(),
             connections_accepted,
         );
+        let proxies = FaultProxies::new(faults.clone(), ledger.clock.clone(), rng.clone());
         let mut agents = Vec::new();
         for balancer in 0..experiment.balancers {
             let lag_ms = experiment.discovery.lag_ms + rng.random::<f64>() * experiment.discovery.spread_ms;
-            agents.push(Agent::start(balancer, millis(lag_ms), ledger.clone(), faults.clone())?);
+            agents.push(Agent::start(
+                balancer,
+                millis(lag_ms),
+                ledger.clone(),
+                faults.clone(),
+                proxies.clone(),
+            )?);
         }
         let director = Rc::new(Director {
             shared,
--- a/testbed/src/world/discovery.rs
+++ b/testbed/src/world/discovery.rs
@@ -18,6 +18,7 @@
 use super::faults::FaultSchedule;
 use super::host::Host;
 use super::listener::listen;
+use super::proxy::FaultProxies;
 use crate::discovery_calls::{encode_list, list, Calls, ChangesQuery};
 use crate::experiment::{zone_name, FaultKind};
 use crate::ledger::{EndpointStatus, HostNo, Ledger, Observation};
@@ -62,6 +63,7 @@
     lag: Micros,
     ledger: Ledger,
     faults: FaultSchedule,
+    proxies: Rc<FaultProxies>,
     /// The generation of the list.
     generation: watch::Sender<u64>,
     /// The list, by name.
@@ -83,6 +85,7 @@
         lag: Micros,
         ledger: Ledger,
         faults: FaultSchedule,
+        proxies: Rc<FaultProxies>,
     ) -> std::io::Result<Rc<Agent>> {
         let listener = listen((Ipv4Addr::new(127, 31, 0, balancer as u8 + 1), 0).into())?;
         let agent = Rc::new(Agent {
@@ -91,6 +94,7 @@
             lag,
             ledger,
             faults,
+            proxies,
             generation: watch::Sender::new(1),
             endpoints: RefCell::default(),
             withheld: RefCell::default(),
@@ -153,7 +157,7 @@
         let address = if wrong_address {
             SocketAddr::from((Ipv4Addr::LOCALHOST, UNUSED_PORT))
         } else {
-            host.address(self.balancer)
+            self.proxies.advertised(settings.no, self.balancer, host.address(self.balancer))
         };
         let lifecycle = match status {
             EndpointStatus::Active => "active",
--- a/testbed/src/world/mod.rs
+++ b/testbed/src/world/mod.rs
@@ -8,6 +8,7 @@
 pub mod host;
 pub mod listener;
 pub mod machine;
+pub mod proxy;
 pub mod service_time;
 
 use std::rc::Rc;
--- a/testbed/tests/common/mod.rs
+++ b/testbed/tests/common/mod.rs
@@ -63,14 +63,19 @@
 pub fn router(kind: &str, misdeed: Option<&str>) -> Program {
     let misdeed = misdeed.map(|misdeed| format!("--misdeed={misdeed}"));
     let arguments = ["router".to_owned(), kind.to_owned()].into_iter().chain(misdeed).collect();
-    Program { path: env!("CARGO_BIN_EXE_basaltwood-testbed").into(), arguments, regions: None }
+    Program {
+        path: env!("CARGO_BIN_EXE_basaltwood-testbed").into(),
+        arguments,
+        regions: None,
+        fault_library: None,
+    }
 }
 
 /// The balancer that the workspace has built beside the testbed.
 pub fn balancer() -> Program {
     let path = Path::new(env!("CARGO_BIN_EXE_basaltwood-testbed")).with_file_name("basaltwood-balancer");
     assert!(path.is_file(), "{} is missing: run `cargo test --workspace`", path.display());
-    Program { path, arguments: Vec::new(), regions: None }
+    Program { path, arguments: Vec::new(), regions: None, fault_library: None }
 }
 
 pub fn played(experiment: &Experiment, program: &Program) -> Run {
