Structured log: fields for requests, attempts, connections, hosts; JSON lines; slow tables

Cause: the log could not answer for one request id when it came, why it was decided so, on which connection and with how many bytes each attempt went, who ended it and when its last byte went; nor why a connection or a host changed.

Change. log's key-values throughout (request, client_id, attempt, host, connection, bytes, outcome, reason, refusal); BASALTWOOD_LOG_FORMAT=json writes JSON lines with the same fields. Hosts that change are logged with what speaks against them. The socket table is read line by line, for the own port alone, and no more often than a twentieth of the time; where the system does not tell, a close waits 1.2 s at most.

--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -34,6 +34,11 @@
         self.add_many(1);
     }
 
+    /// How many there are.
+    pub fn count(&self) -> u64 {
+        self.0.get()
+    }
+
     /// `more` more.
     pub fn add_many(&self, more: usize) {
         self.0.set(self.0.get() + more as u64);
--- a/balancer/src/downstream/closing.rs
+++ b/balancer/src/downstream/closing.rs
@@ -21,6 +21,9 @@
 /// The client's end is awaited so long: no client waits longer for an answer, by the operators'
 /// protocol. One whose descriptor is needed by another is waited for no longer.
 const MAX_LINGER: Duration = Duration::from_secs(3);
+/// The same where the system does not tell what the client has received. Most read at once; a client
+/// that is slower, on such a system, may lose the end of its last reply.
+const MAX_UNKNOWN_LINGER: Duration = Duration::from_millis(1_200);
 /// The client is given so long to close by itself; then the system is asked what it has received,
 /// again and again.
 const FIRST_CHECK: Duration = Duration::from_millis(200);
@@ -69,6 +72,8 @@
 /// How a connection stood at its end.
 #[derive(Clone, Copy, Debug)]
 pub struct Closed {
+    /// The connection's number in the log.
+    pub number: u64,
     /// Why it ends.
     pub reason: CloseReason,
     /// Replies that its client has not been written.
@@ -77,10 +82,12 @@
 
 /// Ends a client's connection, and returns once its client has closed too or is not waited for.
 pub async fn close(shared: &Rc<Shared>, mut stream: TcpStream, closed: Closed) {
-    let Closed { reason, owed } = closed;
-    log::debug!("a client's connection ends: {reason:?}, {owed} replies owed");
+    let Closed { number, reason, owed } = closed;
+    log::debug!(client = number, reason:?, owed; "client connection ends");
     if owed > 0 && !reason.may_owe_replies() {
-        shared.invariants.violated(Invariant::ReplyOwedAtClose, format_args!("{reason:?}, {owed} owed"));
+        shared
+            .invariants
+            .violated(Invariant::ReplyOwedAtClose, format_args!("client {number}, {reason:?}, {owed} owed"));
     }
     if !reason.client_may_read() || stream.shutdown().await.is_err() {
         return;
@@ -96,7 +103,8 @@
 /// takes nothing from it then.
 async fn delivered(shared: &Shared, stream: &mut TcpStream) {
     let (Ok(local), Ok(remote)) = (stream.local_addr(), stream.peer_addr()) else { return };
-    let mut check_at = Instant::now() + FIRST_CHECK;
+    let began = Instant::now();
+    let mut check_at = began + FIRST_CHECK;
     loop {
         let mut discarded = BytesMut::with_capacity(DISCARD_BUFFER).limit(DISCARD_BUFFER);
         tokio::select! {
@@ -104,8 +112,10 @@
                 return;
             },
             () = sleep_until(check_at) => {
-                if shared.sockets.delivery(local, remote) == Delivery::Complete {
-                    return;
+                match shared.sockets.delivery(local, remote) {
+                    Delivery::Complete => return,
+                    Delivery::Unknown if began.elapsed() >= MAX_UNKNOWN_LINGER => return,
+                    Delivery::Unknown | Delivery::Pending => {}
                 }
                 check_at = Instant::now() + CHECK_INTERVAL;
             }
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -87,6 +87,8 @@
 
 /// A client's connection with its commands and replies.
 pub struct Connection<'a> {
+    /// Its number in the log.
+    number: u64,
     shared: &'a Rc<Shared>,
     phase: watch::Receiver<Phase>,
     reader: ReadHalf<'a>,
@@ -116,12 +118,14 @@
 impl<'a> Connection<'a> {
     /// A connection that has just been accepted.
     pub fn new(
+        number: u64,
         shared: &'a Rc<Shared>,
         stream: &'a mut TcpStream,
         phase: watch::Receiver<Phase>,
     ) -> Connection<'a> {
         let (reader, writer) = stream.split();
         Connection {
+            number,
             shared,
             phase,
             reader,
@@ -145,7 +149,7 @@
     pub async fn run(mut self) -> Closed {
         let reason = self.serve().await;
         let being_written = usize::from(!self.outgoing.is_empty());
-        Closed { reason, owed: self.pending.len() + being_written }
+        Closed { number: self.number, reason, owed: self.pending.len() + being_written }
     }
 
     async fn serve(&mut self) -> CloseReason {
@@ -199,7 +203,8 @@
                 let (delivery, awaited) = oneshot::channel();
                 let mut memory = self.shared.budget.memory_guard();
                 memory.set(size);
-                let active = self.shared.metrics.request_started(new_request.class);
+                let active = self.shared.metrics.request_started(new_request.class, request.id.clone());
+                log::debug!(client = self.number, client_id:% = String::from_utf8_lossy(&request.id); "command read");
                 self.pending.push_back(PendingReply::Awaited(awaited, active));
                 let task = requests::serve(self.shared.clone(), request, new_request, delivery, memory);
                 spawn_local(task);
@@ -222,7 +227,7 @@
 
     /// The last reply to a client that does not keep to the protocol.
     fn refuse(&mut self, cause: &ProtocolError) {
-        log::debug!("a client is refused: {cause}");
+        log::debug!(client = self.number, cause:%; "client refused");
         self.shared.counters.malformed.add();
         self.reply(resp::encode_error(&format!("Protocol error: {cause}")));
         self.closing = Some(match cause {
@@ -411,7 +416,7 @@
             }
             InputEvent::Read(Ok(0)) => ControlFlow::Break(CloseReason::ClientLeft),
             InputEvent::Read(Err(cause)) => {
-                log::debug!("a client's connection broke: {cause}");
+                log::debug!(client = self.number, cause:%; "client connection broke");
                 ControlFlow::Break(CloseReason::ConnectionBroken)
             }
             InputEvent::MemoryReserved => {
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -15,6 +15,7 @@
 mod io_errors;
 mod lifecycle;
 mod listener;
+pub mod logging;
 mod metrics;
 mod panics;
 mod presence;
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -2,10 +2,10 @@
 
 use std::process::ExitCode;
 
-use basaltwood_balancer::run;
+use basaltwood_balancer::{logging, run};
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    logging::init();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
--- a/balancer/src/metrics.rs
+++ b/balancer/src/metrics.rs
@@ -6,6 +6,7 @@
 use basaltwood::types::{PoolSize, RequestClassId};
 use basaltwood_admin::{MetricKind, MetricsPage, Sample};
 use basaltwood_regions::{RegionCounts, Regions};
+use bytes::Bytes;
 
 use crate::invariants::Invariants;
 
@@ -55,11 +56,14 @@
 pub struct ActiveRequest {
     metrics: Rc<Metrics>,
     class: RequestClassId,
+    /// The client's id of it, for the log.
+    client_id: Bytes,
 }
 
 impl ActiveRequest {
     /// The request ended for its client with this outcome.
     pub fn finish(self, outcome: RequestOutcome) {
+        log::debug!(client_id:% = String::from_utf8_lossy(&self.client_id), outcome:?; "reply ended");
         let mut outcomes = self.metrics.outcomes.borrow_mut();
         if let Some(counts) = outcomes.get_mut(usize::from(self.class.0)) {
             match outcome {
@@ -93,9 +97,9 @@
     }
 
     /// A request of this class arrived.
-    pub fn request_started(self: &Rc<Metrics>, class: RequestClassId) -> ActiveRequest {
+    pub fn request_started(self: &Rc<Metrics>, class: RequestClassId, client_id: Bytes) -> ActiveRequest {
         self.active_requests.set(self.active_requests.get() + 1);
-        ActiveRequest { metrics: self.clone(), class }
+        ActiveRequest { metrics: self.clone(), class, client_id }
     }
 
     /// An attempt was written whole to a cache host or the origin.
--- a/balancer/src/process/tasks.rs
+++ b/balancer/src/process/tasks.rs
@@ -18,6 +18,20 @@
     }
 }
 
+/// Each change of a host's state, with what speaks against it.
+fn log_host_changes(shared: &Shared) {
+    for change in shared.router.borrow_mut().take_host_changes() {
+        log::debug!(
+            host = change.host.0,
+            up = change.is_up,
+            suspected = change.is_suspected,
+            warming_up = change.is_warming_up,
+            evidence = change.failure_evidence;
+            "host changed"
+        );
+    }
+}
+
 /// Runs the timers of the connections and then of the policy. The order matters: a stall of this
 /// process itself must be noticed before it is taken for the silence of hosts.
 pub async fn tick(shared: Rc<Shared>) {
@@ -27,6 +41,7 @@
         let due = shared.router.borrow_mut().tick(shared.clock.now());
         let pool_size = shared.router.borrow().pool_size();
         shared.metrics.set_pool_size(pool_size);
+        log_host_changes(&shared);
         shared.wake_requests();
         let latest = Instant::now() + MAX_TICK_INTERVAL;
         let next = due.map_or(latest, |due| shared.clock.at(due).min(latest));
--- a/balancer/src/requests.rs
+++ b/balancer/src/requests.rs
@@ -55,7 +55,7 @@
         return;
     }
     let (id, actions) = shared.router.borrow_mut().submit(shared.clock.now(), new_request);
-    log::debug!("request {} is the client's {}", id.0, String::from_utf8_lossy(&request.id));
+    log::debug!(request = id.0, client_id:% = String::from_utf8_lossy(&request.id); "request received");
     let task = RequestTask {
         shared: shared.clone(),
         id,
@@ -129,12 +129,10 @@
     fn start_attempt(&mut self, attempt: AttemptNumber, target: AttemptTarget) {
         let shared = self.shared.clone();
         shared.counters.attempts.add();
+        let left_ms = (target.deadline - shared.clock.now()) / 1000;
         log::debug!(
-            "request {} attempt {} to host {} for {} ms",
-            self.id.0,
-            attempt.0,
-            target.host.0,
-            (target.deadline - shared.clock.now()) / 1000
+            request = self.id.0, attempt = attempt.0, host = target.host.0, left_ms;
+            "attempt decided"
         );
         let request = self.request.clone();
         let key = AttemptKey { request: self.id, number: attempt };
@@ -171,7 +169,7 @@
         }
         self.shared.counters.attempt_ended(outcome);
         self.request.write_log.ended(attempt, outcome);
-        log::debug!("request {} attempt {}: {outcome:?}", self.id.0, attempt.0);
+        log::debug!(request = self.id.0, attempt = attempt.0, outcome:?; "attempt ended");
         self.value = value;
         self.report(attempt, outcome)
     }
@@ -194,6 +192,7 @@
 
     /// The client has gone: nothing more is sent for the request.
     fn abandon(&mut self) -> Vec<RequestAction> {
+        log::debug!(request = self.id.0; "request abandoned by its client");
         self.delivery = None;
         self.request.finished.send_replace(true);
         self.shared.counters.abandoned.add();
@@ -201,6 +200,7 @@
     }
 
     fn succeed(&mut self) {
+        log::debug!(request = self.id.0; "request succeeded");
         self.shared.counters.succeeded.add();
         let value = self.value.take().unwrap_or(Value::Whole(Bytes::new()));
         self.finish(FinalAnswer::Succeeded(value));
--- a/balancer/src/socket_table.rs
+++ b/balancer/src/socket_table.rs
@@ -3,6 +3,8 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
@@ -14,9 +16,12 @@
 /// The table of this process's own network.
 const TABLE_FILE: &str = "/proc/self/net/tcp";
 /// A table that was read is good for so long: many connections may end together.
-const MAX_TABLE_AGE: Duration = Duration::from_millis(40);
-/// A longer table, in bytes, would hold up this thread: some ten thousand connections.
-const MAX_TABLE_BYTES: usize = 4 * 1024 * 1024;
+const MIN_TABLE_AGE: Duration = Duration::from_millis(40);
+/// And for so many times as long as it took to read: a machine may have tens of thousands of
+/// connections, and reading holds this thread up.
+const READING_SHARE: u32 = 20;
+/// Bytes of the table that are held at a time.
+const READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Fields of a line that are read: both addresses and the queues.
 const LOCAL_FIELD: usize = 1;
 const REMOTE_FIELD: usize = 2;
@@ -43,7 +48,10 @@
 }
 
 struct Snapshot {
-    read_at: Instant,
+    /// Until when it is good.
+    good_until: Instant,
+    /// The local port of its connections.
+    port: u16,
     /// Bytes that are not acknowledged, the end of the stream counted as one.
     unacknowledged: HashMap<Ends, u32>,
 }
@@ -55,8 +63,9 @@
             return Delivery::Unknown;
         };
         let mut last = self.last.borrow_mut();
-        if last.as_ref().is_none_or(|last| last.read_at.elapsed() > MAX_TABLE_AGE) {
-            *last = Some(Snapshot { read_at: Instant::now(), unacknowledged: read_table() });
+        let is_good = |last: &Snapshot| last.port == local.port() && Instant::now() < last.good_until;
+        if !last.as_ref().is_some_and(is_good) {
+            *last = Some(Snapshot::read(local.port()));
         }
         let unacknowledged = last.as_ref().and_then(|last| last.unacknowledged.get(&(local, remote)));
         match unacknowledged {
@@ -67,20 +76,32 @@
     }
 }
 
-fn read_table() -> HashMap<Ends, u32> {
-    match std::fs::read_to_string(TABLE_FILE) {
-        Ok(table) if table.len() <= MAX_TABLE_BYTES => parse_table(&table),
-        Ok(_) => HashMap::new(),
-        Err(cause) => {
+impl Snapshot {
+    fn read(port: u16) -> Snapshot {
+        let began = Instant::now();
+        let unacknowledged = read_table(port).unwrap_or_else(|cause| {
             log::debug!("{TABLE_FILE}: {cause}; it is unknown what clients have received");
             HashMap::new()
-        }
+        });
+        let age = MIN_TABLE_AGE.max(began.elapsed() * READING_SHARE);
+        Snapshot { good_until: Instant::now() + age, port, unacknowledged }
     }
 }
 
-/// The connections of a table; lines that make no sense, its head among them, are passed over.
-fn parse_table(table: &str) -> HashMap<Ends, u32> {
-    table.lines().filter_map(parse_line).collect()
+fn read_table(port: u16) -> io::Result<HashMap<Ends, u32>> {
+    let file = File::open(TABLE_FILE)?;
+    parse_table(BufReader::with_capacity(READ_BUFFER_BYTES, file), port)
+}
+
+/// The connections of a table with this local port; lines that make no sense, its head among them,
+/// are passed over.
+fn parse_table(table: impl BufRead, port: u16) -> io::Result<HashMap<Ends, u32>> {
+    let mut connections = HashMap::new();
+    for line in table.lines() {
+        let connection = parse_line(&line?);
+        connections.extend(connection.filter(|((local, _), _)| local.port() == port));
+    }
+    Ok(connections)
 }
 
 fn parse_line(line: &str) -> Option<(Ends, u32)> {
--- a/balancer/src/socket_table/tests.rs
+++ b/balancer/src/socket_table/tests.rs
@@ -12,9 +12,10 @@
                  1: nonsense\n";
     let ends = ("127.0.0.1:8080".parse().expect("one"), "127.0.0.1:50000".parse().expect("one"));
     // Addresses stand in the order of this machine's bytes.
-    let table =
-        if cfg!(target_endian = "big") { table.replace("0100007F", "7F000001") } else { table.into() };
-    assert_eq!(parse_table(&table), HashMap::from([(ends, 255)]));
+    let is_big = cfg!(target_endian = "big");
+    let table = if is_big { table.replace("0100007F", "7F000001") } else { table.to_owned() };
+    assert_eq!(parse_table(table.as_bytes(), 8080).expect("lines"), HashMap::from([(ends, 255)]));
+    assert!(parse_table(table.as_bytes(), 8081).expect("lines").is_empty(), "another port");
 }
 
 /// A megabyte that nobody reads stays unacknowledged, and a few bytes do not.
@@ -26,7 +27,7 @@
         let (held, _) = listener.accept().expect("a client");
         client.set_nonblocking(true).expect("a socket");
         let _ = client.write(&vec![0; bytes]);
-        std::thread::sleep(MAX_TABLE_AGE * 2);
+        std::thread::sleep(MIN_TABLE_AGE * 2);
         let ends = (client.local_addr().expect("one"), client.peer_addr().expect("one"));
         let delivery = SocketTable::default().delivery(ends.0, ends.1);
         drop(held);
--- a/balancer/src/upstream/checkout.rs
+++ b/balancer/src/upstream/checkout.rs
@@ -224,7 +224,7 @@
                 Ok(checked_out)
             }
             Err(error) => {
-                log::debug!("host {} at {address}: no connection: {error}", host.0);
+                log::debug!(host = host.0, address:%, connection = id.0, error:%; "no connection");
                 pools.connect_failed(self.clock.now(), id, error.pool_failure());
                 Err(error.outcome())
             }
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -51,11 +51,11 @@
         };
         let time_left = self.target.deadline - now;
         let message = encode(time_left);
-        let first_byte_at = Instant::now();
+        let (first_byte_at, bytes) = (Instant::now(), message.length());
         if let Err(outcome) = self.write(&mut checked_out, permit, message).await {
             return AttemptResult::without_value(outcome);
         }
-        self.sent(&checked_out);
+        self.sent(&checked_out, bytes);
         self.upstreams.audit(&SentAttempt {
             request: self.request,
             number: self.attempt.number,
@@ -102,7 +102,7 @@
         let permit = self.router.borrow_mut().permit_send(now, self.attempt, client_present);
         permit.map_err(|refusal| {
             let AttemptKey { request, number } = self.attempt;
-            log::debug!("request {} attempt {}: not sent, {refusal:?}", request.0, number.0);
+            log::debug!(request = request.0, attempt = number.0, refusal:?; "attempt not sent");
             match refusal {
                 SendRefusal::ClientGone | SendRefusal::RequestEnded => AttemptOutcome::Cancelled,
                 _ => AttemptOutcome::NotSent,
@@ -135,8 +135,13 @@
     }
 
     /// The last byte of the request is written.
-    fn sent(&self, checked_out: &CheckedOut<'_>) {
+    fn sent(&self, checked_out: &CheckedOut<'_>, bytes: usize) {
         let id = checked_out.id();
+        let AttemptKey { request, number } = self.attempt;
+        log::debug!(
+            request = request.0, attempt = number.0, host = self.target.host.0, connection = id.0, bytes;
+            "attempt written"
+        );
         let upstreams = self.upstreams;
         upstreams.pools.borrow_mut().request_sent(upstreams.clock.now(), id);
         upstreams.metrics.attempt_sent();
@@ -189,7 +194,12 @@
         drop(checked_out.take());
         let fault = self.upstreams.pools.borrow_mut().connection_lost(now, checked_out.id());
         self.upstreams.perform_pool_actions();
-        log::debug!("host {}: a connection ended under a request, {fault:?} at fault", self.target.host.0);
+        let AttemptKey { request, number } = self.attempt;
+        log::debug!(
+            request = request.0, attempt = number.0, host = self.target.host.0, connection = checked_out.id().0,
+            fault:?;
+            "connection ended under an attempt"
+        );
         match fault {
             Fault::Connection => AttemptOutcome::ConnectionFault,
             Fault::Host => AttemptOutcome::ConnectionLost,
@@ -236,7 +246,7 @@
         let last = connection.last_response.take();
         let last = last.filter(|_| duplicates_suspected && result.value.is_some());
         if last.is_some_and(|last| last.repeated_by(fingerprint, self.request.value.is_some())) {
-            log::debug!("host {}: the same response as to the request before", self.target.host.0);
+            log::debug!(request = self.attempt.request.0, host = self.target.host.0; "copied response suspected");
             return AttemptResult::without_value(AttemptOutcome::ConnectionFault);
         }
         connection.last_response = Some(fingerprint);
--- a/balancer/src/upstream/messages.rs
+++ b/balancer/src/upstream/messages.rs
@@ -77,6 +77,11 @@
         RequestBytes { head: bytes, segments: Vec::new() }
     }
 
+    /// How many bytes it has.
+    pub fn length(&self) -> usize {
+        self.head.len() + self.segments.iter().map(Bytes::len).sum::<usize>()
+    }
+
     /// Writes all of it, by the permission for this attempt.
     pub async fn write(self, _permit: SendPermit, stream: &mut TcpStream) -> io::Result<()> {
         write_all(stream, &self.head).await?;
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -257,7 +257,7 @@
         if let Some(entry) = self.hosts.borrow().get(&host) {
             entry.duplicates.unexpected_bytes();
         }
-        log::debug!("host {}: it sent more than it was asked for", host.0);
+        log::debug!(host = host.0; "host sent more than it was asked for");
         self.pools.borrow_mut().responses_doubtful(host);
         self.perform_pool_actions();
     }
--- a/balancer/tests/faults/last_reply.rs
+++ b/balancer/tests/faults/last_reply.rs
@@ -14,8 +14,9 @@
 const VALUE_BYTES: usize = 60_000;
 /// So little the reader's system holds for it.
 const WINDOW_BYTES: usize = 4_096;
-/// When the reader begins to read, after SIGTERM.
-const READ_AFTER: Duration = Duration::from_millis(650);
+/// When the reader sends something, and when it begins to read, after SIGTERM: while clients are still
+/// accepted, and after that, when nothing but this connection is left.
+const SEND_AND_READ_AFTER: [(u64, u64); 2] = [(325, 650), (850, 1_200)];
 
 fn slow_reader(address: &str) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -27,8 +28,9 @@
     stream
 }
 
-/// What the reader gets where it sends these bytes between SIGTERM and its first read.
-fn reply_to_reader_that_sends(meanwhile: &[u8]) -> usize {
+/// What the reader gets where it sends these bytes between SIGTERM and its first read, so many
+/// milliseconds after the signal each.
+fn reply_to_reader_that_sends(meanwhile: &[u8], send_after: u64, read_after: u64) -> usize {
     let host = Peer::host(|_| hit(&"x".repeat(VALUE_BYTES)));
     let known = [entry("a", host.address, "active")];
     let mut program = Program::start(BINARY, nowhere(), &known, 1024);
@@ -38,10 +40,10 @@
     program.wait_for_counter("succeeded", 1);
 
     program.signal("TERM");
-    thread::sleep(READ_AFTER / 2);
+    thread::sleep(Duration::from_millis(send_after));
     // It may be refused where the connection is closed already.
     let _ = reader.write_all(meanwhile);
-    thread::sleep(READ_AFTER / 2);
+    thread::sleep(Duration::from_millis(read_after - send_after));
     let mut reply = Vec::new();
     // A reset ends it early, and what came until then is what counts.
     let _ = reader.read_to_end(&mut reply);
@@ -57,8 +59,10 @@
     let half_command: &[u8] = b"*4\r\n$9\r\nCACHE.G";
     let command: &[u8] = b"*1\r\n$4\r\nPING\r\n";
     for meanwhile in [b"" as &[u8], half_command, command] {
-        let got = reply_to_reader_that_sends(meanwhile);
-        let sent = String::from_utf8_lossy(meanwhile);
-        assert!(got >= whole, "{got} of {whole} bytes came to the reader that sent {sent:?}");
+        for (send_after, read_after) in SEND_AND_READ_AFTER {
+            let got = reply_to_reader_that_sends(meanwhile, send_after, read_after);
+            let sent = String::from_utf8_lossy(meanwhile);
+            assert!(got >= whole, "{got} of {whole} bytes came to the reader that sent {sent:?}");
+        }
     }
 }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -22,6 +22,9 @@
 use crate::send_windows::SendWindows;
 use crate::types::*;
 
+/// More changes of hosts than these are dropped until some are taken: they only inform.
+const MAX_HOST_CHANGES: usize = 4_096;
+
 /// Holds the open requests and what all hosts have in common.
 #[derive(Default)]
 pub(crate) struct Dispatcher {
@@ -57,6 +60,8 @@
 
     /// Between calls for the endpoint list that fail.
     pub(crate) watch_backoff: Backoff,
+    /// Changes of hosts that nobody has taken yet.
+    pub(crate) host_changes: Vec<HostChange>,
     /// The first endpoint list came.
     pub(crate) has_started: bool,
 }
@@ -117,6 +122,9 @@
             DispatcherMessage::HostStatus(host, status) => {
                 let shown = &mut self.host_statuses[host.index()];
                 self.ring_is_stale |= shown.is_up() != status.is_up();
+                if shown.differs_visibly(&status) && self.host_changes.len() < MAX_HOST_CHANGES {
+                    self.host_changes.push(status.as_change(host));
+                }
                 *shown = *status;
             }
             DispatcherMessage::HostSuspected(request) => self.retry(request, mailboxes),
--- a/src/host_tracker.rs
+++ b/src/host_tracker.rs
@@ -6,7 +6,7 @@
 use crate::activity::HostActivity;
 use crate::mailboxes::{self, DispatcherMessage, HostMessage};
 use crate::policy::concurrency_limit::ConcurrencyLimit;
-use crate::types::{AttemptKey, Endpoint, HostId, Lifecycle, Micros, SlowStart, ZoneId};
+use crate::types::{AttemptKey, Endpoint, HostChange, HostId, Lifecycle, Micros, SlowStart, ZoneId};
 
 /// The mailboxes of a policy, whose hosts publish a [`HostStatus`].
 pub(crate) type Mailboxes = mailboxes::Mailboxes<HostStatus>;
@@ -16,6 +16,8 @@
 pub(crate) struct HostStatus {
     pub(crate) endpoint: Option<Endpoint>,
     pub(crate) is_suspected: bool,
+    /// What speaks against its health, in typical latencies, since the last sign of it.
+    pub(crate) failure_evidence: f64,
     /// The part of its capacity that it surely has since its start; 1 when warm.
     pub(crate) capacity: f64,
     /// The part of its own keys that a slow host keeps.
@@ -49,6 +51,23 @@
     pub(crate) fn is_warming_up(&self) -> bool {
         self.capacity < 1.0
     }
+
+    /// Whether an operator would call the host's state another one.
+    pub(crate) fn differs_visibly(&self, other: &HostStatus) -> bool {
+        let visible = |status: &HostStatus| (status.is_up(), status.is_suspected, status.is_warming_up());
+        visible(self) != visible(other)
+    }
+
+    /// What an operator is shown of it.
+    pub(crate) fn as_change(&self, host: HostId) -> HostChange {
+        HostChange {
+            host,
+            is_up: self.is_up(),
+            is_suspected: self.is_suspected,
+            is_warming_up: self.is_warming_up(),
+            failure_evidence: self.failure_evidence,
+        }
+    }
 }
 
 /// An attempt in flight at the host.
@@ -148,6 +167,7 @@
         let age = self.warming_since.map(|since| mailboxes.now - since);
         self.status.capacity = age.map_or(1.0, |age| self.slow_start.minimum_capacity(age));
         self.status.is_suspected = self.suspected_since.is_some();
+        self.status.failure_evidence = self.failure_evidence;
         self.status.in_flight = self.in_flight.len();
         self.status.is_idle = self.is_idle();
         let status = Box::new(self.status.clone());
--- a/src/policy_views.rs
+++ b/src/policy_views.rs
@@ -1,7 +1,7 @@
 //! What a shell may look at in a policy beside its actions; nothing is decided here.
 
 use crate::policy::Policy;
-use crate::types::{Endpoint, HostId, LearnedLimit, Lifecycle, PoolSize};
+use crate::types::{Endpoint, HostChange, HostId, LearnedLimit, Lifecycle, PoolSize};
 
 impl Policy {
     /// Rule 3, for an attempt that waited for its connection after it was admitted.
@@ -30,6 +30,11 @@
         learned.collect()
     }
 
+    /// The changes of hosts since this was last called.
+    pub fn take_host_changes(&mut self) -> Vec<HostChange> {
+        std::mem::take(&mut self.dispatcher.host_changes)
+    }
+
     /// How many cache hosts are listed, and how many of them get nothing now but what probes for
     /// their return.
     pub fn pool_size(&self) -> PoolSize {
--- a/src/router.rs
+++ b/src/router.rs
@@ -140,6 +140,11 @@
         self.policy.pool_size()
     }
 
+    /// The changes of hosts since this was last called, for the log.
+    pub fn take_host_changes(&mut self) -> Vec<HostChange> {
+        self.policy.take_host_changes()
+    }
+
     /// Whether a host takes anything new, by the list as it last came: to be checked again before
     /// the first byte of an attempt that had to wait for its connection.
     pub fn accepts_attempts(&self, host: HostId) -> bool {
--- a/src/types/events.rs
+++ b/src/types/events.rs
@@ -156,6 +156,21 @@
     Watch,
 }
 
+/// A host's state as the policy sees it has changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostChange {
+    /// The host.
+    pub host: HostId,
+    /// Whether the list has it take new requests.
+    pub is_up: bool,
+    /// Whether it is suspected of not answering, and gets nothing but probes.
+    pub is_suspected: bool,
+    /// Whether it is warming up.
+    pub is_warming_up: bool,
+    /// What speaks against its health, in typical latencies.
+    pub failure_evidence: f64,
+}
+
 /// Why a request ends without being served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndReason {
