--- a/balancer/tests/faults/main.rs
+++ b/balancer/tests/faults/main.rs
@@ -31,12 +31,23 @@
 
 impl FaultyProgram {
     fn start(discovery: SocketAddr, known: &[String], settings: &str) -> FaultyProgram {
+        let faulty = FaultyProgram::starting(discovery, known, settings, |_| {});
+        FaultyProgram { program: faulty.program.serving(), ..faulty }
+    }
+
+    /// The same under faults from the first moment on, before it serves.
+    fn starting(
+        discovery: SocketAddr,
+        known: &[String],
+        settings: &str,
+        inject: impl FnOnce(&FaultControl),
+    ) -> FaultyProgram {
         let folder = tempfile::tempdir().expect("a folder");
         let library = library_beside_test().expect("the preload library");
         let faults = FaultControl::create(&folder.path().join("faults"), &library).expect("a file");
+        inject(&faults);
         let environment = faults.environment();
-        let program =
-            Program::starting_with(BINARY, discovery, known, [192, 1024], settings, &environment).serving();
+        let program = Program::starting_with(BINARY, discovery, known, [192, 1024], settings, &environment);
         FaultyProgram { program, faults, _folder: folder }
     }
 }
--- a/balancer/tests/faults/starts.rs
+++ b/balancer/tests/faults/starts.rs
@@ -3,9 +3,13 @@
 use std::fs::{self, OpenOptions};
 use std::io::Write as _;
 use std::process::Command;
+use std::thread;
+use std::time::Duration;
+
+use basaltwood_fault_control::{Call, ALWAYS};
 
 use crate::common::*;
-use crate::BINARY;
+use crate::{FaultyProgram, BINARY};
 
 /// SIGHUP while the configuration is being read: it counts once the process serves, and ends nothing.
 #[test]
@@ -32,3 +36,21 @@
     program.wait_for_log("configuration reloaded");
     assert_eq!(program.client().command(&["CACHE.GET", "k", "id", "c=read,d=1900"]), "v");
 }
+
+/// No file and no socket can be had for a moment as the process starts: it waits for them, and serves.
+#[test]
+fn start_without_descriptors_for_a_moment_is_no_refusal() {
+    let host = Peer::host(|_| hit("v"));
+    let known = [entry("a", host.address, "active")];
+    for (call, errno) in
+        [(Call::Open, libc::EMFILE), (Call::Socket, libc::ENFILE), (Call::Open, libc::ENFILE)]
+    {
+        let faulty = FaultyProgram::starting(nowhere(), &known, SETTINGS, |faults| {
+            faults.fail(call, errno, ALWAYS).expect("a file");
+        });
+        thread::sleep(Duration::from_millis(400));
+        faulty.faults.restore(call).expect("a file");
+        let program = faulty.program.serving();
+        assert_eq!(program.client().command(&["CACHE.GET", "k", "id", "c=read,d=1900"]), "v");
+    }
+}
