A start waits for what the machine lacks for the moment

Cause: Process::start read the configuration and bound its addresses once, and any error ended it. A file or a socket that can't be had for want of descriptors or memory is a fault of the moment, as at a reload.

Change: process/patience.rs tries again every 50 ms, for 8 s at a start (nine in ten have to be ready within 10 s) and 30 s at a reload. A missing file, a wrong one, and an address that another program has end the start at once as before.

--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -62,7 +62,18 @@
     pub fn is_momentary(&self) -> bool {
         match self {
             ConfigError::Unreadable { cause, .. } | ConfigError::UnreadableRegionMap { cause, .. } => {
-                cause.kind() == io::ErrorKind::NotFound || FaultOrigin::of(cause) != FaultOrigin::Peer
+                cause.kind() == io::ErrorKind::NotFound || self.is_shortage()
+            }
+            ConfigError::NotSet | ConfigError::Invalid { .. } | ConfigError::InvalidRegionMap(_) => false,
+        }
+    }
+
+    /// Whether this process or its machine lacks something for the moment. A file that is missing
+    /// at the start will not come by itself.
+    pub fn is_shortage(&self) -> bool {
+        match self {
+            ConfigError::Unreadable { cause, .. } | ConfigError::UnreadableRegionMap { cause, .. } => {
+                cause.kind() != io::ErrorKind::PermissionDenied && FaultOrigin::of(cause) != FaultOrigin::Peer
             }
             ConfigError::NotSet | ConfigError::Invalid { .. } | ConfigError::InvalidRegionMap(_) => false,
         }
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -45,9 +45,6 @@
     /// The runtime could not be built.
     #[error("the runtime: {0}")]
     Runtime(io::Error),
-    /// The configuration can't be read.
-    #[error(transparent)]
-    Config(#[from] ConfigError),
     /// The process could not start.
     #[error(transparent)]
     Start(#[from] StartError),
@@ -61,15 +58,14 @@
 /// configuration is read counts once the process serves.
 ///
 /// # Errors
-/// [`RunError`] if the configuration can't be read, if the process can't start, or if a background
-/// task fails.
+/// [`RunError`] if the process can't start, or if a background task fails.
 pub fn run() -> Result<(), RunError> {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_all().build().map_err(RunError::Runtime)?;
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
         let signals = Signals::register().map_err(StartError::System)?;
-        Process::start(Config::read()?, signals)?.run().await
+        Process::start(signals).await?.run().await
     })
 }
 
--- a/balancer/src/listener.rs
+++ b/balancer/src/listener.rs
@@ -8,6 +8,8 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket};
 
+use crate::io_errors::FaultOrigin;
+
 /// The length of the system's queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -35,6 +37,23 @@
     },
 }
 
+impl ListenError {
+    /// Whether this process or its machine lacks descriptors or memory for the moment.
+    pub fn is_shortage(&self) -> bool {
+        let cause = match self {
+            ListenError::Bind { cause, .. } => cause,
+            ListenError::Inherited { cause: InheritedError::Io(cause), .. } => cause,
+            ListenError::Inherited { .. } => return false,
+        };
+        // An address that another program has, or that is none of this machine's, stays so.
+        let is_address = matches!(
+            cause.kind(),
+            io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable | io::ErrorKind::PermissionDenied
+        );
+        !is_address && FaultOrigin::of(cause) != FaultOrigin::Peer
+    }
+}
+
 /// What is wrong with an inherited descriptor.
 #[derive(Debug, thiserror::Error)]
 pub enum InheritedError {
--- a/balancer/src/process/mod.rs
+++ b/balancer/src/process/mod.rs
@@ -3,6 +3,7 @@
 //! [`start`] assembles it; [`tasks`], [`reload`] and [`limit_sharing`] run in the background.
 
 mod limit_sharing;
+mod patience;
 mod reload;
 mod start;
 mod tasks;
--- a/balancer/src/process/reload.rs
+++ b/balancer/src/process/reload.rs
@@ -5,13 +5,11 @@
 
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
-use tokio::time::{sleep, Instant};
 
+use super::patience::retry_for;
 use crate::config::{Config, ConfigError};
 
-/// Between two tries to read a file that can't be had for the moment.
-const RETRY_INTERVAL: Duration = Duration::from_millis(50);
-/// For so long it is tried, from the signal on.
+/// A file that can't be had for the moment is tried for so long, from the signal on.
 const RETRY_FOR: Duration = Duration::from_secs(30);
 
 /// Reloads the configuration at each signal. Only discovery's address takes effect at once, all
@@ -31,7 +29,7 @@
 
 /// Takes the configuration in force, or says why not.
 async fn reload(discovery: &watch::Sender<SocketAddr>) {
-    match read_config().await {
+    match retry_for(RETRY_FOR, ConfigError::is_momentary, Config::read).await {
         Ok(config) => {
             log::info!("configuration reloaded: discovery at {}", config.discovery);
             discovery.send_if_modified(|address| {
@@ -43,22 +41,3 @@
         Err(cause) => log::warn!("{cause}; all stays as it is"),
     }
 }
-
-async fn read_config() -> Result<Config, ConfigError> {
-    let give_up_at = Instant::now() + RETRY_FOR;
-    let mut is_first = true;
-    loop {
-        let cause = match Config::read() {
-            Ok(config) => return Ok(config),
-            Err(cause) => cause,
-        };
-        if !cause.is_momentary() || Instant::now() >= give_up_at {
-            return Err(cause);
-        }
-        if is_first {
-            log::warn!("{cause}; it is tried again for {} s", RETRY_FOR.as_secs());
-            is_first = false;
-        }
-        sleep(RETRY_INTERVAL).await;
-    }
-}
--- a/balancer/src/process/start.rs
+++ b/balancer/src/process/start.rs
@@ -2,6 +2,7 @@
 //! the first request on.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,15 +10,17 @@
 use basaltwood_connection_pool::{ConnectionPools, PoolConfig};
 use basaltwood_membership::{WatchConfig, WatchSchedule};
 use basaltwood_settings::{NameTable, RuntimeLimits};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use super::limit_sharing::LimitSharing;
+use super::patience::retry_for;
 use super::{tasks, Process, Shutdown, Signals};
 use crate::admin::{self, AdminServer};
 use crate::budget::ResourceBudget;
 use crate::clock::{duration, Clock};
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::counters::Counters;
 use crate::discovery::{self, ListWatch};
 use crate::lifecycle::Phase;
@@ -31,9 +34,16 @@
 /// this.
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(3_000);
 
+/// What this machine lacks at the start is waited for so long: nine in ten processes have to be ready
+/// within 10 s. Source: the operators' page on real days.
+const START_PATIENCE: Duration = Duration::from_secs(8);
+
 /// Why the process can't start. Displayed, it is one line.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
+    /// The configuration can't be read.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     /// It can't listen.
     #[error(transparent)]
     Listen(#[from] ListenError),
@@ -43,11 +53,18 @@
 }
 
 impl Process {
-    /// Assembles the process and listens.
+    /// Reads the configuration, assembles the process and listens. What this machine lacks for the
+    /// moment is waited for.
     ///
     /// # Errors
-    /// [`StartError`] if it can't listen, or if a system call fails.
-    pub fn start(config: Config, signals: Signals) -> Result<Process, StartError> {
+    /// [`StartError`] if the configuration can't be used, if it can't listen, or if a system call
+    /// fails.
+    pub async fn start(signals: Signals) -> Result<Process, StartError> {
+        let config = retry_for(START_PATIENCE, ConfigError::is_shortage, Config::read).await?;
+        Process::assemble(config, signals).await
+    }
+
+    async fn assemble(config: Config, signals: Signals) -> Result<Process, StartError> {
         let shutdown = Shutdown::new(&config);
         let budget = resource_budget(&config);
         let pools = connection_pools(&config);
@@ -59,7 +76,7 @@
         let known_version = discovery::apply_list(&shared, config.known_endpoints, true);
         let listener = match config.inherited_descriptor {
             Some(descriptor) => listener::inherited(descriptor, config.listen)?,
-            None => listener::bind("listen", config.listen)?,
+            None => bind("listen", config.listen).await?,
         };
         let mut tasks = JoinSet::new();
         if config.inherited_descriptor.is_some() {
@@ -69,7 +86,7 @@
             tasks.spawn_local(sharing.run());
         }
         if let Some(address) = config.admin {
-            let listener = listener::bind("mgmt", address)?;
+            let listener = bind("mgmt", address).await?;
             log::info!("mgmt on {}", listener.local_addr()?);
             tasks.spawn_local(AdminServer::new(shared.clone(), shutdown.phase.clone()).accept(listener));
         }
@@ -89,6 +106,10 @@
     }
 }
 
+async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, ListenError> {
+    retry_for(START_PATIENCE, ListenError::is_shortage, || listener::bind(field, address)).await
+}
+
 impl Shutdown {
     fn new(config: &Config) -> Shutdown {
         let time_limits = config.policy.classes.iter().map(|class| class.time_limit);
