--- a/balancer/src/takeover.rs
+++ b/balancer/src/takeover.rs
@@ -4,6 +4,7 @@
 //! that is killed, whereas a file with a process id would be left behind. A process that is alone
 //! records the concurrency limits that it has learned, and its successor starts with them.
 
+use std::cell::Cell;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io;
 use std::net::SocketAddr;
@@ -55,6 +56,8 @@
     /// The file of learned limits; none without a folder.
     record: Option<PathBuf>,
     started_at: Instant,
+    /// As it was found last.
+    last_share: Cell<Option<LimitShare>>,
 }
 
 struct HeldSlot {
@@ -106,7 +109,7 @@
             .inspect_err(|cause| log::warn!("{cause}; only half of the limits is used"))
             .ok();
         let record = folder.map(|folder| folder.join(format!("basaltwood-{address}-learnt")));
-        ProcessSlot { held, record, started_at }
+        ProcessSlot { held, record, started_at, last_share: Cell::default() }
     }
 
     /// Records learned limits for a successor, atomically.
@@ -151,11 +154,15 @@
     /// The share of the limits to use now, by whether another process holds the other slot.
     pub fn limit_share(&self) -> LimitShare {
         let Some(held) = &self.held else { return LimitShare::Half };
-        match try_lock(&held.other) {
+        let share = match try_lock(&held.other) {
             Ok(Some(_)) => LimitShare::Alone,
-            _ if self.started_at.elapsed() < SETTLING_TIME => LimitShare::Beginning,
-            _ => LimitShare::Half,
-        }
+            Ok(None) if self.started_at.elapsed() < SETTLING_TIME => LimitShare::Beginning,
+            Ok(None) => LimitShare::Half,
+            // It is unknown for the moment: all stays as it was.
+            Err(_) => self.last_share.get().unwrap_or(LimitShare::Beginning),
+        };
+        self.last_share.set(Some(share));
+        share
     }
 }
 
