A reader that takes bytes slowly is cut off only when it takes none

Cause: the system shows room for a write only once a third of its buffer is free; of 2.5 MB a client that reads 100 kB/s frees that in 8 s, and was disconnected after 5 s in which nothing could be written.

Change: after 2.5 s the system is asked what the client has not acknowledged, and after each further 2.5 s whether that is less; only where it is not is the client disconnected. Where the system does not tell, after 5 s as before.

--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -22,14 +22,17 @@
 use crate::presence::PresenceGuard;
 use crate::requests;
 use crate::shared::Shared;
+use crate::socket_table::Unacknowledged;
 
 /// Commands of one connection that may wait for their replies; more are left unread.
 const MAX_PENDING_REPLIES: usize = 32;
 /// The same while a reply is being written: a client that does not read must not fill the memory of
 /// all.
 const MAX_PENDING_WHILE_WRITING: usize = 4;
-/// A client that takes nothing of its reply for so long is disconnected.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// A client that takes nothing of its reply for twice this time is disconnected: after the first
+/// time the system is asked what the client has still to acknowledge, after the second whether that
+/// is less. A write itself shows progress only once a third of the system's buffer is free.
+const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 /// A command without its value must be complete within this time, the first one counted from the
 /// accept; a value must make progress within it. Clients that send nothing, or part of something,
 /// must not hold descriptors and memory of others.
@@ -61,6 +64,24 @@
     drain_overdue: bool,
 }
 
+/// What was known of a reply that waits to be written.
+#[derive(Clone, Copy)]
+struct WriteCheck {
+    /// What the client's system has not acknowledged; none where this system does not tell.
+    unacknowledged: Option<Unacknowledged>,
+}
+
+impl WriteCheck {
+    /// Whether the client took something since, or may have: on a machine with many connections
+    /// the system is asked seldom.
+    fn may_show_progress_since(self, before: WriteCheck) -> bool {
+        match (before.unacknowledged, self.unacknowledged) {
+            (Some(before), Some(now)) => now.bytes < before.bytes || now.as_of == before.as_of,
+            _ => false,
+        }
+    }
+}
+
 /// What of the input is wanted at a step.
 struct ReadPlan {
     /// Commands may be taken up.
@@ -101,6 +122,8 @@
     outgoing: OutgoingReply,
     /// By when the reply that is being written is to be taken, or the command begun to be whole.
     step_deadline: Option<Instant>,
+    /// What the client had still to acknowledge when that was last checked, while a reply is written.
+    write_check: Option<WriteCheck>,
     /// No more is read: the client asked to be let go, or broke the protocol.
     closing: Option<CloseReason>,
     had_command: bool,
@@ -135,6 +158,7 @@
             pending: VecDeque::new(),
             outgoing: OutgoingReply::default(),
             step_deadline: None,
+            write_check: None,
             closing: None,
             had_command: false,
             last_input_at: Instant::now(),
@@ -320,7 +344,7 @@
 
     fn step_timeout(&self, snapshot: &Snapshot) -> Option<Duration> {
         if self.outgoing.has_text() {
-            return Some(WRITE_TIMEOUT);
+            return Some(WRITE_CHECK_INTERVAL);
         }
         // It waits for its host, or for memory, and not for its client.
         if !self.outgoing.is_empty() || snapshot.awaits_memory {
@@ -439,6 +463,7 @@
                 // It is bound by the client's progress: one that goes on taking bytes is served, however
                 // slowly, with the replies behind this one.
                 self.step_deadline = None;
+                self.write_check = None;
                 ControlFlow::Continue(())
             }
             OutputEvent::ChunkReady => ControlFlow::Continue(()),
@@ -450,10 +475,10 @@
     /// The client did not take the step that it owed. One that is in the midst of a command is told
     /// so.
     fn handle_timeout(&mut self) -> ControlFlow<CloseReason> {
-        self.shared.counters.clients_slow.add();
         if !self.outgoing.is_empty() {
-            return ControlFlow::Break(CloseReason::ReaderStalled);
+            return self.check_reader();
         }
+        self.shared.counters.clients_slow.add();
         if !self.input.is_partial() {
             return ControlFlow::Break(CloseReason::ClientSilent);
         }
@@ -463,6 +488,23 @@
         ControlFlow::Continue(())
     }
 
+    /// A reply could not be written on for a while: whether its client takes anything at all.
+    fn check_reader(&mut self) -> ControlFlow<CloseReason> {
+        let ends = (self.reader.local_addr(), self.reader.peer_addr());
+        let unacknowledged = match ends {
+            (Ok(local), Ok(remote)) => self.shared.sockets.unacknowledged(local, remote),
+            _ => None,
+        };
+        let now = WriteCheck { unacknowledged };
+        if self.write_check.is_some_and(|before| !now.may_show_progress_since(before)) {
+            self.shared.counters.clients_slow.add();
+            return ControlFlow::Break(CloseReason::ReaderStalled);
+        }
+        self.write_check = Some(now);
+        self.step_deadline = None;
+        ControlFlow::Continue(())
+    }
+
     fn handle_shed_request(&mut self) -> ControlFlow<CloseReason> {
         if self.shared.budget.has_client_descriptor() {
             return ControlFlow::Continue(());
--- a/balancer/src/socket_table.rs
+++ b/balancer/src/socket_table.rs
@@ -41,6 +41,15 @@
     Unknown,
 }
 
+/// What a peer's system has not acknowledged.
+#[derive(Clone, Copy, Debug)]
+pub struct Unacknowledged {
+    /// So many bytes, the end of the stream counted as one.
+    pub bytes: u32,
+    /// When the table was read.
+    pub as_of: Instant,
+}
+
 /// The table as it was last read.
 #[derive(Default)]
 pub struct SocketTable {
@@ -48,6 +57,7 @@
 }
 
 struct Snapshot {
+    read_at: Instant,
     /// Until when it is good.
     good_until: Instant,
     /// The local port of its connections.
@@ -59,20 +69,25 @@
 impl SocketTable {
     /// How far what was sent on a connection has come.
     pub fn delivery(&self, local: SocketAddr, remote: SocketAddr) -> Delivery {
-        let (SocketAddr::V4(local), SocketAddr::V4(remote)) = (local, remote) else {
-            return Delivery::Unknown;
-        };
+        match self.unacknowledged(local, remote) {
+            Some(Unacknowledged { bytes: 0, .. }) => Delivery::Complete,
+            Some(_) => Delivery::Pending,
+            None => Delivery::Unknown,
+        }
+    }
+
+    /// How many bytes of a connection the peer's system has not acknowledged; none where this system
+    /// does not tell.
+    pub fn unacknowledged(&self, local: SocketAddr, remote: SocketAddr) -> Option<Unacknowledged> {
+        let (SocketAddr::V4(local), SocketAddr::V4(remote)) = (local, remote) else { return None };
         let mut last = self.last.borrow_mut();
         let is_good = |last: &Snapshot| last.port == local.port() && Instant::now() < last.good_until;
         if !last.as_ref().is_some_and(is_good) {
             *last = Some(Snapshot::read(local.port()));
         }
-        let unacknowledged = last.as_ref().and_then(|last| last.unacknowledged.get(&(local, remote)));
-        match unacknowledged {
-            Some(0) => Delivery::Complete,
-            Some(_) => Delivery::Pending,
-            None => Delivery::Unknown,
-        }
+        let last = last.as_ref()?;
+        let bytes = last.unacknowledged.get(&(local, remote)).copied()?;
+        Some(Unacknowledged { bytes, as_of: last.read_at })
     }
 }
 
@@ -84,7 +99,7 @@
             HashMap::new()
         });
         let age = MIN_TABLE_AGE.max(began.elapsed() * READING_SHARE);
-        Snapshot { good_until: Instant::now() + age, port, unacknowledged }
+        Snapshot { read_at: began, good_until: Instant::now() + age, port, unacknowledged }
     }
 }
 
--- a/balancer/tests/faults/last_reply.rs
+++ b/balancer/tests/faults/last_reply.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::{Domain, Socket, Type};
 
@@ -66,3 +66,28 @@
         }
     }
 }
+
+/// A reader takes a long value slowly and all the time. The system's own buffer is so large that nothing
+/// can be written for longer than a client may take nothing; it is not cut off.
+#[test]
+fn slow_reader_that_goes_on_taking_bytes_is_not_cut_off() {
+    const LONG_VALUE_BYTES: usize = 4_000_000;
+    const BYTES_AT_A_TIME: usize = 1_024;
+    const INTERVAL: Duration = Duration::from_millis(10);
+    const READ_FOR: Duration = Duration::from_secs(13);
+    let host = Peer::host(|_| hit(&"x".repeat(LONG_VALUE_BYTES)));
+    let known = [entry("a", host.address, "active")];
+    let program = Program::start(BINARY, nowhere(), &known, 1024);
+    let mut reader = slow_reader(&program.address);
+    let command = "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$13\r\nc=read,d=1900\r\n";
+    reader.write_all(command.as_bytes()).expect("it is taken");
+
+    let began = Instant::now();
+    let mut bytes = [0; BYTES_AT_A_TIME];
+    while began.elapsed() < READ_FOR {
+        assert!(reader.read(&mut bytes).is_ok_and(|count| count > 0), "cut off after {:?}", began.elapsed());
+        thread::sleep(INTERVAL);
+    }
+    let line = program.wait_for_counter("succeeded", 1);
+    assert!(line.contains(" clients_slow=0 "), "{line}");
+}
--- a/testbed/src/balancers/mod.rs
+++ b/testbed/src/balancers/mod.rs
@@ -234,11 +234,8 @@
     /// Sends a signal, as `kill` names it, to one that runs.
     pub fn signal(&self, nth: usize, name: &str) {
         let inner = self.inner();
-        let process = inner.balancers[nth].process.as_ref();
-        let Some(id) = process.map(|process| process.child.id().to_string()) else { return };
-        let sent = Command::new("kill").args([&format!("-{name}"), &id]).stderr(Stdio::null()).status();
-        if let Err(cause) = sent {
-            log::warn!("SIG{name} to balancer {nth}: {cause}");
+        if let Some(process) = inner.balancers[nth].process.as_ref() {
+            send_signal(process.child.id(), name);
         }
     }
 
@@ -249,6 +246,8 @@
     pub fn terminate(&self, nth: usize, patience: Duration) -> Result<(), String> {
         self.signal(nth, "TERM");
         let Some(mut process) = self.inner().balancers[nth].process.take() else { return Ok(()) };
+        // Another disturbance may have stopped it, and finds it no more to let it go on.
+        send_signal(process.child.id(), "CONT");
         let began = Instant::now();
         loop {
             match process.child.try_wait() {
@@ -397,6 +396,15 @@
     }
 }
 
+/// Sends a signal to a process that was started here.
+fn send_signal(process: u32, name: &str) {
+    let mut command = Command::new("kill");
+    command.args([format!("-{name}"), process.to_string()]).stderr(Stdio::null());
+    if let Err(cause) = command.status() {
+        log::warn!("SIG{name} to process {process}: {cause}");
+    }
+}
+
 fn parse_counters(line: Option<&String>) -> BTreeMap<String, u64> {
     let Some(line) = line else { return BTreeMap::new() };
     let pairs = line.split(' ').filter_map(|word| word.split_once('='));
