Audit: a request's own events first; a reply's patience counts from when it is the next

And the generator gave a pipelined reply up as soon as those before it had come past the time, not 0.4 s after.

--- a/testbed/src/audit.rs
+++ b/testbed/src/audit.rs
@@ -107,8 +107,20 @@
         (None, _) => (at - SECOND..=at + SECOND / 10).contains(&event.at),
         _ => false,
     };
+    // Its own events are kept before others, in the order of time all the same.
+    let is_own = |event: &&Event| id.is_some() && event.observation.request_id() == id;
+    let own = events.iter().filter(is_own).count();
+    let mut others_left = MAX_EVENTS_PER_BREACH.saturating_sub(own);
+    let mut is_kept = |event: &&Event| {
+        if is_own(event) {
+            return true;
+        }
+        others_left = others_left.saturating_sub(1);
+        others_left > 0
+    };
     let line = |event: &Event| format!("{:.6} {}", event.at as f64 / 1e6, event.observation);
-    events.iter().filter(is_related).take(MAX_EVENTS_PER_BREACH).map(line).collect()
+    let kept = events.iter().filter(is_related).filter(|event| is_kept(event));
+    kept.map(line).collect()
 }
 
 /// What is known of the run up to an event.
--- a/testbed/src/load/client.rs
+++ b/testbed/src/load/client.rs
@@ -213,8 +213,12 @@
             match timeout_at(clock.tokio_instant(patience_ends), &mut sent.reply).await {
                 Ok(reply) => return self.handle_reply(&sent, &target, reply.ok()),
                 // Time spent behind other replies does not count against this one.
-                Err(_) if patience_ends >= wait_until && sent.connection.is_blocked(sent.id) => {
-                    patience_ends = clock.now() + LATE_REPLY_WAIT;
+                Err(_) if patience_ends >= wait_until && !sent.connection.is_closed() => {
+                    let next_since = sent.connection.next_since(sent.id).unwrap_or(clock.now());
+                    patience_ends = next_since + LATE_REPLY_WAIT;
+                    if patience_ends <= clock.now() {
+                        return self.go_away(&sent, wait_until);
+                    }
                 }
                 Err(_) => return self.go_away(&sent, patience_ends),
             }
@@ -253,7 +257,7 @@
             category: usize::from(request.planned.category),
             until: reply_due,
         };
-        let reply = connection.send(id, &command, observation, request.sent_at.clone());
+        let reply = connection.send(id, &command, observation, request.sent_at.clone(), now);
         SentAttempt { id, connection, reply, sent_at: now, reply_due }
     }
 
--- a/testbed/src/load/connection.rs
+++ b/testbed/src/load/connection.rs
@@ -46,6 +46,8 @@
 /// A command whose reply is awaited.
 struct Awaited {
     id: RequestId,
+    /// Since when no other reply is awaited before its own.
+    next_since: Option<Micros>,
     reply: oneshot::Sender<ClientReply>,
 }
 
@@ -78,18 +80,20 @@
         command: &[u8],
         observation: Observation,
         sent_at: SentAt,
+        now: Micros,
     ) -> oneshot::Receiver<ClientReply> {
         let (reply, receiver) = oneshot::channel();
         self.output.borrow_mut().put_slice(command);
         self.unsent.borrow_mut().push(Unsent { observation, sent_at });
-        self.awaited.borrow_mut().push_back(Awaited { id, reply });
+        let next_since = self.awaited.borrow().is_empty().then_some(now);
+        self.awaited.borrow_mut().push_back(Awaited { id, next_since, reply });
         self.changed.notify_one();
         receiver
     }
 
-    /// Whether replies to earlier commands are still to come.
-    pub(super) fn is_blocked(&self, id: RequestId) -> bool {
-        self.awaited.borrow().front().is_some_and(|first| first.id != id)
+    /// Since when the reply to this command is the next one; none while others are awaited before it.
+    pub(super) fn next_since(&self, id: RequestId) -> Option<Micros> {
+        self.awaited.borrow().front().filter(|first| first.id == id).and_then(|first| first.next_since)
     }
 
     /// Whether this side ended it: all its commands were given up then.
@@ -148,7 +152,8 @@
             };
             // A client that has gone away in this moment needs none.
             let _ = awaited.reply.send(reply);
-            if let Some(next) = self.awaited.borrow().front() {
+            if let Some(next) = self.awaited.borrow_mut().front_mut() {
+                next.next_since = Some(ledger.clock.now());
                 ledger.note(Observation::ReplyIsNext { id: next.id });
             }
         }
