--- a/tests/router.rs
+++ b/tests/router.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use basaltwood::policy::SendRefusal;
 use basaltwood::router::{NewRequest, RequestAction, Router};
 use basaltwood::types::*;
 use common::*;
@@ -234,3 +235,53 @@
         nothing"#]]
     .assert_eq(&trace.join("\n"));
 }
+
+/// Attempts were decided while their host was warm, and wait for their connections; it starts anew
+/// meanwhile. They are counted against its slow start when they are to be sent.
+#[test]
+fn attempts_that_waited_while_their_host_restarted_count_against_its_slow_start() {
+    let mut router = Router::new(&policy_config(), 100);
+    let mut hosts: Vec<Endpoint> = (0..3).map(endpoint).collect();
+    router.update_endpoints(0, true, hosts.clone());
+    let mut waiting = Vec::new();
+    for nth in 0..40 {
+        let (request, actions) = router.submit(MS, new_request(READ, &format!("k{nth}")));
+        if let [RequestAction::StartAttempt { attempt, host, .. }] = actions[..] {
+            waiting.push((AttemptKey { request, number: attempt }, host));
+        }
+    }
+    let restarted = waiting[0].1;
+    hosts[restarted.index()].started_at = Some(20 * MS);
+    router.update_endpoints(20 * MS, false, vec![hosts[restarted.index()].clone()]);
+
+    let mut outcomes = [0, 0, 0];
+    for (attempt, host) in waiting {
+        match router.permit_send(21 * MS, attempt, true) {
+            Ok(_) if host == restarted => outcomes[0] += 1,
+            Err(refusal) => {
+                assert_eq!((host, refusal), (restarted, SendRefusal::SlowStartBudget));
+                outcomes[1] += 1;
+            }
+            Ok(_) => outcomes[2] += 1,
+        }
+    }
+    let [sent, refused, elsewhere] = outcomes;
+    assert!(refused > 0, "{sent} sent to the host that restarted, {refused} refused");
+    assert!(elsewhere > 0 && sent < refused + sent, "{elsewhere} sent to others");
+}
+
+/// A connection's fault has its host tried again, so it is no host that was tried any more; it is one
+/// where the request may have run, and its number must not come to stand for another.
+#[test]
+fn host_number_is_kept_while_a_request_may_have_run_there() {
+    let mut router = router(4);
+    let (request, actions) = router.submit(0, new_request(KEYED, "k"));
+    let [RequestAction::StartAttempt { attempt, host, .. }] = actions[..] else { panic!("{actions:?}") };
+    let listed = |lifecycle| vec![Endpoint { lifecycle, ..endpoint(host.0) }];
+    router.update_endpoints(MS, false, listed(Lifecycle::Draining));
+    let last = router.attempt_ended(2 * MS, request, attempt, AttemptOutcome::ConnectionFault);
+    router.update_endpoints(3 * MS, false, listed(Lifecycle::Gone));
+
+    assert!(matches!(last[..], [RequestAction::StartAttempt { .. }]), "it goes on elsewhere: {last:?}");
+    assert!(!router.released_hosts().contains(&host));
+}
