--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -17,12 +17,12 @@
 use super::command::{parse, Parsed};
 use super::input::{Command, Input, InputEvent, ProtocolError};
 use super::reply::{next_awaited, take_ready, OutgoingReply, OutputEvent, PendingReply};
+use super::write_check::WriteCheck;
 use crate::budget::MemoryGuard;
 use crate::lifecycle::Phase;
 use crate::presence::PresenceGuard;
 use crate::requests;
 use crate::shared::Shared;
-use crate::socket_table::Unacknowledged;
 
 /// Commands of one connection that may wait for their replies; more are left unread.
 const MAX_PENDING_REPLIES: usize = 32;
@@ -64,24 +64,6 @@
     drain_overdue: bool,
 }
 
-/// What was known of a reply that waits to be written.
-#[derive(Clone, Copy)]
-struct WriteCheck {
-    /// What the client's system has not acknowledged; none where this system does not tell.
-    unacknowledged: Option<Unacknowledged>,
-}
-
-impl WriteCheck {
-    /// Whether the client took something since, or may have: on a machine with many connections
-    /// the system is asked seldom.
-    fn may_show_progress_since(self, before: WriteCheck) -> bool {
-        match (before.unacknowledged, self.unacknowledged) {
-            (Some(before), Some(now)) => now.bytes < before.bytes || now.as_of == before.as_of,
-            _ => false,
-        }
-    }
-}
-
 /// What of the input is wanted at a step.
 struct ReadPlan {
     /// Commands may be taken up.
@@ -490,17 +472,12 @@
 
     /// A reply could not be written on for a while: whether its client takes anything at all.
     fn check_reader(&mut self) -> ControlFlow<CloseReason> {
-        let ends = (self.reader.local_addr(), self.reader.peer_addr());
-        let unacknowledged = match ends {
-            (Ok(local), Ok(remote)) => self.shared.sockets.unacknowledged(local, remote),
-            _ => None,
-        };
-        let now = WriteCheck { unacknowledged };
-        if self.write_check.is_some_and(|before| !now.may_show_progress_since(before)) {
+        let check = WriteCheck::of(&self.reader, &self.shared.sockets);
+        if self.write_check.is_some_and(|before| !check.may_show_progress_since(before)) {
             self.shared.counters.clients_slow.add();
             return ControlFlow::Break(CloseReason::ReaderStalled);
         }
-        self.write_check = Some(now);
+        self.write_check = Some(check);
         self.step_deadline = None;
         ControlFlow::Continue(())
     }
--- a/balancer/src/downstream/mod.rs
+++ b/balancer/src/downstream/mod.rs
@@ -10,5 +10,6 @@
 mod connection;
 mod input;
 mod reply;
+mod write_check;
 
 pub use accept::accept;
--- a/balancer/src/upstream/checkout.rs
+++ b/balancer/src/upstream/checkout.rs
@@ -1,56 +1,15 @@
 //! Getting a connection for an attempt: an idle one, or a new one, or a wait for either.
 
-use std::io::{self, ErrorKind};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use basaltwood::types::{AttemptKey, AttemptOutcome, HostId, Micros};
-use basaltwood_connection_pool::{Checkout, ConnectFailure, ConnectionId};
+use basaltwood_connection_pool::{Checkout, ConnectionId};
 use basaltwood_wire::resp::MAX_BUFFERED_MESSAGE;
-use thiserror::Error;
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
-use super::{connect, UpstreamConnection, UpstreamEvent, Upstreams};
+use super::{UpstreamConnection, UpstreamEvent, Upstreams};
 use crate::budget::DescriptorPermit;
-use crate::clock::duration;
-use crate::io_errors::{lacks_descriptors, FaultOrigin};
-
-/// Between two tries to open a connection while this machine lacks something for it.
-const SHORTAGE_RETRY_INTERVAL: Duration = Duration::from_millis(10);
-
-/// Why no connection came up.
-#[derive(Debug, Error)]
-enum ConnectError {
-    /// This machine lacks what a connection takes.
-    #[error("this machine can't open one: {0}")]
-    LocalShortage(io::Error),
-    /// The attempt's own time was over before the host's.
-    #[error("the attempt's time is over")]
-    CutOff,
-    /// The host refused it, or did not answer in time.
-    #[error("{0}")]
-    Host(io::Error),
-}
-
-impl ConnectError {
-    /// What the pools learn from it of the host.
-    fn pool_failure(&self) -> ConnectFailure {
-        match self {
-            ConnectError::LocalShortage(_) | ConnectError::CutOff => ConnectFailure::Local,
-            ConnectError::Host(_) => ConnectFailure::Host,
-        }
-    }
-
-    /// How the attempt ended. One that its own time cut off speaks against the host in the policy:
-    /// where deadlines are shorter than a connect's time-out, nothing else would.
-    fn outcome(&self) -> AttemptOutcome {
-        match self {
-            ConnectError::LocalShortage(_) => AttemptOutcome::NotSent,
-            ConnectError::CutOff | ConnectError::Host(_) => AttemptOutcome::Unreachable,
-        }
-    }
-}
 
 /// A connection that an attempt has. Dropped with the connection still in it, because the attempt
 /// was cancelled or failed, it closes the connection and reports it to the pools as abandoned.
@@ -205,7 +164,7 @@
         let guard = ConnectGuard { upstreams: self, id: Some(id) };
         let address = self.address(host).ok_or(AttemptOutcome::NotSent)?;
         let permit = self.host_descriptor().ok_or(AttemptOutcome::NotSent)?;
-        let connected = self.connect(address, deadline).await;
+        let connected = self.connect_patiently(address, deadline).await;
         guard.disarm();
         let mut pools = self.pools.borrow_mut();
         match connected {
@@ -231,31 +190,6 @@
         }
     }
 
-    /// Connects. What this machine lacks for the moment is waited for, for half of the time that
-    /// the attempt has: its request may be better off elsewhere then, or rejected early.
-    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<TcpStream, ConnectError> {
-        let time_left = deadline.saturating_duration_since(Instant::now());
-        let wait_until = Instant::now() + time_left / 2;
-        loop {
-            let host_deadline = Instant::now() + duration(self.limits.connect_timeout);
-            let error = match connect(address, deadline.min(host_deadline)).await {
-                Ok(stream) => return Ok(stream),
-                Err(error) => error,
-            };
-            if FaultOrigin::of(&error) == FaultOrigin::Peer {
-                let is_cut_off = error.kind() == ErrorKind::TimedOut && deadline < host_deadline;
-                return Err(if is_cut_off { ConnectError::CutOff } else { ConnectError::Host(error) });
-            }
-            if Instant::now() >= wait_until {
-                return Err(ConnectError::LocalShortage(error));
-            }
-            if lacks_descriptors(&error) {
-                self.close_idle_connection();
-            }
-            sleep(SHORTAGE_RETRY_INTERVAL).await;
-        }
-    }
-
     fn address(&self, host: HostId) -> Option<SocketAddr> {
         self.hosts.borrow().get(&host).map(|entry| entry.address)
     }
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 
 mod cache;
 mod checkout;
+mod connecting;
 mod connection;
 mod duplicates;
 mod exchange;
