--- a/balancer/tests/faults/socket_calls.rs
+++ b/balancer/tests/faults/socket_calls.rs
@@ -69,3 +69,23 @@
         }
     }
 }
+
+/// Signals come while reads are interrupted: each is taken up, and ends nothing but what it should.
+#[test]
+fn signals_while_reads_are_interrupted_are_taken_up() {
+    let host = Peer::host(|_| hit("some value"));
+    let mut faulty = faulty_program(&host);
+    faulty.faults.fail(Call::Receive, libc::EINTR, ALWAYS).expect("a file");
+    faulty.program.signal("HUP");
+    faulty.program.signal("USR1");
+    thread::sleep(Duration::from_millis(300));
+    faulty.faults.restore(Call::Receive).expect("a file");
+    faulty.program.wait_for_log("configuration reloaded");
+    all_are_served(&faulty, "after-signals");
+
+    faulty.faults.fail(Call::Receive, libc::EINTR, ALWAYS).expect("a file");
+    faulty.program.signal("TERM");
+    thread::sleep(Duration::from_millis(300));
+    faulty.faults.restore(Call::Receive).expect("a file");
+    assert!(faulty.program.ended().success());
+}
