Signals by flags and a pipe of our own: an interrupted read ends nothing

Cause: the runtime's signal driver panics where the read of its self-pipe returns EINTR ('Bad read on self-pipe').

Before: signals_while_reads_are_interrupted_are_taken_up red. After: green, with sockets, endings and takeover.

--- a/balancer/src/process/mod.rs
+++ b/balancer/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod limit_sharing;
 mod patience;
 mod reload;
+mod signals;
 mod start;
 mod tasks;
 
@@ -13,7 +14,6 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, timeout_at, Instant};
@@ -23,6 +23,7 @@
 use crate::shared::Shared;
 use crate::RunError;
 
+pub use signals::Signals;
 pub use start::StartError;
 
 /// How long clients are accepted after SIGTERM, as they keep connecting for a while.
@@ -37,7 +38,7 @@
 pub struct Process {
     shared: Rc<Shared>,
     listener: TcpListener,
-    signals: Signals,
+    signals: Rc<Signals>,
     shutdown: Shutdown,
     /// Discovery's address, for the watch.
     discovery: watch::Sender<SocketAddr>,
@@ -45,30 +46,6 @@
     tasks: JoinSet<()>,
 }
 
-/// The signals that the process handles.
-pub struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    print_counters: Signal,
-    reload: Signal,
-}
-
-impl Signals {
-    /// Registers the handlers. Until then SIGHUP would end the program, so this comes before
-    /// anything else.
-    ///
-    /// # Errors
-    /// The system's error if a handler can't be had.
-    pub fn register() -> std::io::Result<Signals> {
-        Ok(Signals {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            print_counters: signal(SignalKind::user_defined1())?,
-            reload: signal(SignalKind::hangup())?,
-        })
-    }
-}
-
 /// The phases from the signal to end to the exit.
 struct Shutdown {
     phase: Rc<watch::Sender<Phase>>,
@@ -84,14 +61,15 @@
     /// # Errors
     /// [`RunError::TaskFailed`].
     pub async fn run(self) -> Result<(), RunError> {
-        let Process { shared, listener, mut signals, shutdown, discovery, mut tasks } = self;
+        let Process { shared, listener, signals, shutdown, discovery, mut tasks } = self;
         shutdown.enter(Phase::Serving);
         tasks.spawn_local(downstream::accept(shared.clone(), listener, shutdown.phase.subscribe()));
-        tasks.spawn_local(tasks::print_counters(shared.clone(), signals.print_counters));
-        tasks.spawn_local(reload::reload_config(signals.reload, discovery));
+        tasks.spawn_local(signals.clone().deliver());
+        tasks.spawn_local(tasks::print_counters(shared.clone(), signals.print_counters.clone()));
+        tasks.spawn_local(reload::reload_config(signals.reload.clone(), discovery));
         let outcome = tokio::select! {
-            _ = signals.terminate.recv() => Ok(()),
-            _ = signals.interrupt.recv() => Ok(()),
+            () = signals.terminate.recv() => Ok(()),
+            () = signals.interrupt.recv() => Ok(()),
             // Without its timers or its list the balancer would serve badly, and nobody would
             // notice.
             _ = tasks.join_next() => Err(RunError::TaskFailed),
--- a/balancer/src/process/reload.rs
+++ b/balancer/src/process/reload.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
 use super::patience::retry_for;
+use super::signals::Signal;
 use crate::config::{Config, ConfigError};
 
 /// A file that can't be had for the moment is tried for so long, from the signal on.
@@ -15,15 +15,15 @@
 /// Reloads the configuration at each signal. Only discovery's address takes effect at once, all
 /// else at the next start. An invalid configuration changes nothing; one that can't be read for the
 /// moment is tried again, until the next signal at the latest.
-pub async fn reload_config(mut signal: Signal, discovery: watch::Sender<SocketAddr>) {
-    let mut signalled = signal.recv().await;
-    while signalled.is_some() {
-        signalled = tokio::select! {
+pub async fn reload_config(signal: Signal, discovery: watch::Sender<SocketAddr>) {
+    signal.recv().await;
+    loop {
+        tokio::select! {
             biased;
             // Where signals come in a row, the last one counts.
-            again = signal.recv() => again,
+            () = signal.recv() => {}
             () = reload(&discovery) => signal.recv().await,
-        };
+        }
     }
 }
 
--- a/balancer/src/process/start.rs
+++ b/balancer/src/process/start.rs
@@ -102,6 +102,7 @@
         tasks.spawn_local(tasks::tick(shared.clone()));
         tasks.spawn_local(shared.clone().forward_upstream_events());
         log::info!("{} listens on {}", config.name, listener.local_addr()?);
+        let signals = Rc::new(signals);
         Ok(Process { shared, listener, signals, shutdown, discovery, tasks })
     }
 }
--- a/balancer/src/process/tasks.rs
+++ b/balancer/src/process/tasks.rs
@@ -3,17 +3,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::signal::unix::Signal;
 use tokio::time::{sleep_until, Instant};
 
+use super::signals::Signal;
 use crate::shared::Shared;
 
 /// The longest time from one tick to the next.
 const MAX_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Prints the counters at each signal.
-pub async fn print_counters(shared: Rc<Shared>, mut signal: Signal) {
-    while signal.recv().await.is_some() {
+pub async fn print_counters(shared: Rc<Shared>, signal: Signal) {
+    loop {
+        signal.recv().await;
         log::info!("{} {}", shared.counters, shared.upstreams.pool_stats());
     }
 }
--- a/balancer/src/socket_io.rs
+++ b/balancer/src/socket_io.rs
@@ -22,6 +22,9 @@
 const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
 /// So many pauses follow one another at most: half a second.
 const MAX_SHORTAGE_PAUSES: u32 = 100;
+/// After so many interruptions in a row a call pauses for so long.
+const INTERRUPTIONS_AT_ONCE: u32 = 8;
+const INTERRUPTION_PAUSE: Duration = Duration::from_millis(1);
 /// A silent socket is asked directly after this time, and again after twice as long each time.
 const FIRST_DIRECT_CALL: Duration = Duration::from_millis(10);
 /// So often: the last call comes 1.3 s after the silence began.
@@ -60,6 +63,7 @@
 struct Patience {
     direct_calls: u32,
     shortage_pauses: u32,
+    interruptions: u32,
 }
 
 impl Patience {
@@ -79,7 +83,14 @@
     /// The error itself where the call must not be made again.
     async fn wait_to_retry(&mut self, error: io::Error) -> io::Result<()> {
         match FaultOrigin::of(&error) {
-            FaultOrigin::Interrupted => Ok(()),
+            FaultOrigin::Interrupted => {
+                self.interruptions += 1;
+                // A call that is interrupted again and again must not keep others waiting.
+                if self.interruptions.is_multiple_of(INTERRUPTIONS_AT_ONCE) {
+                    sleep(INTERRUPTION_PAUSE).await;
+                }
+                Ok(())
+            }
             FaultOrigin::LocalShortage if self.shortage_pauses < MAX_SHORTAGE_PAUSES => {
                 self.shortage_pauses += 1;
                 sleep(SHORTAGE_PAUSE).await;
