--- a/balancer/src/upstream/duplicates.rs
+++ b/balancer/src/upstream/duplicates.rs
@@ -10,8 +10,13 @@
 
 use crate::request::ClientRequest;
 
-/// After a host sent more than it was asked for, it is suspected of answering twice for so long.
+/// After a host sent more than it was asked for, it is suspected of answering twice for so long: a
+/// response that is like the one before it on its connection is not taken for the next one.
 const SUSPECTED_FOR: Duration = Duration::from_secs(10);
+/// After each sign of it, each request has a connection of its own for so long. Copies come some
+/// milliseconds late, and every new connection costs its host; with 10 s the day of spoilt answers
+/// served 0.07 less (docs/incidents/hunt.md).
+const FRESH_CONNECTIONS_FOR: Duration = Duration::from_secs(1);
 /// Of a response so many bytes at its end are hashed: all of a long one would cost more than it
 /// tells.
 const FINGERPRINTED_BYTES: usize = 4 * 1024;
@@ -21,12 +26,25 @@
 pub struct DuplicateDetector {
     /// When it last sent more than it was asked for.
     seen_at: Cell<Option<Instant>>,
+    /// When there was last a sign of any kind.
+    last_sign_at: Cell<Option<Instant>>,
 }
 
 impl DuplicateDetector {
     /// It sent more than it was asked for.
     pub fn unexpected_bytes(&self) {
         self.seen_at.set(Some(Instant::now()));
+        self.repeated_response();
+    }
+
+    /// A response was like the one before it: a sign, though values may be alike by themselves.
+    pub fn repeated_response(&self) {
+        self.last_sign_at.set(Some(Instant::now()));
+    }
+
+    /// A connection to it is to carry one request alone.
+    pub fn wants_fresh_connections(&self) -> bool {
+        self.last_sign_at.get().is_some_and(|at| at.elapsed() < FRESH_CONNECTIONS_FOR)
     }
 
     /// A response may be a copy of the one before it.
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -247,10 +247,15 @@
         let last = last.filter(|_| duplicates_suspected && result.value.is_some());
         if last.is_some_and(|last| last.repeated_by(fingerprint, self.request.value.is_some())) {
             log::debug!(request = self.attempt.request.0, host = self.target.host.0; "copied response suspected");
+            upstreams.note_repeated_response(self.target.host);
             return AttemptResult::without_value(AttemptOutcome::ConnectionFault);
         }
         connection.last_response = Some(fingerprint);
-        let keep = reusable && !more_follows && !duplicates_suspected;
+        // A copy of a rejection would say of the next attempt that it never ran: a rejection is the
+        // last response on its connection while copies are suspected.
+        let last_of_connection = duplicates_suspected && result.outcome == AttemptOutcome::Rejected;
+        let fresh = upstreams.wants_fresh_connections(self.target.host);
+        let keep = reusable && !more_follows && !last_of_connection && !fresh;
         let Some(connection) = checked_out.take() else { return result };
         let kept = upstreams.pools.borrow_mut().answered(now, checked_out.id(), keep);
         if kept {
--- a/balancer/src/upstream/late.rs
+++ b/balancer/src/upstream/late.rs
@@ -29,7 +29,7 @@
         let reader = async move {
             let response = read_late_response(&mut connection, parse_response);
             let reusable = timeout(LATE_RESPONSE_TIMEOUT, response).await.unwrap_or(false)
-                && !upstreams.suspects_duplicates(host);
+                && !upstreams.wants_fresh_connections(host);
             upstreams.late_readers.borrow_mut().remove(&id);
             let kept = upstreams.pools.borrow_mut().late_response(upstreams.clock.now(), id, reusable);
             if kept {
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -263,6 +263,20 @@
         self.perform_pool_actions();
     }
 
+    /// Whether connections to this host are to carry one request each.
+    fn wants_fresh_connections(&self, host: HostId) -> bool {
+        self.hosts.borrow().get(&host).is_some_and(|entry| entry.duplicates.wants_fresh_connections())
+    }
+
+    /// A response of this host was like the one before it on its connection.
+    fn note_repeated_response(&self, host: HostId) {
+        if let Some(entry) = self.hosts.borrow().get(&host) {
+            entry.duplicates.repeated_response();
+        }
+        self.pools.borrow_mut().responses_doubtful(host);
+        self.perform_pool_actions();
+    }
+
     /// Whether a response of this host may be a copy of the one before it on its connection.
     fn suspects_duplicates(&self, host: HostId) -> bool {
         self.hosts.borrow().get(&host).is_some_and(|entry| entry.duplicates.suspected())
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -52,7 +52,7 @@
         if more_follows {
             self.suspect_duplicates(host);
         }
-        let keep = reusable && !more_follows && !self.suspects_duplicates(host);
+        let keep = reusable && !more_follows && !self.wants_fresh_connections(host);
         let Some(connection) = checked_out.take() else { return };
         let kept = self.pools.borrow_mut().answered(self.clock.now(), id, keep);
         if kept {
