--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -60,22 +60,25 @@
     /// Whether the file could not be had for the moment, and may be a moment later: this process or
     /// its machine lacks something, or the file is being replaced.
     pub fn is_momentary(&self) -> bool {
-        match self {
-            ConfigError::Unreadable { cause, .. } | ConfigError::UnreadableRegionMap { cause, .. } => {
-                cause.kind() == io::ErrorKind::NotFound || self.is_shortage()
-            }
-            ConfigError::NotSet | ConfigError::Invalid { .. } | ConfigError::InvalidRegionMap(_) => false,
-        }
+        let is_missing = self.io_cause().is_some_and(|cause| cause.kind() == io::ErrorKind::NotFound);
+        is_missing || self.is_shortage()
     }
 
     /// Whether this process or its machine lacks something for the moment. A file that is missing
     /// at the start will not come by itself.
     pub fn is_shortage(&self) -> bool {
+        self.io_cause().is_some_and(|cause| {
+            cause.kind() != io::ErrorKind::PermissionDenied && FaultOrigin::of(cause) != FaultOrigin::Peer
+        })
+    }
+
+    /// The system's error, where a file could not be had.
+    fn io_cause(&self) -> Option<&io::Error> {
         match self {
             ConfigError::Unreadable { cause, .. } | ConfigError::UnreadableRegionMap { cause, .. } => {
-                cause.kind() != io::ErrorKind::PermissionDenied && FaultOrigin::of(cause) != FaultOrigin::Peer
+                Some(cause)
             }
-            ConfigError::NotSet | ConfigError::Invalid { .. } | ConfigError::InvalidRegionMap(_) => false,
+            ConfigError::NotSet | ConfigError::Invalid { .. } | ConfigError::InvalidRegionMap(_) => None,
         }
     }
 }
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -252,15 +252,10 @@
         self.perform_pool_actions();
     }
 
-    /// A host sent more than it was asked for: its idle connections may bring another copy, and
-    /// none of them is used again.
+    /// A host sent more than it was asked for: its idle connections may bring another copy.
     fn suspect_duplicates(&self, host: HostId) {
-        if let Some(entry) = self.hosts.borrow().get(&host) {
-            entry.duplicates.unexpected_bytes();
-        }
         log::debug!(host = host.0; "host sent more than it was asked for");
-        self.pools.borrow_mut().responses_doubtful(host);
-        self.perform_pool_actions();
+        self.doubt_responses(host, DuplicateDetector::unexpected_bytes);
     }
 
     /// Whether connections to this host are to carry one request each.
@@ -270,8 +265,13 @@
 
     /// A response of this host was like the one before it on its connection.
     fn note_repeated_response(&self, host: HostId) {
+        self.doubt_responses(host, DuplicateDetector::repeated_response);
+    }
+
+    /// There is a sign that a host answers twice: none of its idle connections is used again.
+    fn doubt_responses(&self, host: HostId, note_sign: impl FnOnce(&DuplicateDetector)) {
         if let Some(entry) = self.hosts.borrow().get(&host) {
-            entry.duplicates.repeated_response();
+            note_sign(&entry.duplicates);
         }
         self.pools.borrow_mut().responses_doubtful(host);
         self.perform_pool_actions();
