--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -96,7 +96,7 @@
         limits: [u32; 2],
         settings: &str,
     ) -> Program {
-        Program::with_config(binary, &config_text(discovery, known, limits, settings))
+        Program::starting_with(binary, discovery, known, limits, settings, &[])
     }
 
     /// The same with more variables in its environment.
