Log and count what tells whether bytes can be a request's response

Cause: the release's log names neither the uses of a connection nor the age of what was read, so that the operators' evidence could not tell a copied response from other faults.

Change: each response read is logged at debug with connection, its age and requests, the time since the last byte of the request and since the response before, outcome and bytes; bytes that no request asked for are logged with the last request and attempt of their connection, at info once a second for each host, and counted as edge_proxy_surplus_bytes by the place where they were found.

Result: balancer's admin tests pass with the two new lines of the metrics page.

--- a/balancer/src/metrics.rs
+++ b/balancer/src/metrics.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 
 use crate::invariants::Invariants;
+use crate::upstream::SurplusPlace;
 
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +35,8 @@
     pool_size: Cell<PoolSize>,
     /// The maximum lag in the last second.
     loop_lag: Cell<Duration>,
+    /// How often a host sent more than it was asked for, by where it was found.
+    surplus: [Cell<u64>; SurplusPlace::EACH.len()],
     invariants: Rc<Invariants>,
     /// `None` if the operators gave no map of regions.
     regions: RefCell<Option<RegionMetrics>>,
@@ -96,6 +99,7 @@
             active_requests: Cell::default(),
             pool_size: Cell::default(),
             loop_lag: Cell::default(),
+            surplus: Default::default(),
             invariants: Rc::default(),
             regions: RefCell::default(),
         })
@@ -122,6 +126,12 @@
         self.loop_lag.set(lag);
     }
 
+    /// Counts bytes that a host was not asked for.
+    pub fn surplus_found(&self, place: SurplusPlace) {
+        let count = &self.surplus[place as usize];
+        count.set(count.get() + 1);
+    }
+
     /// Sets how many listed hosts are in and outside the ring, and which region forms the ring.
     pub fn set_regions<T: Clone>(&self, regions: &Regions<T>) {
         let is_ring = |name: &String| (name.clone(), name == regions.ring());
@@ -147,6 +157,7 @@
         let mut page = MetricsPage::default();
         self.add_outcomes(&mut page);
         self.add_totals(&mut page);
+        self.add_surplus(&mut page);
         self.add_invariants(&mut page);
         if let Some(regions) = &*self.regions.borrow() {
             regions.add_to(&mut page);
@@ -166,6 +177,13 @@
         add("edge_proxy_errors", "Ops that failed.", |counts| counts.error);
     }
 
+    fn add_surplus(&self, page: &mut MetricsPage) {
+        let samples = SurplusPlace::EACH
+            .map(|place| Sample::labelled("place", place.name(), self.surplus[place as usize].get()));
+        let help = "Times that a host sent more than it was asked for, by where it was found.";
+        page.add("edge_proxy_surplus_bytes", MetricKind::Counter, help, samples);
+    }
+
     fn add_invariants(&self, page: &mut MetricsPage) {
         let counts = self.invariants.counts();
         let samples = counts.map(|(invariant, count)| Sample::labelled("name", invariant.name(), count));
--- a/balancer/src/upstream/checkout.rs
+++ b/balancer/src/upstream/checkout.rs
@@ -8,7 +8,7 @@
 use basaltwood_wire::resp::MAX_BUFFERED_MESSAGE;
 use tokio::time::{timeout_at, Instant};
 
-use super::{UpstreamConnection, UpstreamEvent, Upstreams};
+use super::{SurplusPlace, UpstreamConnection, UpstreamEvent, Upstreams};
 use crate::budget::DescriptorPermit;
 
 /// A connection that an attempt uses. If it is dropped with the connection still in it, because the
@@ -183,6 +183,7 @@
         self.counters.connections_stale.add();
         self.pools.borrow_mut().found_closed(id);
         if matches!(read, Ok(1..)) {
+            self.record_surplus(host, id, SurplusPlace::Idle, &connection.history);
             self.record_unexpected_bytes(host);
         }
         None
--- a/balancer/src/upstream/connection.rs
+++ b/balancer/src/upstream/connection.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use basaltwood::types::AttemptKey;
 use basaltwood_wire::buffer::Buffer;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
@@ -14,6 +15,7 @@
 pub struct UpstreamConnection {
     pub stream: TcpStream,
     pub buffer: Buffer,
+    pub(super) history: ConnectionHistory,
     /// The last response on the connection.
     pub(super) last_response: Option<ResponseFingerprint>,
     /// `None` if the connection uses a descriptor that is reserved for it.
@@ -28,7 +30,57 @@
         max_buffered: usize,
     ) -> UpstreamConnection {
         let buffer = Buffer::new(max_buffered);
-        UpstreamConnection { stream, buffer, last_response: None, _permit: permit }
+        let history = ConnectionHistory::new(Instant::now());
+        UpstreamConnection { stream, buffer, history, last_response: None, _permit: permit }
+    }
+}
+
+/// What a connection has carried, for the log: responses carry no id, so these figures tell whether
+/// the bytes that were read can be the response to the request that was written.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ConnectionHistory {
+    opened_at: Instant,
+    /// Number of requests written, with the one under way.
+    pub(super) requests: u32,
+    /// The attempt that was written last, and when its last byte was written.
+    last_request: Option<(AttemptKey, Instant)>,
+    last_response_at: Option<Instant>,
+}
+
+impl ConnectionHistory {
+    fn new(opened_at: Instant) -> ConnectionHistory {
+        ConnectionHistory { opened_at, requests: 0, last_request: None, last_response_at: None }
+    }
+
+    /// Records that the last byte of an attempt was written.
+    pub(super) fn request_written(&mut self, attempt: AttemptKey, at: Instant) {
+        self.requests += 1;
+        self.last_request = Some((attempt, at));
+    }
+
+    /// Records a whole response to the attempt that was written last.
+    pub(super) fn response_read(&mut self, at: Instant) {
+        self.last_response_at = Some(at);
+    }
+
+    /// The attempt that was written last.
+    pub(super) fn last_attempt(&self) -> Option<AttemptKey> {
+        self.last_request.map(|(attempt, _)| attempt)
+    }
+
+    /// How long the connection has been open, in milliseconds.
+    pub(super) fn open_ms(&self, now: Instant) -> u64 {
+        now.duration_since(self.opened_at).as_millis() as u64
+    }
+
+    /// Time since the last request's last byte, in microseconds.
+    pub(super) fn since_request_us(&self, now: Instant) -> Option<u64> {
+        self.last_request.map(|(_, at)| now.duration_since(at).as_micros() as u64)
+    }
+
+    /// Time since the last whole response, in microseconds.
+    pub(super) fn since_response_us(&self, now: Instant) -> Option<u64> {
+        self.last_response_at.map(|at| now.duration_since(at).as_micros() as u64)
     }
 }
 
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -9,17 +9,18 @@
 use basaltwood::policy::{SendPermit, SendRefusal};
 use basaltwood::router::Router;
 use basaltwood::types::{AttemptKey, AttemptOutcome, Micros};
-use basaltwood_connection_pool::Fault;
+use basaltwood_connection_pool::{ConnectionId, Fault};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::checkout::CheckedOut;
+use super::connection::ConnectionHistory;
 use super::duplicates::ResponseFingerprint;
 use super::messages::{LongValueHead, ParseResponse, ParsedResponse, RequestBytes, WholeResponse};
 use super::send_audit::SentAttempt;
 use super::streaming::ValueStream;
-use super::{AttemptTarget, Upstreams};
+use super::{AttemptTarget, SurplusPlace, Upstreams};
 use crate::read;
 use crate::request::{AttemptResult, ClientRequest, StreamedValue, Value};
 
@@ -55,7 +56,7 @@
         if let Err(outcome) = self.write(&mut checked_out, permit, message).await {
             return AttemptResult::without_value(outcome);
         }
-        self.record_sent(&checked_out, bytes);
+        self.record_sent(&mut checked_out, bytes);
         self.upstreams.audit(&SentAttempt {
             request: self.request,
             number: self.attempt.number,
@@ -135,13 +136,16 @@
     }
 
     /// Records that the last byte of the request was written.
-    fn record_sent(&self, checked_out: &CheckedOut<'_>, bytes: usize) {
+    fn record_sent(&self, checked_out: &mut CheckedOut<'_>, bytes: usize) {
         let id = checked_out.id();
         let AttemptKey { request, number } = self.attempt;
         log::debug!(
             request = request.0, attempt = number.0, host = self.target.host.0, connection = id.0, bytes;
             "attempt written"
         );
+        if let Some(connection) = checked_out.connection() {
+            connection.history.request_written(self.attempt, Instant::now());
+        }
         let upstreams = self.upstreams;
         upstreams.pools.borrow_mut().request_sent(upstreams.clock.now(), id);
         upstreams.metrics.attempt_sent();
@@ -230,13 +234,17 @@
     ) -> AttemptResult {
         let WholeResponse { result, length, reusable } = response;
         let upstreams = self.upstreams;
+        let id = checked_out.id();
         let Some(connection) = checked_out.connection() else {
             return AttemptResult::without_value(AttemptOutcome::NotSent);
         };
         let fingerprint = ResponseFingerprint::of(&connection.buffer.bytes()[..length], self.request);
         connection.buffer.consume(length);
+        self.log_response(id, &connection.history, result.outcome, length);
+        connection.history.response_read(Instant::now());
         let more_follows = !connection.buffer.is_empty();
         if more_follows {
+            upstreams.record_surplus(self.target.host, id, SurplusPlace::BehindResponse, &connection.history);
             upstreams.record_unexpected_bytes(self.target.host);
         }
         // If a host answers twice, a copy may come after the check before the write and be taken
@@ -267,4 +275,23 @@
         }
         result
     }
+
+    /// Logs what was read, with what tells whether it can be the response to this attempt.
+    fn log_response(
+        &self,
+        id: ConnectionId,
+        history: &ConnectionHistory,
+        outcome: AttemptOutcome,
+        bytes: usize,
+    ) {
+        let AttemptKey { request, number } = self.attempt;
+        let now = Instant::now();
+        log::debug!(
+            request = request.0, attempt = number.0, host = self.target.host.0, connection = id.0, outcome:?, bytes,
+            requests = history.requests, open_ms = history.open_ms(now),
+            since_request_us = history.since_request_us(now),
+            since_response_us = history.since_response_us(now);
+            "response read"
+        );
+    }
 }
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -16,8 +16,9 @@
 mod origin;
 mod send_audit;
 mod streaming;
+mod surplus;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,6 +41,7 @@
 use exchange::Exchange;
 
 pub use connection::{connect, UpstreamConnection};
+pub use surplus::SurplusPlace;
 
 /// An event on a connection that the router has to know of.
 pub enum UpstreamEvent {
@@ -67,6 +69,8 @@
     draining_since: Option<Instant>,
     /// Detects that the host answers requests twice.
     duplicates: DuplicateDetector,
+    /// When surplus bytes of the host were last logged at level info.
+    surplus_logged_at: Cell<Option<Instant>>,
     /// Notified when a connection to the host comes free.
     connection_freed: Rc<Notify>,
     /// Notified when the host stops accepting attempts.
@@ -81,6 +85,7 @@
             accepts_attempts: true,
             draining_since: None,
             duplicates: DuplicateDetector::default(),
+            surplus_logged_at: Cell::default(),
             connection_freed: Rc::default(),
             stopped_accepting: Rc::default(),
         }
@@ -265,7 +270,6 @@
     /// Records that a host sent more than it was asked for: its idle connections may bring another
     /// copy of a response.
     fn record_unexpected_bytes(&self, host: HostId) {
-        log::debug!(host = host.0; "host sent more than it was asked for");
         self.record_duplicate_sign(host, DuplicateDetector::record_unexpected_bytes);
     }
 
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -11,7 +11,7 @@
 
 use super::checkout::CheckedOut;
 use super::messages::{ParseTrailer, Trailer};
-use super::{UpstreamConnection, Upstreams};
+use super::{SurplusPlace, UpstreamConnection, Upstreams};
 use crate::budget::StreamGuard;
 use crate::read;
 use crate::socket_io::read_buf;
@@ -50,6 +50,7 @@
         connection.buffer.consume(length);
         let more_follows = !connection.buffer.is_empty();
         if more_follows {
+            self.record_surplus(host, id, SurplusPlace::BehindResponse, &connection.history);
             self.record_unexpected_bytes(host);
         }
         let keep = reusable && !more_follows && !self.wants_fresh_connections(host);
--- a/balancer/tests/admin.rs
+++ b/balancer/tests/admin.rs
@@ -78,6 +78,8 @@
         active 0
         pool_size 1
         pool_ejected 0
+        surplus_bytes{place="idle"} 0
+        surplus_bytes{place="behind_response"} 0
         invariant_violations{name="reply_owed_at_close"} 0
         invariant_violations{name="answer_missing"} 0
         invariant_violations{name="answer_late"} 0
