--- a/testbed/src/experiment/faults.rs
+++ b/testbed/src/experiment/faults.rs
@@ -65,8 +65,11 @@
     ProxyDrip,
     /// The proxy passes half of a piece on and resets the connection, with probability `part`.
     ProxyCut,
-    /// The proxy sends a piece again some milliseconds later, with probability `part`.
+    /// Responses take some milliseconds longer, and the proxy sends a piece of one again, whole or in
+    /// part, up to 40 ms later, with probability `part`.
     ProxyCopy,
+    /// The same as `proxy-copy`, for responses of the origin.
+    OriginCopy,
     /// The proxy passes nothing more on a connection, which stays open, with probability `part`.
     ProxySilence,
     /// The proxy passes a piece on and closes the host's side of the connection after it, with
--- a/testbed/src/soak/trouble.rs
+++ b/testbed/src/soak/trouble.rs
@@ -103,9 +103,8 @@
     WorldFault { pulse: Some(pulse), ..on_twelfths(FaultKind::LateConnect, 8, 1.0) }
 }
 
-/// All troubles that a script may draw. [`RESPONSE_COPIES`] is used only when named: see
-/// [`Trouble::is_known_open`].
-pub const TROUBLES: [Trouble; 42] = [
+/// All troubles that a script may draw.
+pub const TROUBLES: [Trouble; 44] = [
     Trouble::World("hang", on_twelfths(FaultKind::Hang, 3, 1.0)),
     Trouble::World("slow", on_twelfths(FaultKind::Slow, 3, 1.0)),
     Trouble::World("silent", on_twelfths(FaultKind::Silent, 3, 1.0)),
@@ -129,6 +128,8 @@
     Trouble::World("proxy-cut", on_twelfths(FaultKind::ProxyCut, 6, 0.1)),
     Trouble::World("proxy-silence", on_twelfths(FaultKind::ProxySilence, 4, 0.05)),
     Trouble::World("proxy-half-close", on_twelfths(FaultKind::ProxyHalfClose, 6, 0.1)),
+    Trouble::World("proxy-copy", on_twelfths(FaultKind::ProxyCopy, 6, 0.2)),
+    Trouble::World("origin-copy", WorldFault { part: 0.3, ..without_hosts(FaultKind::OriginCopy) }),
     Trouble::World("late-connect", late_connects()),
     Trouble::World("most-hang", on_twelfths(FaultKind::Hang, 10, 1.0)),
     Trouble::World("most-silent", on_twelfths(FaultKind::Silent, 10, 1.0)),
@@ -150,17 +151,13 @@
     Trouble::Process("crowd", ProcessTrouble::Crowd),
 ];
 
-/// Hosts that send a response twice. Not drawn: nothing announces a host's first copy, so that the
-/// balancer may take it for the next response; this fault is known and open.
-pub const RESPONSE_COPIES: Trouble = Trouble::World("proxy-copy", on_twelfths(FaultKind::ProxyCopy, 2, 0.05));
-
 /// No trouble has this name.
 #[derive(Debug, Error)]
 #[error("there is no trouble {0:?}; expected one of: {names}", names = names())]
 pub struct UnknownTrouble(String);
 
 fn names() -> String {
-    let names: Vec<&str> = TROUBLES.iter().chain([&RESPONSE_COPIES]).map(Trouble::name).collect();
+    let names: Vec<&str> = TROUBLES.iter().map(Trouble::name).collect();
     names.join(", ")
 }
 
@@ -171,11 +168,6 @@
             Trouble::World(name, _) | Trouble::Process(name, _) => name,
         }
     }
-
-    /// Whether it makes the balancer break rules by a fault that is known and not yet fixed.
-    pub fn is_known_open(&self) -> bool {
-        *self == RESPONSE_COPIES
-    }
 }
 
 impl fmt::Display for Trouble {
@@ -188,7 +180,7 @@
     type Err = UnknownTrouble;
 
     fn from_str(name: &str) -> Result<Trouble, UnknownTrouble> {
-        let found = TROUBLES.iter().chain([&RESPONSE_COPIES]).find(|trouble| trouble.name() == name);
+        let found = TROUBLES.iter().find(|trouble| trouble.name() == name);
         found.copied().ok_or_else(|| UnknownTrouble(name.to_owned()))
     }
 }
--- a/testbed/src/world/faults.rs
+++ b/testbed/src/world/faults.rs
@@ -86,7 +86,7 @@
 fn draw_hosts(fault: &Fault, fleet_size: usize, rng: &mut ChaCha8Rng) -> BTreeSet<HostNo> {
     let all = (0..fleet_size as u32).map(HostNo);
     match (&fault.kind, &fault.hosts) {
-        (FaultKind::OriginSlow | FaultKind::OriginDown, _) => [HostNo::ORIGIN].into(),
+        (FaultKind::OriginSlow | FaultKind::OriginDown | FaultKind::OriginCopy, _) => [HostNo::ORIGIN].into(),
         (FaultKind::Grow | FaultKind::DiscoveryDown | FaultKind::DiscoveryStale, _) => BTreeSet::new(),
         (FaultKind::BalancerKill | FaultKind::GeneratorStop | FaultKind::GeneratorSlow, _) => BTreeSet::new(),
         (_, HostSelection::Named(_)) => all.collect(),
--- a/testbed/src/world/host/protocol.rs
+++ b/testbed/src/world/host/protocol.rs
@@ -49,8 +49,8 @@
     Resp(#[from] resp::RespError),
     #[error("the request id is missing or not 16 hexadecimal digits")]
     MissingRequestId,
-    #[error("unknown or incomplete command: expected CACHE.GET, CACHE.SET, PING, CLIENT, SELECT or INFO")]
-    UnknownCommand,
+    #[error("incomplete command: expected a key, an id and facts")]
+    IncompleteCommand,
 }
 
 /// A machine's reply to a command.
@@ -114,7 +114,8 @@
         b"PING" => Message::Fixed(b"+PONG\r\n"),
         b"CLIENT" | b"SELECT" => Message::Fixed(b"+OK\r\n"),
         b"INFO" => Message::Info,
-        _ => return Err(MessageError::UnknownCommand),
+        b"CACHE.GET" | b"CACHE.SET" => return Err(MessageError::IncompleteCommand),
+        _ => Message::Fixed(b"-ERR unknown command\r\n"),
     };
     Ok(Some(ParsedMessage { message, consumed }))
 }
--- a/testbed/src/world/proxy.rs
+++ b/testbed/src/world/proxy.rs
@@ -1,5 +1,7 @@
 //! Fault proxies between balancers and machines. Faults delay, drip, cut, copy, silence, half-close
-//! or reset responses; requests pass at once or never.
+//! or reset responses; requests pass at once or never. While responses may be copied, all of them
+//! take [`COPIED_PATH_DELAY`], as on a path between machines: a copy may then come after the next
+//! request was written and before its response.
 //!
 //! Requests are not delayed since the ledger records an attempt when it reaches its machine, and
 //! the audit checks that time.
@@ -10,6 +12,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+mod outgoing;
+
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,7 +26,8 @@
 use super::listener::{listen, reset_on_drop};
 use crate::experiment::FaultKind;
 use crate::ledger::HostNo;
-use crate::time::Clock;
+use crate::time::{to_duration, Clock, Micros, MS};
+use outgoing::{Outgoing, OutgoingPieces};
 
 /// Upper bound of the bytes that are forwarded at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -34,15 +39,18 @@
 const MAX_DELAY: Duration = Duration::from_millis(300);
 /// Time in which a machine must accept a connection; otherwise the balancer's is reset.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time between a piece of a response and its copy.
-const COPY_DELAY: Duration = Duration::from_millis(3);
+/// How long a response takes while responses may be copied.
+const COPIED_PATH_DELAY: Micros = 18 * MS;
+/// The faults that copy responses, of cache hosts and of the origin.
+const COPY_FAULTS: [FaultKind; 2] = [FaultKind::ProxyCopy, FaultKind::OriginCopy];
 
 /// The faults that proxies apply, each with its probability per piece of a response.
-const PROXY_FAULTS: [FaultKind; 7] = [
+const PROXY_FAULTS: [FaultKind; 8] = [
     FaultKind::ProxyDelay,
     FaultKind::ProxyDrip,
     FaultKind::ProxyCut,
     FaultKind::ProxyCopy,
+    FaultKind::OriginCopy,
     FaultKind::ProxySilence,
     FaultKind::ProxyHalfClose,
     FaultKind::ProxyReset,
@@ -155,20 +163,74 @@
 
     async fn forward_responses(&self, from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>) -> Forwarding {
         let mut chunk = vec![0; CHUNK_BYTES];
-        loop {
-            let count = match from.read(&mut chunk).await {
-                Ok(count @ 1..) => count,
-                Ok(_) => return Forwarding::Passed,
-                Err(_) => return Forwarding::Reset,
-            };
-            match self.forward_piece(&chunk[..count], to).await {
-                Ok(Forwarding::Passed) => {}
-                Ok(other) => return other,
-                Err(_) => return Forwarding::Reset,
+        let mut outgoing = OutgoingPieces::default();
+        let mut machine_closed = false;
+        while !(machine_closed && outgoing.has_no_originals()) {
+            tokio::select! {
+                read = from.read(&mut chunk), if !machine_closed => match read {
+                    Ok(0) => machine_closed = true,
+                    Ok(count) => outgoing.add(self.now() + self.path_delay(), chunk[..count].to_vec()),
+                    Err(_) => return Forwarding::Reset,
+                },
+                () = self.wait_until(outgoing.next_due()) => {}
             }
+            while let Some(piece) = outgoing.take_due(self.now()) {
+                match self.forward(piece, &mut outgoing, to).await {
+                    Ok(Forwarding::Passed) => {}
+                    Ok(other) => return other,
+                    Err(_) => return Forwarding::Reset,
+                }
+            }
+        }
+        Forwarding::Passed
+    }
+
+    fn now(&self) -> Micros {
+        self.proxies.clock.now()
+    }
+
+    /// Waits until the time, or forever if there is none.
+    async fn wait_until(&self, due: Option<Micros>) {
+        match due {
+            Some(due) => sleep(to_duration((due - self.now()).max(0))).await,
+            None => std::future::pending().await,
         }
     }
 
+    /// How long a piece that the machine sends now takes to the balancer.
+    fn path_delay(&self) -> Micros {
+        let may_copy = COPY_FAULTS.into_iter().any(|kind| self.probability(kind) > 0.0);
+        if may_copy {
+            COPIED_PATH_DELAY
+        } else {
+            0
+        }
+    }
+
+    /// Forwards a piece that is due; a copy of it may be added.
+    async fn forward(
+        &self,
+        piece: Outgoing,
+        outgoing: &mut OutgoingPieces,
+        to: &mut WriteHalf<'_>,
+    ) -> std::io::Result<Forwarding> {
+        let (bytes, original_from) = match piece {
+            Outgoing::Copy(copy) => {
+                to.write_all(&copy).await?;
+                return Ok(Forwarding::Passed);
+            }
+            Outgoing::Original { merged_copies, piece } => {
+                let original_from = merged_copies.len();
+                ([merged_copies, piece].concat(), original_from)
+            }
+        };
+        let state = self.forward_piece(&bytes, to).await?;
+        if COPY_FAULTS.into_iter().any(|kind| self.applies(kind)) {
+            outgoing.add_copy(self.now(), &bytes[original_from..], &mut *self.proxies.rng.borrow_mut());
+        }
+        Ok(state)
+    }
+
     /// Forwards a piece of a response, with the faults that apply to it.
     async fn forward_piece(&self, piece: &[u8], to: &mut WriteHalf<'_>) -> std::io::Result<Forwarding> {
         if self.applies(FaultKind::ProxySilence) {
@@ -195,10 +257,6 @@
         } else {
             to.write_all(piece).await?;
         }
-        if self.applies(FaultKind::ProxyCopy) {
-            sleep(COPY_DELAY).await;
-            to.write_all(piece).await?;
-        }
         if self.applies(FaultKind::ProxyHalfClose) {
             to.shutdown().await?;
             return Ok(Forwarding::Silenced);
@@ -206,10 +264,14 @@
         Ok(Forwarding::Passed)
     }
 
+    fn probability(&self, kind: FaultKind) -> f64 {
+        let FaultProxies { faults, clock, .. } = &*self.proxies;
+        faults.probability(clock.now(), kind, self.machine, self.balancer)
+    }
+
     fn applies(&self, kind: FaultKind) -> bool {
-        let FaultProxies { faults, clock, rng, .. } = &*self.proxies;
-        let probability = faults.probability(clock.now(), kind, self.machine, self.balancer);
-        probability > 0.0 && rng.borrow_mut().random::<f64>() < probability
+        let probability = self.probability(kind);
+        probability > 0.0 && self.proxies.rng.borrow_mut().random::<f64>() < probability
     }
 }
 
