Connections rest after a response, so that its copy is not taken for the next one

In the operators' evidence the answers were there 1 to 8 ms after the request was written, 33 to 46 ms before the host's own.

Cause: responses over RESP and HTTP carry no id and are matched by position alone. reuse_idle in connection_pool/src/pools.rs handed out the connection used last, at once; a copy of its last response that came between the check of the idle connection and the next response was taken for that, and shifted the connection by one from then on. A copied -BUSY or null said 'never ran' of a request that runs.

Change: a connection rests for 50 ms after each response (PoolConfig::rest_after_response); if none has rested, another is opened. A copy up to 50 ms late is thus on the idle connection, found before the next write, and closes it. It holds for cache hosts and the origin, kept connections after long values and late responses alike.

--- a/balancer/src/process/start.rs
+++ b/balancer/src/process/start.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use basaltwood::types::PolicyConfig;
-use basaltwood_connection_pool::{ConnectionPools, PoolConfig};
+use basaltwood_connection_pool::{ConnectionPools, PoolConfig, REST_AFTER_RESPONSE};
 use basaltwood_membership::{WatchConfig, WatchSchedule};
 use basaltwood_settings::{NameTable, RuntimeLimits};
 use tokio::net::TcpListener;
@@ -143,6 +143,7 @@
         seed: config.policy.seed,
         balancers: config.policy.balancers,
         idle_timeout: config.runtime_limits.idle_timeout,
+        rest_after_response: REST_AFTER_RESPONSE,
         // Connections to hosts are compared with all descriptors, also those for clients.
         max_connections: config.max_sockets,
     })
--- a/balancer/tests/faults/copies.rs
+++ b/balancer/tests/faults/copies.rs
@@ -1,6 +1,8 @@
 //! Hosts that answer twice: each request gets its own response, and requests to other hosts are not
 //! affected.
 
+use std::io::{BufReader, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -51,3 +53,64 @@
     }
     assert_eq!(failed, 0, "{failed} of {READS} reads failed after one duplicate response");
 }
+
+/// How much later than its original a copy comes.
+const COPY_LATENESS: Duration = Duration::from_millis(20);
+/// How long the host works on the request after the one whose response is copied.
+const SECOND_RESPONSE_TIME: Duration = Duration::from_millis(60);
+
+/// Responses that may be copied; each but the last says of the next request that it never ran, that
+/// the host lacks its key, or what its value is.
+const COPIED_RESPONSES: [&str; 4] =
+    ["*3\r\n$3\r\nold\r\n$-1\r\n$-1\r\n", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "-BUSY\r\n", "-ERR failed\r\n"];
+
+/// Guards against a copy that is taken for the next response on its connection, with no sign of
+/// copies before it: a wrong value, or a retry or rejection of a request that runs.
+#[test]
+fn first_copy_of_each_kind_of_response_answers_no_other_request() {
+    for response in COPIED_RESPONSES {
+        for category in ["read", "once"] {
+            let (a, b) = (copying_host(response), Peer::host(|_| hit("from b")));
+            let known = [entry("a", a, "active"), entry("b", b.address, "active")];
+            let program = Program::start(BINARY, unreachable_address(), &known, 1024);
+            let mut client = program.client();
+            let facts = format!("c={category},d=1500");
+            client.command(&["CACHE.GET", HOME_A, "id1", &facts]);
+            let second = client.command(&["CACHE.GET", HOME_A, "id2", &facts]);
+
+            let at_b: Vec<String> = std::iter::from_fn(|| b.try_next()).collect();
+            assert_eq!(second, "own", "{category} after {response:?}; at the other host: {at_b:?}");
+            assert!(!at_b.iter().any(|request| request.contains("id2")), "{category} after {response:?}");
+        }
+    }
+}
+
+/// A host that sends its response to the request `id1` again after [`COPY_LATENESS`].
+fn copying_host(response: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve_with_copies(stream, response));
+        }
+    });
+    address
+}
+
+fn serve_with_copies(stream: TcpStream, response: &'static str) {
+    let mut writing = stream.try_clone().expect("the socket handle can be duplicated");
+    let mut reading = BufReader::new(stream);
+    while let Ok(request) = read_command(&mut reading) {
+        if !request.contains(" id1 ") {
+            thread::sleep(SECOND_RESPONSE_TIME);
+            let _ = writing.write_all(b"*3\r\n$3\r\nown\r\n$-1\r\n$-1\r\n");
+            continue;
+        }
+        let mut copies_to = writing.try_clone().expect("the socket handle can be duplicated");
+        let _ = writing.write_all(response.as_bytes());
+        thread::spawn(move || {
+            thread::sleep(COPY_LATENESS);
+            let _ = copies_to.write_all(response.as_bytes());
+        });
+    }
+}
--- a/connection_pool/src/host_pool.rs
+++ b/connection_pool/src/host_pool.rs
@@ -100,11 +100,20 @@
         self.select(|connection| connection.state == ConnectionState::Idle && connection.idle_since < at)
     }
 
-    /// The most recently used idle connection.
-    pub fn most_recently_used(&self) -> Option<ConnectionId> {
-        let idle =
-            self.connections.iter().filter(|(_, connection)| connection.state == ConnectionState::Idle);
-        idle.max_by_key(|(id, connection)| (connection.idle_since, **id)).map(|(id, _)| *id)
+    /// The idle connections.
+    fn idle(&self) -> impl Iterator<Item = (&ConnectionId, &Connection)> {
+        self.connections.iter().filter(|(_, connection)| connection.state == ConnectionState::Idle)
+    }
+
+    /// Since when the connection that has been idle longest is idle.
+    pub fn longest_idle_since(&self) -> Option<Micros> {
+        self.idle().map(|(_, connection)| connection.idle_since).min()
+    }
+
+    /// The most recently used of the connections that have been idle since `latest` or longer.
+    pub fn most_recently_used(&self, latest: Micros) -> Option<ConnectionId> {
+        let rested = self.idle().filter(|(_, connection)| connection.idle_since <= latest);
+        rested.max_by_key(|(id, connection)| (connection.idle_since, **id)).map(|(id, _)| *id)
     }
 
     fn in_use(&self) -> usize {
--- a/connection_pool/src/lib.rs
+++ b/connection_pool/src/lib.rs
@@ -40,6 +40,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnectionId(pub u64);
 
+/// The rest of a connection after each response, see [`PoolConfig::rest_after_response`]. Copies are
+/// known to come some milliseconds late, up to 41 ms.
+pub const REST_AFTER_RESPONSE: Micros = 50_000;
+
 /// Configuration of the connection pools.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolConfig {
@@ -49,6 +53,10 @@
     pub balancers: u32,
     /// The configured idle time after which hosts close a connection.
     pub idle_timeout: Micros,
+    /// How long a connection stays idle after a response before it carries the next request.
+    /// Responses carry no id: a copy of one that comes within this time is found on the idle
+    /// connection, and can't be taken for the next response.
+    pub rest_after_response: Micros,
     /// Number of file descriptors that connections to hosts are compared with, for clients and
     /// hosts together: it decides when descriptors are short and what a host's share is.
     pub max_connections: usize,
--- a/connection_pool/src/pools.rs
+++ b/connection_pool/src/pools.rs
@@ -181,10 +181,12 @@
         (MAX_EVEN_SHARES * self.config.max_connections / hosts).max(MIN_HOST_SHARE)
     }
 
-    /// Reuses the most recently used idle connection, so that those not needed age and are closed.
+    /// Reuses the most recently used of the connections that have rested since their response, so
+    /// that those not needed age and are closed.
     fn reuse_idle(&mut self, now: Micros, host: HostId, idle_limit: Micros) -> Option<ConnectionId> {
         let pool = self.hosts.get_mut(&host)?;
-        while let Some(id) = pool.most_recently_used() {
+        let rested_since = now - self.config.rest_after_response;
+        while let Some(id) = pool.most_recently_used(rested_since) {
             if pool.reuse(now, id, idle_limit) {
                 return Some(id);
             }
@@ -201,6 +203,7 @@
     /// Opens a new connection if the circuit breaker and both rate limits allow it.
     fn open(&mut self, now: Micros, host: HostId, has_reservation: bool) -> Checkout {
         let Some(pool) = self.hosts.get_mut(&host) else { return Checkout::CircuitOpen };
+        let reusable_at = pool.longest_idle_since().map(|since| since + self.config.rest_after_response);
         match pool.circuit_breaker.state(now) {
             CircuitState::Closed => {}
             CircuitState::Open => {
@@ -215,12 +218,15 @@
         let host_token_at = pool.connect_bucket.next_token_at(now);
         if host_token_at > now {
             self.stats.connects_throttled += 1;
-            return Checkout::RetryAt(host_token_at);
+            return Checkout::RetryAt(reusable_at.map_or(host_token_at, |at| at.min(host_token_at)));
         }
         if !has_reservation {
             let token_at = self.connect_bucket.next_token_at(now);
             if token_at > now {
                 self.stats.connects_throttled += 1;
+                if let Some(at) = reusable_at {
+                    return Checkout::RetryAt(at);
+                }
                 return Checkout::Throttled(token_at);
             }
             self.connect_bucket.take(now);
--- a/connection_pool/tests/fleet_return.rs
+++ b/connection_pool/tests/fleet_return.rs
@@ -1,7 +1,9 @@
 //! How fast a fleet of balancers opens connections when many hosts return at the same moment.
 
 use basaltwood::types::{HostId, Micros};
-use basaltwood_connection_pool::{Checkout, ConnectFailure, ConnectionPools, PoolConfig};
+use basaltwood_connection_pool::{
+    Checkout, ConnectFailure, ConnectionPools, PoolConfig, REST_AFTER_RESPONSE,
+};
 use expect_test::expect;
 
 const MS: Micros = 1_000;
@@ -24,7 +26,13 @@
 
 impl Balancer {
     fn new(seed: u64, balancers: u32) -> Balancer {
-        let config = PoolConfig { seed, balancers, idle_timeout: 15 * SECOND, max_connections: 1_000 };
+        let config = PoolConfig {
+            seed,
+            balancers,
+            idle_timeout: 15 * SECOND,
+            rest_after_response: REST_AFTER_RESPONSE,
+            max_connections: 1_000,
+        };
         Balancer { pools: ConnectionPools::new(config), established: vec![0; HOSTS as usize] }
     }
 
--- a/connection_pool/tests/traces.rs
+++ b/connection_pool/tests/traces.rs
@@ -18,8 +18,19 @@
 }
 
 impl Scenario {
+    /// Pools whose connections need no rest, which most scenarios are not about.
     fn new(balancers: u32, max_connections: usize) -> Scenario {
-        let config = PoolConfig { seed: 7, balancers, idle_timeout: 15 * SECOND, max_connections };
+        Scenario::with_rest(0, balancers, max_connections)
+    }
+
+    fn with_rest(rest: Micros, balancers: u32, max_connections: usize) -> Scenario {
+        let config = PoolConfig {
+            seed: 7,
+            balancers,
+            idle_timeout: 15 * SECOND,
+            rest_after_response: rest,
+            max_connections,
+        };
         let mut scenario = Scenario { pools: ConnectionPools::new(config), now: 0, trace: String::new() };
         scenario.pools.tick(0);
         scenario
@@ -113,6 +124,33 @@
     }
 }
 
+/// Guards against a copy of a response that is taken for the response to the next request: on a
+/// connection that rests, the copy is found before the next request is written.
+#[test]
+fn connection_carries_no_request_while_it_rests_after_a_response() {
+    let mut scenario = Scenario::with_rest(100 * MS, 2, 300);
+    scenario.exchange(0);
+    for _ in 0..5 {
+        scenario.advance(22 * MS);
+        let checkout = scenario.pools.checkout(scenario.now, HostId(0));
+        scenario.record(&format!("h0 {checkout:?}"));
+        if let Checkout::Open(connection) = checkout {
+            scenario.pools.abandoned(connection);
+        }
+    }
+
+    scenario.assert_trace(expect![[r#"
+        0     h0 Open(ConnectionId(0))
+        27    h0 Open(ConnectionId(1))
+        49    h0 Open(ConnectionId(2))
+        71    h0 Open(ConnectionId(3))
+        93    h0 Open(ConnectionId(4))
+        115   h0 Reuse(ConnectionId(0))
+        connections_presumed_stale=0 connections_surplus_closed=0 connection_faults=0
+        attempts_in_doubt=0 late_responses=0
+        connects_throttled=0 connects_circuit_open=0 connects_exhausted=0 process_stalls=0"#]]);
+}
+
 #[test]
 fn two_stale_connections_in_a_row_close_idle_ones_as_old_and_spare_the_host() {
     let mut scenario = Scenario::new(2, 300);
--- a/testbed/src/scale/simulated/balancer.rs
+++ b/testbed/src/scale/simulated/balancer.rs
@@ -8,7 +8,9 @@
 
 use basaltwood::router::Router;
 use basaltwood::types::{AttemptNumber, Endpoint, HostId, Micros, RequestId, RingPosition};
-use basaltwood_connection_pool::{ConnectionId, ConnectionPools, PoolAction, PoolConfig};
+use basaltwood_connection_pool::{
+    ConnectionId, ConnectionPools, PoolAction, PoolConfig, REST_AFTER_RESPONSE,
+};
 use basaltwood_membership::{WatchConfig, WatchSchedule};
 use basaltwood_settings::{EndpointRecord, NameTable, OperatorSettings, RuntimeLimits};
 use serde::Deserialize;
@@ -84,6 +86,7 @@
             seed: config.seed,
             balancers: config.balancers,
             idle_timeout: limits.idle_timeout,
+            rest_after_response: REST_AFTER_RESPONSE,
             max_connections: spec.max_connections,
         });
         let balancer = Rc::new(SimulatedBalancer {
