A late copy of an older list no longer undoes a drain

Seen (by reading, then forced): discovery's answers are matched to calls by position too. A copy of an earlier answer that comes while the next watch is open was applied as that watch's answer: a host that had been announced as leaving became active again and got requests, until the whole list came.

Cause: DiscoveryClient::call kept its connection with bytes behind an answer, and took whatever came next on it; WatchSchedule::succeeded applied changes of a version lower than the known one before asking for the whole list.

Change: a connection with bytes behind an answer is closed; on a reused connection an answer older than the known version counts as none, and the call is made again on a new connection, whose first answer is its own whatever its version.

--- a/balancer/src/discovery/client.rs
+++ b/balancer/src/discovery/client.rs
@@ -56,6 +56,7 @@
     }
 
     async fn call(&mut self, schedule: &WatchSchedule, began: Instant) -> Result<EndpointList, WatchError> {
+        let is_reused = self.connection.is_some();
         let connection = match &mut self.connection {
             Some(open) => open,
             closed => closed.insert(connect(self.address, schedule, began).await?),
@@ -71,10 +72,17 @@
             }
         };
         buffer.consume(answer.consumed);
-        if !answer.keep_alive {
+        // Nothing may follow an answer: it would be taken for the answer to the next call.
+        if !answer.keep_alive || !buffer.is_empty() {
             self.connection = None;
         }
-        self.profile.timed(Stage::ListParsed, || read_list(&answer))
+        let list = self.profile.timed(Stage::ListParsed, || read_list(&answer))?;
+        // The first answer on a connection is its own call's, whatever its version.
+        if is_reused && schedule.known_version().is_some_and(|known| list.version() < known) {
+            let cause = format!("an answer of version {}, older than the known one", list.version());
+            return Err(WatchError::TimedOut(cause));
+        }
+        Ok(list)
     }
 }
 
--- a/balancer/src/discovery/endpoints.rs
+++ b/balancer/src/discovery/endpoints.rs
@@ -36,6 +36,11 @@
 }
 
 impl EndpointList {
+    /// The list's version.
+    pub fn version(&self) -> u64 {
+        self.generation
+    }
+
     /// Whether the list is complete, not a change to the previous one.
     pub fn is_whole(&self) -> bool {
         self.reset
--- a/balancer/tests/drains.rs
+++ b/balancer/tests/drains.rs
@@ -176,6 +176,33 @@
     .assert_eq(&trace.join("\n"));
 }
 
+/// Guards against a drain that is undone: discovery's answer to an earlier call comes a second time,
+/// behind the answer that announced the drain, and is taken for the answer to the next call.
+#[test]
+fn late_copy_of_an_older_list_does_not_undo_a_drain() {
+    let (a, b) = (Peer::host(|_| hit("from a")), Peer::host(|_| hit("from b")));
+    let changes = |generation: u32, lifecycle: &str| {
+        let entry = entry("a", a.address, lifecycle);
+        format!(r#"{{"generation":{generation},"reset":false,"instances":[{entry}]}}"#)
+    };
+    let (before, drain) = (changes(2, "active"), changes(3, "leaving"));
+    let copied = AtomicU32::new(0);
+    let discovery = Peer::http(move |request| match request {
+        _ if request.contains("from=1&") => http_answer(200, &before),
+        _ if request.contains("from=2&") => http_answer(200, &drain),
+        _ if copied.fetch_add(1, Ordering::Relaxed) == 0 => http_answer(200, &before),
+        _ => Reply::Nothing,
+    });
+    let known = [entry("a", a.address, "active"), entry("b", b.address, "active")];
+    let program = Program::start(BINARY, discovery.address, &known, 1024);
+
+    let trace: Vec<String> = (0..5).map(|_| discovery.next()).collect();
+    only_b_serves(&program, &a, "no request is sent to the leaving host");
+
+    assert_eq!(trace[3], "closed", "{trace:?}");
+    assert!(trace[4].starts_with("GET /v1/servers?from=3&"), "{trace:?}");
+}
+
 /// After SIGTERM the balancer follows the list for as long as a request is open, so that a retry
 /// respects a drain announced meanwhile.
 #[test]
