An idle connection is checked by a system call before its reuse

Cause: the check before a reuse asked the runtime, which knows that a socket is readable only once it has polled the system; bytes that came since then were not seen, and would be read as the response to the request that is written next.

Change: the check reads the socket directly.

A test that forces the moment between arrival and poll is not built.

--- a/balancer/src/socket_io.rs
+++ b/balancer/src/socket_io.rs
@@ -125,7 +125,10 @@
 
 /// Reads available bytes without the runtime, up to [`MAX_DIRECT_BYTES`] and the buffer's capacity;
 /// 0 at the end of the stream.
-fn read_directly(from: &TcpStream, buffer: &mut impl BufMut) -> io::Result<usize> {
+///
+/// # Errors
+/// `WouldBlock` if nothing can be read now; any other error of the system call.
+pub fn read_directly(from: &TcpStream, buffer: &mut impl BufMut) -> io::Result<usize> {
     let socket = SockRef::from(from);
     let mut bytes = [0; DIRECT_READ_BYTES];
     let mut total = 0;
--- a/balancer/src/upstream/checkout.rs
+++ b/balancer/src/upstream/checkout.rs
@@ -10,6 +10,7 @@
 
 use super::{SurplusPlace, UpstreamConnection, UpstreamEvent, Upstreams};
 use crate::budget::DescriptorPermit;
+use crate::socket_io::read_directly;
 
 /// A connection that an attempt uses. If it is dropped with the connection still in it, because the
 /// attempt was cancelled or failed, the connection is closed and reported to the pools as
@@ -175,7 +176,8 @@
             return None;
         };
         // If anything can be read now, usually the end of the stream, the connection can't be used.
-        let read = connection.stream.try_read(&mut [0]);
+        // The runtime may not have noticed yet that the socket is readable, so the system is asked.
+        let read = read_directly(&connection.stream, &mut [0_u8; 1].as_mut_slice());
         if matches!(&read, Err(cause) if cause.kind() == ErrorKind::WouldBlock) {
             self.counters.connections_reused.add();
             return Some(CheckedOut::new(self, id, connection));
