A connection whose request is unanswered is reset when it is closed

Cause: every ending of an attempt dropped the connection, and the system goes on delivering what was written before a close. That is a send for a client that has gone, and may be a second effect.

Change: UpstreamConnection knows from the first byte of a request to the last of its response that it awaits one, and its Drop sets SO_LINGER to 0 then: timeouts, cancellations, writes cut off, evictions, late responses given up, panics. What was answered is closed as before. Not covered: a process that is killed or exits with requests out.

Result: given_up::request_given_up_before_its_host_reads_it_is_not_delivered_later failed before (60,111 bytes delivered after the answer) and passes.

--- a/balancer/src/upstream/connection.rs
+++ b/balancer/src/upstream/connection.rs
@@ -2,16 +2,19 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use basaltwood::types::AttemptKey;
 use basaltwood_wire::buffer::Buffer;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
 use super::duplicates::ResponseFingerprint;
 use crate::budget::DescriptorPermit;
 
-/// A connection that this balancer opened. Dropping it closes it.
+/// A connection that this balancer opened. Dropping it closes it: by a reset while a request may be
+/// unanswered, so that nothing of the request is delivered later.
 pub struct UpstreamConnection {
     pub stream: TcpStream,
     pub buffer: Buffer,
@@ -22,6 +25,15 @@
     _permit: Option<DescriptorPermit>,
 }
 
+impl Drop for UpstreamConnection {
+    fn drop(&mut self) {
+        if self.history.awaits_response {
+            // If this fails, the connection is closed in good order.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl UpstreamConnection {
     /// Wraps an established connection; at most `max_buffered` bytes are buffered.
     pub fn new(
@@ -45,11 +57,24 @@
     /// The attempt that was written last, and when its last byte was written.
     last_request: Option<(AttemptKey, Instant)>,
     last_response_at: Option<Instant>,
+    /// Whether the response to a request, of which some bytes may be written, is not complete.
+    awaits_response: bool,
 }
 
 impl ConnectionHistory {
     fn new(opened_at: Instant) -> ConnectionHistory {
-        ConnectionHistory { opened_at, requests: 0, last_request: None, last_response_at: None }
+        ConnectionHistory {
+            opened_at,
+            requests: 0,
+            last_request: None,
+            last_response_at: None,
+            awaits_response: false,
+        }
+    }
+
+    /// Records that the first byte of a request is about to be written.
+    pub(super) fn request_begins(&mut self) {
+        self.awaits_response = true;
     }
 
     /// Records that the last byte of an attempt was written.
@@ -61,6 +86,7 @@
     /// Records a whole response to the attempt that was written last.
     pub(super) fn response_read(&mut self, at: Instant) {
         self.last_response_at = Some(at);
+        self.awaits_response = false;
     }
 
     /// The attempt that was written last.
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -123,6 +123,7 @@
         let complete_by = self.upstreams.clock.at(permit.complete_by());
         let written = async {
             let Some(connection) = checked_out.connection() else { return Err(AttemptOutcome::NotSent) };
+            connection.history.request_begins();
             match timeout_at(complete_by, message.write(permit, &mut connection.stream)).await {
                 Ok(Ok(())) => Ok(()),
                 _ => Err(AttemptOutcome::Unreachable),
--- a/balancer/src/upstream/late.rs
+++ b/balancer/src/upstream/late.rs
@@ -7,7 +7,7 @@
 use basaltwood::types::HostId;
 use basaltwood_connection_pool::ConnectionId;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use super::messages::{ParseResponse, ParsedResponse};
 use super::{UpstreamConnection, Upstreams};
@@ -52,6 +52,7 @@
             Ok(None) => {}
             Ok(Some(ParsedResponse::Whole(response))) => {
                 connection.buffer.consume(response.length);
+                connection.history.response_read(Instant::now());
                 return response.reusable && connection.buffer.is_empty();
             }
             // A long value is not read, because nobody waits for it any more.
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -7,7 +7,7 @@
 use basaltwood_connection_pool::ConnectionId;
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use super::checkout::CheckedOut;
 use super::messages::{ParseTrailer, Trailer};
@@ -48,6 +48,7 @@
         let trailer = timeout(TRAILER_TIMEOUT, read_trailer(connection, parse_trailer)).await;
         let Ok(Some(Trailer { length, reusable })) = trailer else { return };
         connection.buffer.consume(length);
+        connection.history.response_read(Instant::now());
         let more_follows = !connection.buffer.is_empty();
         if more_follows {
             self.record_surplus(host, id, SurplusPlace::BehindResponse, &connection.history);
--- a/balancer/tests/faults/main.rs
+++ b/balancer/tests/faults/main.rs
@@ -7,6 +7,7 @@
 mod stand_ins;
 
 mod copies;
+mod given_up;
 mod keyed_windows;
 mod last_reply;
 mod shortages;
