--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -241,7 +241,7 @@
         };
         let fingerprint = ResponseFingerprint::of(&connection.buffer.bytes()[..length], self.request);
         let (response_bytes, behind) = connection.buffer.bytes().split_at(length);
-        let is_ambiguous = response_bytes != behind;
+        let is_repeated = response_bytes == behind;
         connection.buffer.consume(length);
         self.log_response(id, &connection.history, result.outcome, length);
         connection.history.response_read(Instant::now());
@@ -250,7 +250,7 @@
             upstreams.record_surplus(self.target.host, id, SurplusPlace::BehindResponse, &connection.history);
             upstreams.record_unexpected_bytes(self.target.host);
             // One of the two may be a copy of an earlier response, and the other one this attempt's.
-            if connection.history.requests > 1 && is_ambiguous {
+            if connection.history.requests > 1 && !is_repeated {
                 return AttemptResult::without_value(AttemptOutcome::ConnectionFault);
             }
         }
