A connection rests for 60 ms: longer costs too much where descriptors are scarce

Change: 60 ms, which covers copies up to 41 ms late and 19 ms more. A copy that the testbed itself is late for is dropped 10 ms after it was due, not 20, so that the fault stays what it says: its copies come at most 51 ms late.

--- a/connection_pool/src/lib.rs
+++ b/connection_pool/src/lib.rs
@@ -42,7 +42,7 @@
 
 /// The rest of a connection after each response, see [`PoolConfig::rest_after_response`]. Copies are
 /// expected some milliseconds late.
-pub const REST_AFTER_RESPONSE: Micros = 100_000;
+pub const REST_AFTER_RESPONSE: Micros = 60_000;
 
 /// Configuration of the connection pools.
 #[derive(Clone, Copy, Debug)]
--- a/testbed/src/world/proxy/outgoing.rs
+++ b/testbed/src/world/proxy/outgoing.rs
@@ -15,7 +15,7 @@
 
 /// A copy that the world itself is late for by more than this is not sent: it would be a later copy
 /// than the fault says.
-const MAX_OWN_LATENESS: Micros = 20 * MS;
+const MAX_OWN_LATENESS: Micros = 10 * MS;
 
 /// What a copy contains, and how it is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
