--- a/testbed/src/world/proxy.rs
+++ b/testbed/src/world/proxy.rs
@@ -1,6 +1,6 @@
 //! Fault proxies between balancers and machines. Faults delay, drip, cut, copy, silence, half-close
 //! or reset responses; requests pass at once or never. While responses may be copied, all of them
-//! take [`COPIED_PATH_DELAY`], as on a path between machines: a copy may then come after the next
+//! take some milliseconds, as on a path between machines: a copy may then come after the next
 //! request was written and before its response.
 //!
 //! Requests are not delayed since the ledger records an attempt when it reaches its machine, and
