--- a/testbed/tests/input.rs
+++ b/testbed/tests/input.rs
@@ -124,5 +124,5 @@
          fault 1 (Hang): this kind affects all balancers alike: leave `balancer` out
          fault 1 (BalancerKill): there are only balancers 0 to 1
          fault 1 (Reset): every_s needs to_s and must be longer than the fault lasts
-        13: unknown variant `earthquake`, expected one of `slow`, `hang`, `silent`, `late-connect`, `stale`, `stale-reset`, `reset`, `refuse`, `lost`, `busy`, `error`, `spoil`, `die`, `replace`, `drain`, `roll-out`, `grow`, `origin-slow`, `origin-down`, `discovery-down`, `discovery-stale`, `discovery-wrong`, `balancer-kill`, `proxy-delay`, `proxy-drip`, `proxy-cut`, `proxy-copy`, `proxy-silence`, `proxy-half-close`, `proxy-reset`, `generator-stop`, `generator-slow`"#]].assert_eq(&messages.join("\n"));
+        13: unknown variant `earthquake`, expected one of `slow`, `hang`, `silent`, `late-connect`, `stale`, `stale-reset`, `reset`, `refuse`, `lost`, `busy`, `error`, `spoil`, `die`, `replace`, `drain`, `roll-out`, `grow`, `origin-slow`, `origin-down`, `discovery-down`, `discovery-stale`, `discovery-wrong`, `balancer-kill`, `proxy-delay`, `proxy-drip`, `proxy-cut`, `proxy-copy`, `origin-copy`, `proxy-silence`, `proxy-half-close`, `proxy-reset`, `generator-stop`, `generator-slow`"#]].assert_eq(&messages.join("\n"));
 }
