Review case: long values and slow clients take the balancer over its memory limit

Cause: answers of commands that were already read, and what responses hold while they are read, are bounded by no budget.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Plays the case once: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 plays the same without the disruption.
+cd "$(dirname "$0")" || exit 2
+here=$(pwd)
+root=$(cd ../.. && pwd)
+[ -x ../bin/standins ] || { echo "run review/build.sh first"; exit 2; }
+folder=$(mktemp -d) || exit 2
+TMPDIR=$folder timeout -k 5 110 ../bin/standins departed "$root" "$here"
+code=$?
+rm -rf "$folder"
+case $code in 0|1) exit $code ;; *) exit 2 ;; esac
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -10,10 +10,9 @@
     let log = folder.join("balancer.log");
     record.note(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let broken = match case {
+        "memory-limit" => memory_limit(root, &log, &record, trouble),
         "slow-writers" => slow_writers(root, &log, &record, trouble),
         "departed" => departed(root, &log, &record, trouble),
-        "short-length" => short_length(root, &log, &record, trouble),
-        "behind" => behind(root, &log, &record, trouble),
         _ => cannot_run("no such case"),
     };
     record.note(if broken > 0 { format!("rule broken {broken} times") } else { "the rule held".to_owned() });
@@ -52,12 +51,196 @@
         let id = request.headers.get("x-correlation-id").cloned().unwrap_or_default();
         let facts = request.headers.get("x-facts").cloned().unwrap_or_default();
         record.note(format!(
-            "origin runs {} {} {id} {facts}, {} bytes", request.method, request.path, request.body.len()
+            "origin runs {} {} {id} {facts}, {} bytes",
+            request.method,
+            request.path,
+            request.body.len()
         ));
         Reply::Bytes(ms(20), http_ok(&value_for(&request.path, &id)))
     })
 }
 
+/// The memory limit under long values and clients that take seconds to write and to read. Judged:
+/// the balancer stays within its `memory_mb`. The platform is played here: it kills a balancer that
+/// is over its limit.
+fn memory_limit(root: &Path, log: &Path, record: &Arc<Record>, trouble: bool) -> usize {
+    const MEMORY_MB: u32 = 32;
+    const LIMIT_KIB: u64 = MEMORY_MB as u64 * 1024;
+    const VALUE: usize = 64_000;
+    const LONG_VALUE: usize = 4 << 20;
+    const READERS: usize = 40;
+    const READS: usize = 8;
+    const LONG_READERS: usize = 24;
+    const TAKEN_TO_READ: Duration = Duration::from_secs(2);
+    // Two values of 4 MiB and one of 2.5 MiB, written over 4 s.
+    const LONG_WRITES: [usize; 3] = [4 << 20, 4 << 20, 5 << 19];
+    let hosts: Vec<SocketAddr> = (0..12)
+        .map(|at| {
+            let record = record.clone();
+            cache_host(move |words, _| {
+                let (key, id) = (text(&words[1]), text(&words[2]));
+                let length = match key.as_bytes()[0] {
+                    b'u' => 2_000,
+                    b'L' => LONG_VALUE,
+                    _ => VALUE,
+                };
+                if length > 2_000 {
+                    record.note(format!("host s-{at} gets {key} {id}, value of {length} bytes"));
+                }
+                let mut value = value_for(&key, &id);
+                value.resize(length, b'.');
+                Reply::Bytes(ms(20), resp_answer(Some(&value)))
+            })
+        })
+        .collect();
+    let list = instances(&hosts, good_origin(record));
+    let discovery = discovery(list.clone());
+    let balancer = Balancer::start(root, MEMORY_MB, 384, &settings(), &list, discovery, log);
+    let connect = |record: &Arc<Record>| {
+        let address = balancer.address;
+        let stream = connect_like_ethernet(address);
+        stream.map_err(|cause| record.note(format!("a client can't connect: {cause}"))).ok()
+    };
+    let pid = balancer.child.id();
+    let (peak, ended) = (Arc::new(Mutex::new(0)), Arc::new(AtomicBool::new(false)));
+    // The platform.
+    let platform = {
+        let (record, peak, ended) = (record.clone(), peak.clone(), ended.clone());
+        spawn(move || {
+            while !ended.load(Ordering::Relaxed) {
+                let (resident, anonymous) = (memory_kib(pid, "VmRSS:"), memory_kib(pid, "RssAnon:"));
+                let mut most = peak.lock().unwrap();
+                if anonymous > *most {
+                    *most = anonymous;
+                }
+                // Of what is resident, only the anonymous part is counted: the program's own file isn't.
+                if anonymous > LIMIT_KIB {
+                    record.note(format!(
+                        "the balancer holds {anonymous} KiB ({resident} KiB with files), its limit is \
+                         {LIMIT_KIB} KiB: the platform kills it"
+                    ));
+                    unsafe { kill(pid as i32, 9) };
+                    return true;
+                }
+                drop(most);
+                sleep(ms(1));
+            }
+            false
+        })
+    };
+    // Usual traffic: some 300 reads a second, one at a time on each connection.
+    let mut usual = Vec::new();
+    for number in 0..38 {
+        let Some(mut stream) = connect(record) else { continue };
+        let ended = ended.clone();
+        usual.push(spawn(move || {
+            let mut reading = BufReader::new(stream.try_clone().unwrap());
+            for at in 0.. {
+                let id = format!("u{number}-{at}");
+                if ended.load(Ordering::Relaxed)
+                    || stream.write_all(&get(&id, &id, "c=balance-read,d=1500")).is_err()
+                {
+                    return;
+                }
+                if matches!(read_answer(&mut reading), Answer::Ended(_)) {
+                    return;
+                }
+                sleep(ms(100));
+            }
+        }));
+    }
+    sleep(ms(12_000));
+    record.note(format!("before: {} KiB at most", peak.lock().unwrap()));
+    for (number, length) in LONG_WRITES.into_iter().enumerate() {
+        let Some(mut stream) = connect(record) else { continue };
+        let record = record.clone();
+        spawn(move || {
+            let id = format!("long-{number}");
+            let bytes = set(&id, &id, &format!("c=top-up,d=3000,k=k{id}"), &vec![b'l'; length]);
+            record.note(format!("client {id} begins to write a value of {length} bytes"));
+            let began = Instant::now();
+            for (at, piece) in bytes.chunks(bytes.len() / 40 + 1).enumerate() {
+                if trouble {
+                    sleep((began + ms(100) * at as u32).saturating_duration_since(Instant::now()));
+                }
+                if stream.write_all(piece).is_err() {
+                    return record.note(format!("client {id} can't write on"));
+                }
+            }
+            record.note(format!("client {id} has written its last byte"));
+            let answer = read_answer(&mut BufReader::new(stream));
+            record.note(format!("client {id} gets {}", answer.short()));
+        });
+    }
+    sleep(ms(2_500));
+    for number in 0..LONG_READERS {
+        let Some(mut stream) = connect(record) else { continue };
+        let record = record.clone();
+        spawn(move || {
+            let id = format!("L{number}");
+            let _ = stream.write_all(&get(&id, &id, "c=balance-read,d=1500"));
+            if trouble {
+                sleep(ms(1_000) + TAKEN_TO_READ);
+            }
+            let answer = read_answer(&mut BufReader::new(stream));
+            record.note(format!("client {id} gets {}", answer.short()));
+        });
+    }
+    sleep(ms(1_000));
+    record.note(format!("with the long values: {} KiB at most", peak.lock().unwrap()));
+    record.note(format!("{READERS} clients send {READS} reads each, of values of {VALUE} bytes"));
+    let readers: Vec<JoinHandle<usize>> = (0..READERS)
+        .filter_map(|number| {
+            let mut stream = connect(record)?;
+            let record = record.clone();
+            Some(spawn(move || {
+                let mut reading = BufReader::new(stream.try_clone().unwrap());
+                let command =
+                    |at| get(&format!("k{number}-{at}"), &format!("r{number}-{at}"), "c=balance-read,d=1500");
+                let all: Vec<u8> = (0..READS).flat_map(command).collect();
+                if stream.write_all(&all).is_err() {
+                    return 0;
+                }
+                record.note(format!("client r{number} has sent {READS} reads"));
+                if trouble {
+                    sleep(TAKEN_TO_READ);
+                }
+                let mut unanswered = 0;
+                for at in 0..READS {
+                    let answer = read_answer(&mut reading);
+                    if matches!(answer, Answer::Ended(_)) {
+                        unanswered += 1;
+                    }
+                    record.note(format!("client r{number} gets for r{number}-{at} {}", answer.short()));
+                }
+                unanswered
+            }))
+        })
+        .collect();
+    let unanswered: usize = readers.into_iter().map(|reader| reader.join().unwrap_or(0)).sum();
+    sleep(ms(1_500));
+    ended.store(true, Ordering::Relaxed);
+    let killed = platform.join().unwrap_or(false);
+    usual.into_iter().for_each(|client| drop(client.join()));
+    record.note(format!(
+        "at most {} KiB of {LIMIT_KIB}; {unanswered} reads that were sent have no answer",
+        peak.lock().unwrap()
+    ));
+    drop(balancer);
+    usize::from(killed)
+}
+
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+/// A figure of /proc/PID/status, in KiB.
+fn memory_kib(pid: u32, name: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.split_whitespace().nth(1)).and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 /// Clients that take seconds to write long values, and others that write at once. Judged: each
 /// request of the others has its final answer at most half a second after its time.
 fn slow_writers(root: &Path, log: &Path, record: &Arc<Record>, trouble: bool) -> usize {
@@ -120,7 +303,9 @@
                 let lost = took > ms(WAIT_MS + 50 + 500) || matches!(answer, Answer::Ended(_));
                 let verdict = if lost { ": LOST" } else { "" };
                 record.note(format!(
-                    "client {id} gets {} after {} ms{verdict}", answer.short(), took.as_millis()
+                    "client {id} gets {} after {} ms{verdict}",
+                    answer.short(),
+                    took.as_millis()
                 ));
                 lost
             })
@@ -202,7 +387,10 @@
             record.note(format!("client c{number} can't write: {cause}"));
             continue;
         }
-        record.note(format!("client c{number} has sent {READS} reads and {WRITES} writes, {} bytes", bytes.len()));
+        record.note(format!(
+            "client c{number} has sent {READS} reads and {WRITES} writes, {} bytes",
+            bytes.len()
+        ));
         if trouble {
             drop(stream);
             closed.insert(format!("c{number}"), Instant::now());
@@ -228,87 +416,11 @@
         let after = at.saturating_duration_since(*closed_at);
         if after > ms(100) {
             broken += 1;
-            record.note(format!("the attempt of {id} began {} ms after its client closed: LOST", after.as_millis()));
+            record.note(format!(
+                "the attempt of {id} began {} ms after its client closed: LOST",
+                after.as_millis()
+            ));
         }
     }
     broken
 }
-
-/// An origin whose Content-Length does not fit.
-fn short_length(root: &Path, log: &Path, record: &Arc<Record>, trouble: bool) -> usize {
-    let hosts: Vec<SocketAddr> = (0..2).map(|_| cache_host(|_, _| Reply::Bytes(ms(5), resp_answer(None)))).collect();
-    let note = record.clone();
-    let count = Arc::new(Mutex::new(0));
-    let origin = origin(move |request| {
-        let id = request.headers.get("x-correlation-id").cloned().unwrap_or_default();
-        let value = value_for(request.path.trim_start_matches('/'), &id);
-        *count.lock().unwrap() += 1;
-        let spoilt = trouble && *count.lock().unwrap() % 3 == 0;
-        let length = if spoilt { value.len() - 9 } else { value.len() };
-        note.note(format!("origin answers {id} with {} bytes, Content-Length {length}", value.len()));
-        let mut bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").into_bytes();
-        bytes.extend(value);
-        Reply::Bytes(ms(10), bytes)
-    });
-    let list = instances(&hosts, origin);
-    let balancer = Balancer::start(root, 48, 384, &settings(), &list, discovery(list.clone()), log);
-    sleep(ms(500));
-    let mut wrong = 0;
-    for at in 0..30 {
-        let mut stream = balancer.connect();
-        stream.set_read_timeout(Some(ms(3550))).unwrap();
-        let (key, id) = (format!("k{at}"), format!("r{at}"));
-        stream.write_all(&get(&key, &id, "c=balance-read,d=1500")).unwrap();
-        let answer = read_answer(&mut BufReader::new(stream));
-        let is_wrong = matches!(&answer, Answer::Value(value) if *value != value_for(&key, &id));
-        wrong += usize::from(is_wrong);
-        record.note(format!("client gets for {id}: {}{}", answer.short(), if is_wrong { " WRONG" } else { "" }));
-        sleep(ms(100));
-    }
-    wrong
-}
-
-/// Pipelining clients whose long value is cut off by its host: what waits behind it.
-fn behind(root: &Path, log: &Path, record: &Arc<Record>, trouble: bool) -> usize {
-    let hosts: Vec<SocketAddr> = (0..4).map(|at| {
-        let record = record.clone();
-        cache_host(move |words, _| {
-            let (key, id) = (text(&words[1]), text(&words[2]));
-            record.note(format!("host s-{at} gets {} {key} {id}", text(&words[0])));
-            if !key.starts_with("long") {
-                return Reply::Bytes(ms(20), resp_answer(Some(&value_for(&key, &id))));
-            }
-            let answer = resp_answer(Some(&vec![b'l'; 300 << 10]));
-            if trouble {
-                record.note(format!("host s-{at} resets the connection within its answer to {id}"));
-                Reply::BytesThenEnd(answer[..150 << 10].to_vec(), ms(200), true)
-            } else {
-                Reply::Bytes(ms(200), answer)
-            }
-        })
-    }).collect();
-    let list = instances(&hosts, good_origin(record));
-    let balancer = Balancer::start(root, 48, 384, &settings(), &list, discovery(list.clone()), log);
-    sleep(ms(500));
-    let mut lost = 0;
-    for client in 0..5 {
-        let mut stream = balancer.connect();
-        let ids: Vec<String> = (0..4).map(|at| format!("c{client}-{at}")).collect();
-        let mut bytes = get(&format!("long{client}"), &ids[0], "c=balance-read,d=1500");
-        bytes.extend(get(&format!("k{client}"), &ids[1], "c=balance-read,d=1500"));
-        bytes.extend(set(&format!("k{client}"), &ids[2], "c=pay,d=2000", b"amount"));
-        bytes.extend(set(&format!("k{client}"), &ids[3], &format!("c=top-up,d=3000,k=kk{client}"), b"amount"));
-        stream.write_all(&bytes).unwrap();
-        stream.set_read_timeout(Some(ms(3550))).unwrap();
-        let mut reading = BufReader::new(stream);
-        for (at, id) in ids.iter().enumerate() {
-            let answer = read_answer(&mut reading);
-            // The value that was cut off has failed, and its client can tell: that is no loss.
-            let is_lost = at > 0 && matches!(answer, Answer::Ended(_));
-            lost += usize::from(is_lost);
-            record.note(format!("client gets for {id}: {}{}", answer.short(), if is_lost { " LOST" } else { "" }));
-        }
-    }
-    lost
-}
-
--- a/review/standins.rs
+++ b/review/standins.rs
@@ -98,8 +98,7 @@
                         }
                         None => list_json(2, &instances),
                     };
-                    let answer =
-                        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
                     if writing.write_all(answer.as_bytes()).is_err() {
                         return;
                     }
@@ -237,7 +236,8 @@
     let mut line = String::new();
     reading.read_line(&mut line)?;
     let bad = || io::Error::new(io::ErrorKind::InvalidData, "no command");
-    let count: usize = line.trim_end().strip_prefix('*').and_then(|text| text.parse().ok()).ok_or_else(bad)?;
+    let count: usize =
+        line.trim_end().strip_prefix('*').and_then(|text| text.parse().ok()).ok_or_else(bad)?;
     let mut words = Vec::new();
     for _ in 0..count {
         let mut line = String::new();
@@ -357,7 +357,9 @@
         match reading.read(&mut value[filled..]) {
             Ok(0) => return Answer::Ended(format!("end after {filled} of {length} bytes of a value")),
             Ok(count) => filled += count,
-            Err(cause) => return Answer::Ended(format!("{cause} after {filled} of {length} bytes of a value")),
+            Err(cause) => {
+                return Answer::Ended(format!("{cause} after {filled} of {length} bytes of a value"))
+            }
         }
     }
     value.truncate(length as usize);
@@ -380,6 +382,35 @@
     folder: PathBuf,
 }
 
+/// Connects with segments as on Ethernet; loopback's are 64 KiB, with which the system's buffers hold megabytes.
+pub fn connect_like_ethernet(address: SocketAddr) -> io::Result<TcpStream> {
+    use std::os::fd::FromRawFd;
+    extern "C" {
+        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+        fn connect(fd: i32, address: *const u8, length: u32) -> i32;
+    }
+    let SocketAddr::V4(address) = address else { return Err(io::ErrorKind::Unsupported.into()) };
+    let mut raw = [0u8; 16];
+    raw[..2].copy_from_slice(&2u16.to_ne_bytes());
+    raw[2..4].copy_from_slice(&address.port().to_be_bytes());
+    raw[4..8].copy_from_slice(&address.ip().octets());
+    unsafe {
+        let fd = socket(2, 1 | 0o2000000, 0);
+        if fd < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(fd);
+        let segment = 1448;
+        setsockopt(fd, 6, 2, &segment, 4);
+        if connect(fd, raw.as_ptr(), 16) != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let _ = stream.set_nodelay(true);
+        Ok(stream)
+    }
+}
+
 /// Takes a free loopback port and gives it back.
 pub fn free_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -465,7 +496,8 @@
     }
 
     pub fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).unwrap_or_else(|cause| cannot_run(&format!("connect: {cause}")));
+        let stream =
+            TcpStream::connect(self.address).unwrap_or_else(|cause| cannot_run(&format!("connect: {cause}")));
         let _ = stream.set_nodelay(true);
         stream
     }
