--- a/review/cases.rs
+++ b/review/cases.rs
@@ -322,7 +322,7 @@
 fn departed(root: &Path, log: &Path, record: &Arc<Record>, trouble: bool) -> usize {
     const CLIENTS: usize = 10;
     const READS: usize = 32;
-    const WRITES: usize = 10;
+    const WRITES: usize = 6;
     const VALUE: usize = 60 << 10;
     let begun: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
     let hosts: Vec<SocketAddr> = (0..12)
