Review case: a keyed write takes effect twice when a silent connection comes back

Cause: an attempt in doubt is left out on its connection when its request was sent again and answered; its bytes come after the window.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,7 @@
 root=$(cd ../.. && pwd)
 [ -x ../bin/standins ] || { echo "run review/build.sh first"; exit 2; }
 folder=$(mktemp -d) || exit 2
-TMPDIR=$folder timeout -k 5 110 ../bin/standins departed "$root" "$here"
+TMPDIR=$folder timeout -k 5 110 ../bin/standins slow-writers "$root" "$here"
 code=$?
 rm -rf "$folder"
 case $code in 0|1) exit $code ;; *) exit 2 ;; esac
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -10,9 +10,9 @@
     let log = folder.join("balancer.log");
     record.note(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let broken = match case {
+        "silent-connection" => silent_connection(root, &log, &record, trouble),
         "memory-limit" => memory_limit(root, &log, &record, trouble),
         "slow-writers" => slow_writers(root, &log, &record, trouble),
-        "departed" => departed(root, &log, &record, trouble),
         _ => cannot_run("no such case"),
     };
     record.note(if broken > 0 { format!("rule broken {broken} times") } else { "the rule held".to_owned() });
@@ -317,110 +317,155 @@
     lost
 }
 
-/// Clients that send much at once and go. Judged: no attempt begins for a client over 0.1 s after
-/// it closed its connection.
-fn departed(root: &Path, log: &Path, record: &Arc<Record>, trouble: bool) -> usize {
-    const CLIENTS: usize = 10;
-    const READS: usize = 32;
-    const WRITES: usize = 6;
-    const VALUE: usize = 60 << 10;
-    let begun: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
-    let hosts: Vec<SocketAddr> = (0..12)
-        .map(|at| {
-            let (record, begun) = (record.clone(), begun.clone());
-            cache_host(move |words, first_byte_at| {
-                let (key, id) = (text(&words[1]), text(&words[2]));
-                begun.lock().unwrap().push((id.clone(), first_byte_at));
-                record.note(format!("host s-{at} gets {} {key} {id}", text(&words[0])));
-                // The first read of a client takes 200 ms, the others 500 ms.
-                let takes = if id.ends_with("-00") { 200 } else { 500 };
-                Reply::Bytes(ms(takes), resp_answer(Some(&value_for(&key, &id))))
-            })
-        })
-        .collect();
+/// The network before the origin: passes everything on, but a connection may fall silent, and what
+/// is under way on it comes when it is over, as TCP sends it again. What the balancer takes back by
+/// a reset meanwhile never comes.
+fn network(record: &Arc<Record>, origin: SocketAddr, silence: Duration, every: Duration) -> SocketAddr {
+    let record = record.clone();
+    let next_silence = Mutex::new(Instant::now() + ms(3_000));
+    server(move |mut balancer| {
+        let Ok(mut server) = TcpStream::connect(origin) else { return };
+        let _ = server.set_nodelay(true);
+        let silent_until: Arc<Mutex<Option<Instant>>> = Arc::default();
+        let (mut back, mut towards, until) =
+            (server.try_clone().unwrap(), balancer.try_clone().unwrap(), silent_until.clone());
+        spawn(move || {
+            let mut bytes = [0; 65536];
+            while let Ok(count @ 1..) = back.read(&mut bytes) {
+                let waits = *until.lock().unwrap();
+                sleep(waits.map_or(ms(0), |at| at.saturating_duration_since(Instant::now())));
+                if towards.write_all(&bytes[..count]).is_err() {
+                    break;
+                }
+            }
+            let _ = towards.shutdown(Shutdown::Both);
+        });
+        let mut held = Vec::new();
+        let mut bytes = [0; 65536];
+        let _ = balancer.set_read_timeout(Some(ms(5)));
+        loop {
+            let ended = match balancer.read(&mut bytes) {
+                Ok(0) => true,
+                Ok(count) => {
+                    let begins_write = bytes.starts_with(b"PUT") && held.is_empty();
+                    held.extend_from_slice(&bytes[..count]);
+                    let mut next = next_silence.lock().unwrap();
+                    if begins_write && !silence.is_zero() && Instant::now() >= *next {
+                        *next = Instant::now() + every;
+                        *silent_until.lock().unwrap() = Some(Instant::now() + silence);
+                        record.note(format!(
+                            "a connection to the origin falls silent for {} ms, with {} under way",
+                            silence.as_millis(),
+                            request_id(&held)
+                        ));
+                    }
+                    false
+                }
+                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => false,
+                Err(cause) => {
+                    if !held.is_empty() {
+                        record.note(format!("{cause}: {} never comes", request_id(&held)));
+                    }
+                    let _ = server.shutdown(Shutdown::Both);
+                    return;
+                }
+            };
+            let is_silent = silent_until.lock().unwrap().is_some_and(|at| Instant::now() < at);
+            if !held.is_empty() && (!is_silent) {
+                if server.write_all(&held).is_err() {
+                    return;
+                }
+                held.clear();
+            }
+            if ended {
+                let _ = server.shutdown(Shutdown::Write);
+                return;
+            }
+        }
+    })
+}
+
+/// The id in a request to the origin.
+fn request_id(bytes: &[u8]) -> String {
+    let request = text(bytes);
+    let line = request.lines().find_map(|line| line.strip_prefix("X-Correlation-Id: "));
+    line.unwrap_or("?").to_owned()
+}
+
+/// Connections to the origin fall silent for a while. Judged: no keyed write takes effect twice at
+/// an origin that drops repeats for as long as the settings say.
+fn silent_connection(root: &Path, log: &Path, record: &Arc<Record>, trouble: bool) -> usize {
+    const WINDOW_MS: u64 = 1_500;
+    const SILENCE_MS: u64 = 2_200;
+    let settings = settings().replace(
+        r#"{"name":"top-up","targetLatencyMs":3000,"ttlMs":3000,"semantics":"dedup","group":"all","windowMs":6000"#,
+        r#"{"name":"top-up","targetLatencyMs":2500,"ttlMs":2500,"semantics":"dedup","group":"all","windowMs":1500"#,
+    );
+    assert!(settings.contains("\"windowMs\":1500"));
+    let hosts = [good_host(record, "s-0", ms(10)), good_host(record, "s-1", ms(10))];
+    // The key of each write, when it took effect, and by which request.
+    let effects: Arc<Mutex<BTreeMap<String, Vec<(Instant, String)>>>> = Arc::default();
     let origin = {
-        let (record, begun) = (record.clone(), begun.clone());
+        let (record, effects) = (record.clone(), effects.clone());
         origin(move |request| {
             let id = request.headers.get("x-correlation-id").cloned().unwrap_or_default();
-            begun.lock().unwrap().push((id.clone(), request.first_byte_at));
-            if !id.starts_with('n') {
-                let length = request.body.len();
-                record.note(format!("origin runs {} {} {id}, {length} bytes", request.method, request.path));
+            let facts = request.headers.get("x-facts").cloned().unwrap_or_default();
+            let key = facts.split(',').find_map(|fact| fact.strip_prefix("k=")).unwrap_or("").to_owned();
+            let mut effects = effects.lock().unwrap();
+            let runs = effects.entry(key.clone()).or_default();
+            let remembered = runs.last().is_some_and(|(at, _)| at.elapsed() < ms(WINDOW_MS));
+            if remembered {
+                record.note(format!("origin drops a repeat of {key} ({id})"));
+            } else {
+                let before = if runs.is_empty() { "" } else { " AGAIN" };
+                record.note(format!("origin runs {} {} {id} {facts}{before}", request.method, request.path));
+                runs.push((Instant::now(), id.clone()));
             }
-            Reply::Bytes(ms(20), http_ok(format!("receipt of {id}").as_bytes()))
+            drop(effects);
+            Reply::Bytes(ms(30), http_ok(format!("receipt of {key}").as_bytes()))
         })
     };
-    let list = instances(&hosts, origin);
-    let balancer = Balancer::start(root, 96, 512, &settings(), &list, discovery(list.clone()), log);
+    let silence = ms(if trouble { SILENCE_MS } else { 0 });
+    let list = instances(&hosts, network(record, origin, silence, ms(1_000)));
+    let balancer = Balancer::start(root, 96, 512, &settings, &list, discovery(list.clone()), log);
     sleep(ms(500));
-    let ended = Arc::new(AtomicBool::new(false));
-    // Usual clients, whose short writes keep connections to the origin in use.
-    for number in 0..4 {
-        let (mut stream, ended) = (balancer.connect(), ended.clone());
-        spawn(move || {
-            let mut reading = BufReader::new(stream.try_clone().unwrap());
-            for at in 0.. {
-                if ended.load(Ordering::Relaxed) {
-                    return;
+    let until = Instant::now() + ms(20_000);
+    let clients: Vec<JoinHandle<()>> = (0..16)
+        .map(|number| {
+            let (mut stream, record) = (balancer.connect(), record.clone());
+            spawn(move || {
+                let mut reading = BufReader::new(stream.try_clone().unwrap());
+                for at in 0.. {
+                    if Instant::now() > until {
+                        return;
+                    }
+                    let id = format!("w{number}-{at}");
+                    let facts = format!("c=top-up,d=2500,k=key-{id}");
+                    if stream.write_all(&set(&format!("meter-{id}"), &id, &facts, b"amount")).is_err() {
+                        return;
+                    }
+                    let sent = Instant::now();
+                    let answer = read_answer(&mut reading);
+                    record.note(format!(
+                        "client gets for {id} after {} ms {}",
+                        sent.elapsed().as_millis(),
+                        answer.short()
+                    ));
+                    sleep(ms(100));
                 }
-                let id = format!("n{number}-{at}");
-                let _ = stream.write_all(&set(&id, &id, &format!("c=top-up,d=3000,k=k{id}"), b"amount"));
-                read_answer(&mut reading);
-                sleep(ms(150));
-            }
-        });
-    }
-    let mut closed: BTreeMap<String, Instant> = BTreeMap::new();
-    for number in 0..CLIENTS {
-        sleep(ms(1_000));
-        let mut stream = balancer.connect();
-        let mut bytes = Vec::new();
-        for at in 0..READS {
-            let (key, id) = (format!("k{number}-{at}"), format!("c{number}-{at:02}"));
-            bytes.extend(get(&key, &id, "c=balance-read,d=1500"));
-        }
-        for at in READS..READS + WRITES {
-            let (key, id) = (format!("k{number}-{at}"), format!("c{number}-{at:02}"));
-            bytes.extend(set(&key, &id, &format!("c=top-up,d=3000,k=k{id}"), &vec![b'v'; VALUE]));
-        }
-        if let Err(cause) = stream.write_all(&bytes) {
-            record.note(format!("client c{number} can't write: {cause}"));
-            continue;
-        }
-        record.note(format!(
-            "client c{number} has sent {READS} reads and {WRITES} writes, {} bytes",
-            bytes.len()
-        ));
-        if trouble {
-            drop(stream);
-            closed.insert(format!("c{number}"), Instant::now());
-            record.note(format!("client c{number} has closed its connection"));
-            continue;
-        }
-        let record = record.clone();
-        spawn(move || {
-            let mut reading = BufReader::new(stream);
-            for at in 0..READS + WRITES {
-                let answer = read_answer(&mut reading);
-                record.note(format!("client c{number} gets for c{number}-{at:02} {}", answer.short()));
-            }
-        });
-    }
-    sleep(ms(4_000));
-    ended.store(true, Ordering::Relaxed);
+            })
+        })
+        .collect();
+    clients.into_iter().for_each(|client| drop(client.join()));
+    sleep(ms(3_000));
     drop(balancer);
-    let mut broken = 0;
-    for (id, at) in begun.lock().unwrap().iter() {
-        let client = id.split('-').next().unwrap_or("");
-        let Some(closed_at) = closed.get(client) else { continue };
-        let after = at.saturating_duration_since(*closed_at);
-        if after > ms(100) {
-            broken += 1;
-            record.note(format!(
-                "the attempt of {id} began {} ms after its client closed: LOST",
-                after.as_millis()
-            ));
-        }
+    let effects = effects.lock().unwrap();
+    let twice = effects.iter().filter(|(_, runs)| runs.len() > 1);
+    let mut count = 0;
+    for (key, runs) in twice {
+        count += 1;
+        let after = runs[1].0.duration_since(runs[0].0).as_millis();
+        record.note(format!("{key} took effect {} times, again after {after} ms: TWICE", runs.len()));
     }
-    broken
+    count
 }
