Cancel a keyed attempt that is out before the window of its repeat ends

Cause: the window was checked when a copy is written; what counts is when its last byte comes, and nothing ended a copy that was out.

src/policy/outstanding.rs decides until when each begun attempt may arrive: the window, less 0.15 s for a stalled process, from the first other run there may be, another attempt's first byte or the request's end, from when its client may repeat it. balancer/src/outstanding.rs waits for it while the attempt is written, read and kept for a late response, and the connection is reset. TCP_USER_TIMEOUT is set to the same time for a stopped process. A response that may be another attempt's no longer closes its connection in good order (found on a related path, by reading).

Visible: counter attempts_overdue, a debug line, the invariant outstanding_past_window.

--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -55,6 +55,8 @@
     attempts, attempts_succeeded, attempts_missed, attempts_error, attempts_rejected, attempts_timed_out,
     attempts_unreachable, attempts_connection_lost, attempts_connection_fault, attempts_cancelled,
     attempts_not_sent, attempts_connects_at_limit,
+    // Keyed attempts cancelled while they were out, since they could take effect a second time.
+    attempts_overdue,
     // Long values that a host did not send in full.
     values_truncated,
     // Connections to hosts: opened, reused, found closed when about to be reused.
--- a/balancer/src/downstream/command.rs
+++ b/balancer/src/downstream/command.rs
@@ -13,6 +13,7 @@
 
 use super::input::{Command, SeparateValue, ValueMemory};
 use crate::lifecycle::Phase;
+use crate::outstanding::OutstandingAttempts;
 use crate::presence::ClientPresence;
 use crate::request::ClientRequest;
 use crate::shared::Shared;
@@ -118,6 +119,7 @@
     if !shared.reserve_id(&id) {
         return Err(RequestError::IdInUse);
     }
+    let retry_safety = shared.retry_safety(new_request.class);
     let request = ClientRequest {
         command,
         key,
@@ -125,8 +127,9 @@
         facts,
         value,
         _memory: memory,
-        retry_safety: shared.retry_safety(new_request.class),
+        retry_safety,
         write_log: WriteLog::default(),
+        outstanding: OutstandingAttempts::new(shared.clock.clone(), retry_safety, new_request.deadline),
         client,
         finished: watch::Sender::new(false),
     };
--- a/balancer/src/invariants.rs
+++ b/balancer/src/invariants.rs
@@ -19,6 +19,8 @@
     SentAfterDeadline,
     /// A retry was written that could make the request take effect twice.
     UnsafeRepeat,
+    /// An attempt was still out when it could take effect a second time.
+    OutstandingPastWindow,
     /// An attempt was written to a draining host after the grace period.
     SentToDrainingHost,
     /// A host was given more time than the client has left.
@@ -29,13 +31,14 @@
 
 impl Invariant {
     /// All invariants.
-    pub const EACH: [Invariant; 9] = [
+    pub const EACH: [Invariant; 10] = [
         Invariant::ReplyOwedAtClose,
         Invariant::AnswerMissing,
         Invariant::AnswerLate,
         Invariant::SentForDepartedClient,
         Invariant::SentAfterDeadline,
         Invariant::UnsafeRepeat,
+        Invariant::OutstandingPastWindow,
         Invariant::SentToDrainingHost,
         Invariant::StatedTimeTooLong,
         Invariant::TaskPanicked,
@@ -50,6 +53,7 @@
             Invariant::SentForDepartedClient => "sent_for_departed_client",
             Invariant::SentAfterDeadline => "sent_after_deadline",
             Invariant::UnsafeRepeat => "unsafe_repeat",
+            Invariant::OutstandingPastWindow => "outstanding_past_window",
             Invariant::SentToDrainingHost => "sent_to_draining_host",
             Invariant::StatedTimeTooLong => "stated_time_too_long",
             Invariant::TaskPanicked => "task_panicked",
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod logging;
 mod loop_profile;
 mod metrics;
+mod outstanding;
 mod panics;
 mod presence;
 mod process;
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -1,13 +1,14 @@
 //! A client's request and the results of its attempts: types shared by the code for requests, cache
 //! hosts and the origin.
 
-use basaltwood::types::{AttemptOutcome, Micros, RetrySafety};
+use basaltwood::types::{AttemptNumber, AttemptOutcome, Micros, RetrySafety};
 use basaltwood_wire::facts;
 use basaltwood_wire::resp::MAX_BUFFERED_VALUE;
 use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
 
 use crate::budget::ValuePermit;
+use crate::outstanding::OutstandingAttempts;
 use crate::presence::ClientPresence;
 use crate::write_log::WriteLog;
 
@@ -66,6 +67,8 @@
     pub retry_safety: RetrySafety,
     /// The request's attempts that were written in full.
     pub write_log: WriteLog,
+    /// The request's attempts that may still reach their hosts.
+    pub outstanding: OutstandingAttempts,
     /// Whether the client is still connected.
     pub client: ClientPresence,
     /// Set once the request has its final answer or its client has left: nothing more may be sent.
@@ -89,6 +92,18 @@
         })
     }
 
+    /// Records that the request has its final answer or that its client has left.
+    pub fn finish(&self) {
+        self.finished.send_replace(true);
+        self.outstanding.request_ended();
+    }
+
+    /// Records how an attempt ended.
+    pub fn attempt_ended(&self, number: AttemptNumber, outcome: AttemptOutcome) {
+        self.write_log.ended(number, outcome);
+        self.outstanding.attempt_ended(number, outcome);
+    }
+
     /// Whether the request has its final answer or its client has left.
     pub fn is_finished(&self) -> bool {
         *self.finished.borrow()
--- a/balancer/src/requests.rs
+++ b/balancer/src/requests.rs
@@ -82,6 +82,7 @@
     if let Err(panicked) = catch_panic(task.run(actions)).await {
         let context = format_args!("request {}: {panicked}", id.0);
         shared.invariants.violated(Invariant::TaskPanicked, context);
+        request.finish();
         shared.abandon_request(id, &request.id);
     }
 }
@@ -184,7 +185,7 @@
             return Vec::new();
         }
         self.shared.counters.attempt_ended(outcome);
-        self.request.write_log.ended(attempt, outcome);
+        self.request.attempt_ended(attempt, outcome);
         log::debug!(request = self.id.0, attempt = attempt.0, outcome:?; "attempt ended");
         self.value = value;
         self.report(attempt, outcome)
@@ -213,7 +214,7 @@
     fn abandon(&mut self) -> Vec<RequestAction> {
         log::debug!(request = self.id.0; "request abandoned by its client");
         self.delivery = None;
-        self.request.finished.send_replace(true);
+        self.request.finish();
         self.shared.counters.abandoned.add();
         self.shared.router.borrow_mut().client_gone(self.shared.clock.now(), self.id)
     }
@@ -240,7 +241,7 @@
     }
 
     fn finish(&mut self, answer: FinalAnswer) {
-        self.request.finished.send_replace(true);
+        self.request.finish();
         let (Some(delivery), Some(mut memory)) = (self.delivery.take(), self.memory.take()) else { return };
         self.check_lateness();
         // The bytes of a streamed value are accounted for by its stream's window.
--- a/balancer/src/upstream/connection.rs
+++ b/balancer/src/upstream/connection.rs
@@ -12,6 +12,7 @@
 
 use super::duplicates::ResponseFingerprint;
 use crate::budget::DescriptorPermit;
+use crate::outstanding::DeliveryLimit;
 
 /// A connection that this balancer opened. Dropping it closes it: by a reset while a request may be
 /// unanswered, so that nothing of the request is delivered later.
@@ -19,6 +20,7 @@
     pub stream: TcpStream,
     pub buffer: Buffer,
     pub(super) history: ConnectionHistory,
+    pub(super) delivery_limit: DeliveryLimit,
     /// The last response on the connection.
     pub(super) last_response: Option<ResponseFingerprint>,
     /// `None` if the connection uses a descriptor that is reserved for it.
@@ -43,7 +45,14 @@
     ) -> UpstreamConnection {
         let buffer = Buffer::new(max_buffered);
         let history = ConnectionHistory::new(Instant::now());
-        UpstreamConnection { stream, buffer, history, last_response: None, _permit: permit }
+        UpstreamConnection {
+            stream,
+            buffer,
+            history,
+            delivery_limit: DeliveryLimit::default(),
+            last_response: None,
+            _permit: permit,
+        }
     }
 }
 
@@ -89,6 +98,12 @@
         self.awaits_response = false;
     }
 
+    /// Records that the response that was read may be that of another attempt: the one that was
+    /// written last may still be on its way.
+    pub(super) fn response_doubted(&mut self) {
+        self.awaits_response = true;
+    }
+
     /// The attempt that was written last.
     pub(super) fn last_attempt(&self) -> Option<AttemptKey> {
         self.last_request.map(|(attempt, _)| attempt)
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -17,10 +17,12 @@
 use super::checkout::CheckedOut;
 use super::connection::ConnectionHistory;
 use super::duplicates::ResponseFingerprint;
+use super::late::LateResponse;
 use super::messages::{LongValueHead, ParseResponse, ParsedResponse, RequestBytes, WholeResponse};
 use super::send_audit::SentAttempt;
 use super::streaming::ValueStream;
 use super::{AttemptTarget, SurplusPlace, Upstreams};
+use crate::outstanding::OutstandingAttempt;
 use crate::read;
 use crate::request::{AttemptResult, ClientRequest, StreamedValue, Value};
 
@@ -53,7 +55,8 @@
         let time_left = self.target.deadline - now;
         let message = encode(time_left);
         let (first_byte_at, bytes) = (Instant::now(), message.length());
-        if let Err(outcome) = self.write(&mut checked_out, permit, message).await {
+        let outstanding = self.request.outstanding.begin(self.attempt.number);
+        if let Err(outcome) = self.write(&mut checked_out, &outstanding, permit, message).await {
             return AttemptResult::without_value(outcome);
         }
         self.record_sent(&mut checked_out, bytes);
@@ -66,7 +69,7 @@
             stated_time: time_left,
             draining_since: self.upstreams.draining_since(self.target.host),
         });
-        self.read(checked_out).await
+        self.read(checked_out, outstanding).await
     }
 
     fn deadline_at(&self) -> Instant {
@@ -117,22 +120,24 @@
     async fn write(
         &self,
         checked_out: &mut CheckedOut<'_>,
+        outstanding: &OutstandingAttempt,
         permit: SendPermit,
         message: RequestBytes,
     ) -> Result<(), AttemptOutcome> {
         let complete_by = self.upstreams.clock.at(permit.complete_by());
-        let written = async {
-            let Some(connection) = checked_out.connection() else { return Err(AttemptOutcome::NotSent) };
-            connection.history.request_begins();
-            match timeout_at(complete_by, message.write(permit, &mut connection.stream)).await {
-                Ok(Ok(())) => Ok(()),
-                _ => Err(AttemptOutcome::Unreachable),
-            }
-        };
+        let Some(connection) = checked_out.connection() else { return Err(AttemptOutcome::NotSent) };
+        connection.history.request_begins();
+        let (reader, mut writer) = connection.stream.split();
+        let overdue = outstanding.wait_overdue(reader.as_ref(), &connection.delivery_limit);
+        let written = timeout_at(complete_by, message.write(permit, &mut writer));
         tokio::select! {
             biased;
             () = self.request.wait_finished() => Err(AttemptOutcome::Cancelled),
-            written = written => written,
+            () = overdue => Err(AttemptOutcome::NotSent),
+            written = written => match written {
+                Ok(Ok(())) => Ok(()),
+                _ => Err(AttemptOutcome::Unreachable),
+            },
         }
     }
 
@@ -154,16 +159,23 @@
     }
 
     /// Reads until the response is complete or the attempt ends without one.
-    async fn read(&self, mut checked_out: CheckedOut<'_>) -> AttemptResult {
+    async fn read(&self, mut checked_out: CheckedOut<'_>, outstanding: OutstandingAttempt) -> AttemptResult {
         let deadline = self.deadline_at();
         loop {
             let Some(connection) = checked_out.connection() else {
                 return AttemptResult::without_value(AttemptOutcome::NotSent);
             };
-            let filled = timeout_at(deadline, read(&mut connection.stream, &mut connection.buffer)).await;
+            let (mut reader, writer) = connection.stream.split();
+            let filled = tokio::select! {
+                biased;
+                filled = timeout_at(deadline, read(&mut reader, &mut connection.buffer)) => filled,
+                () = outstanding.wait_overdue(writer.as_ref(), &connection.delivery_limit) => {
+                    return AttemptResult::without_value(self.overdue(&outstanding));
+                }
+            };
             let now = self.upstreams.clock.now();
             match filled {
-                Err(_) => return AttemptResult::without_value(self.timed_out(now, checked_out)),
+                Err(_) => return AttemptResult::without_value(self.timed_out(now, checked_out, outstanding)),
                 Ok(Ok(0) | Err(_)) => {
                     return AttemptResult::without_value(self.connection_lost(now, checked_out))
                 }
@@ -183,13 +195,37 @@
         }
     }
 
+    /// Cancels the attempt, since it could take effect a second time: its connection is reset when
+    /// the caller drops it, which is no evidence about the host.
+    fn overdue(&self, outstanding: &OutstandingAttempt) -> AttemptOutcome {
+        let AttemptKey { request, number } = self.attempt;
+        log::debug!(
+            request = request.0, attempt = number.0, host = self.target.host.0;
+            "attempt cancelled before the deduplication window of another one ends"
+        );
+        self.upstreams.audit_cancelled(outstanding);
+        AttemptOutcome::Cancelled
+    }
+
     /// Ends the attempt with a timeout; its connection may still be read for a late response.
-    fn timed_out(&self, now: Micros, mut checked_out: CheckedOut<'_>) -> AttemptOutcome {
+    fn timed_out(
+        &self,
+        now: Micros,
+        mut checked_out: CheckedOut<'_>,
+        outstanding: OutstandingAttempt,
+    ) -> AttemptOutcome {
         let connection = checked_out.take();
         let id = checked_out.id();
         let verdict = self.upstreams.pools.borrow_mut().attempt_timed_out(now, id);
         if let Some(connection) = connection.filter(|_| verdict.await_late_response) {
-            self.upstreams.await_late_response(self.target.host, id, connection, self.parse_response);
+            let awaited = LateResponse {
+                host: self.target.host,
+                id,
+                connection,
+                parse_response: self.parse_response,
+                outstanding,
+            };
+            self.upstreams.await_late_response(awaited);
         }
         AttemptOutcome::TimedOut
     }
@@ -251,6 +287,7 @@
             upstreams.record_unexpected_bytes(self.target.host);
             // One of the two may be a copy of an earlier response, and the other one this attempt's.
             if connection.history.requests > 1 && !is_repeated {
+                connection.history.response_doubted();
                 return AttemptResult::without_value(AttemptOutcome::ConnectionFault);
             }
         }
@@ -266,6 +303,7 @@
                 request = self.attempt.request.0, host = self.target.host.0;
                 "response suspected to be a copy"
             );
+            connection.history.response_doubted();
             upstreams.record_repeated_response(self.target.host);
             return AttemptResult::without_value(AttemptOutcome::ConnectionFault);
         }
--- a/balancer/src/upstream/late.rs
+++ b/balancer/src/upstream/late.rs
@@ -11,25 +11,31 @@
 
 use super::messages::{ParseResponse, ParsedResponse};
 use super::{UpstreamConnection, Upstreams};
+use crate::outstanding::OutstandingAttempt;
 use crate::read;
 
 /// Upper bound of the wait for a late response; normally the pools close the connection earlier.
 const LATE_RESPONSE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// A connection on which the response to an attempt that timed out is awaited.
+pub(super) struct LateResponse {
+    pub host: HostId,
+    pub id: ConnectionId,
+    pub connection: UpstreamConnection,
+    pub parse_response: ParseResponse,
+    pub outstanding: OutstandingAttempt,
+}
+
 impl Upstreams {
     /// Starts a task that reads until a late response or the end of the connection.
-    pub(super) fn await_late_response(
-        self: &Rc<Upstreams>,
-        host: HostId,
-        id: ConnectionId,
-        mut connection: UpstreamConnection,
-        parse_response: ParseResponse,
-    ) {
+    pub(super) fn await_late_response(self: &Rc<Upstreams>, mut awaited: LateResponse) {
         let upstreams = self.clone();
+        let (host, id) = (awaited.host, awaited.id);
         let reader = async move {
-            let response = read_late_response(&mut connection, parse_response);
+            let response = upstreams.read_late_response(&mut awaited);
             let reusable = timeout(LATE_RESPONSE_TIMEOUT, response).await.unwrap_or(false)
                 && !upstreams.wants_fresh_connections(host);
+            let connection = awaited.connection;
             upstreams.late_readers.borrow_mut().remove(&id);
             let kept = upstreams.pools.borrow_mut().late_response(upstreams.clock.now(), id, reusable);
             if kept {
@@ -40,23 +46,34 @@
         let task = spawn_local(reader);
         self.late_readers.borrow_mut().insert(id, task.abort_handle());
     }
-}
 
-/// Reads a late response; true if it was whole and the connection can carry another request.
-async fn read_late_response(connection: &mut UpstreamConnection, parse_response: ParseResponse) -> bool {
-    loop {
-        if !matches!(read(&mut connection.stream, &mut connection.buffer).await, Ok(1..)) {
-            return false;
-        }
-        match parse_response(connection.buffer.bytes()) {
-            Ok(None) => {}
-            Ok(Some(ParsedResponse::Whole(response))) => {
-                connection.buffer.consume(response.length);
-                connection.history.response_read(Instant::now());
-                return response.reusable && connection.buffer.is_empty();
+    /// Reads a late response; true if it was whole and the connection can carry another request.
+    /// The wait ends when the attempt has to be cancelled.
+    async fn read_late_response(&self, awaited: &mut LateResponse) -> bool {
+        let LateResponse { connection, parse_response, outstanding, .. } = awaited;
+        loop {
+            let (mut reader, writer) = connection.stream.split();
+            let read = tokio::select! {
+                biased;
+                read = read(&mut reader, &mut connection.buffer) => read,
+                () = outstanding.wait_overdue(writer.as_ref(), &connection.delivery_limit) => {
+                    self.audit_cancelled(outstanding);
+                    return false;
+                }
+            };
+            if !matches!(read, Ok(1..)) {
+                return false;
+            }
+            match parse_response(connection.buffer.bytes()) {
+                Ok(None) => {}
+                Ok(Some(ParsedResponse::Whole(response))) => {
+                    connection.buffer.consume(response.length);
+                    connection.history.response_read(Instant::now());
+                    return response.reusable && connection.buffer.is_empty();
+                }
+                // A long value is not read, because nobody waits for it any more.
+                Ok(Some(ParsedResponse::LongValue(_))) | Err(_) => return false,
             }
-            // A long value is not read, because nobody waits for it any more.
-            Ok(Some(ParsedResponse::LongValue(_))) | Err(_) => return false,
         }
     }
 }
--- a/balancer/src/upstream/messages.rs
+++ b/balancer/src/upstream/messages.rs
@@ -7,10 +7,10 @@
 use basaltwood_wire::http;
 use basaltwood_wire::resp::RespError;
 use bytes::Bytes;
-use tokio::net::TcpStream;
+use tokio::io::AsyncWrite;
 
 use crate::request::AttemptResult;
-use crate::socket_io::write_all;
+use crate::socket_io::{write_all, TcpSocket};
 
 /// Bytes from an upstream that are no valid response to the request. Their connection can't be used
 /// any more.
@@ -82,7 +82,11 @@
     }
 
     /// Writes the whole request, using up the permission for this attempt.
-    pub async fn write(self, _permit: SendPermit, stream: &mut TcpStream) -> io::Result<()> {
+    pub async fn write(
+        self,
+        _permit: SendPermit,
+        stream: &mut (impl AsyncWrite + TcpSocket + Unpin),
+    ) -> io::Result<()> {
         write_all(stream, &self.head).await?;
         for segment in self.segments {
             write_all(stream, &segment).await?;
--- a/balancer/src/upstream/send_audit.rs
+++ b/balancer/src/upstream/send_audit.rs
@@ -10,6 +10,7 @@
 use super::Upstreams;
 use crate::clock::duration;
 use crate::invariants::Invariant;
+use crate::outstanding::OutstandingAttempt;
 use crate::request::ClientRequest;
 
 #[cfg(test)]
@@ -59,6 +60,15 @@
 }
 
 impl Upstreams {
+    /// Counts and checks an attempt that is cancelled because it could take effect a second time.
+    pub(super) fn audit_cancelled(&self, outstanding: &OutstandingAttempt) {
+        self.counters.attempts_overdue.add();
+        if let Some(overdue_by) = outstanding.overdue_by().map(duration).filter(|late| *late > STALL_SLACK) {
+            let context = format_args!("an attempt is cancelled {} ms late", overdue_by.as_millis());
+            self.invariants.violated(Invariant::OutstandingPastWindow, context);
+        }
+    }
+
     /// Counts the invariants that an attempt violates, once it is written.
     pub(super) fn audit(&self, sent: &SentAttempt<'_>) {
         for invariant in sent.violations(duration(self.limits.drain_grace)) {
--- a/balancer/src/upstream/send_audit/tests.rs
+++ b/balancer/src/upstream/send_audit/tests.rs
@@ -1,10 +1,14 @@
 //! Each invariant is violated on purpose; an attempt that keeps all of them reports none.
 
+use std::rc::Rc;
+
 use basaltwood::types::{AttemptOutcome, DeduplicationScope, RetrySafety};
 use bytes::Bytes;
 use tokio::sync::watch;
 
 use super::*;
+use crate::clock::Clock;
+use crate::outstanding::OutstandingAttempts;
 use crate::presence::PresenceGuard;
 use crate::write_log::WriteLog;
 
@@ -25,6 +29,7 @@
         _memory: None,
         retry_safety,
         write_log: WriteLog::default(),
+        outstanding: OutstandingAttempts::new(Rc::new(Clock::start()), retry_safety, 500 * MS),
         client: client.presence(),
         finished: watch::Sender::new(false),
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,7 +6,8 @@
 //! Each host has a tracker (`HostTracker`), and a dispatcher (`Dispatcher`) holds the requests;
 //! they share no state and exchange messages. `admission.rs` checks each attempt and each final
 //! answer when it is decided, `send_permit.rs` checks each attempt again before its first byte, and
-//! `retry_safety.rs` decides whether a request may be sent again.
+//! `retry_safety.rs` decides whether a request may be sent again, and `outstanding.rs` when an attempt
+//! that is still out has to be cancelled.
 
 use crate::dispatcher::Dispatcher;
 use crate::host_tracker::{HostStatus, HostTracker, Mailboxes};
@@ -20,11 +21,13 @@
 mod fleet;
 mod host;
 pub(crate) mod hot_keys;
+mod outstanding;
 mod retry_safety;
 mod selection;
 mod send_permit;
 pub(crate) mod zones;
 
+pub use outstanding::BegunAttempts;
 pub use retry_safety::{check_repeat, rejection_is_harmless, PossibleRun, Repeat};
 pub use send_permit::{SendPermit, SendRefusal};
 
--- a/src/policy/retry_safety.rs
+++ b/src/policy/retry_safety.rs
@@ -76,7 +76,7 @@
 }
 
 /// The end of a deduplication window, less the time for which this process may stall before it
-/// writes.
-fn window_end(sent_at: Micros, window: Micros) -> Micros {
+/// writes or cancels.
+pub(super) fn window_end(sent_at: Micros, window: Micros) -> Micros {
     sent_at + window - MAX_PROCESS_STALL
 }
