A response that waits for this balancer's memory does not count against its host

The head of a response is reported to the pools as the host's response, as for streamed values, so that an attempt whose value waits for memory here is not in doubt, and the wait is left out of the host's overdue evidence and latency.

--- a/balancer/src/upstream/response.rs
+++ b/balancer/src/upstream/response.rs
@@ -19,7 +19,7 @@
 use super::messages::{ParsedResponse, Trailer, ValueHead, WholeResponse};
 use super::streaming::ValueStream;
 use super::value::{collect_value, CollectedValue, ValueError};
-use super::{SurplusPlace, Upstreams};
+use super::{SurplusPlace, UpstreamEvent, Upstreams};
 use crate::answer_turn::AnswerTurn;
 use crate::budget::MemoryGrant;
 use crate::outstanding::OutstandingAttempt;
@@ -90,7 +90,9 @@
                 Ok(Some(ParsedResponse::ValueHead(head))) if head.length > MAX_BUFFERED_VALUE => {
                     return self.stream(now, checked_out, head)
                 }
-                Ok(Some(ParsedResponse::ValueHead(head))) => return self.collect(checked_out, head).await,
+                Ok(Some(ParsedResponse::ValueHead(head))) => {
+                    return self.collect(now, checked_out, head).await
+                }
                 Ok(Some(ParsedResponse::Whole(mut response))) => {
                     response.result.keep_memory(memory.flatten());
                     return self.answered_whole(now, checked_out, response);
@@ -173,14 +175,15 @@
     /// Reads a value whose head was read into memory granted for it. Until it is granted, the value
     /// stays in the system's buffers. Nothing is granted once the request is over: the value is then
     /// read only to use the connection again.
-    async fn collect(&self, mut checked_out: CheckedOut<'_>, head: ValueHead) -> AttemptResult {
+    async fn collect(&self, now: Micros, mut checked_out: CheckedOut<'_>, head: ValueHead) -> AttemptResult {
         let ValueHead { start, length, parse_trailer } = head;
         let deadline = self.deadline_at();
-        let needed = WholeValue::memory_needed(length);
+        // The host has responded, however long its value waits here.
+        self.upstreams.pools.borrow_mut().response_begun(now, checked_out.id());
         let memory = tokio::select! {
             biased;
             () = self.request.wait_finished() => None,
-            memory = self.upstreams.response_memory(needed, &self.request.turn) => Some(memory),
+            memory = self.value_memory(WholeValue::memory_needed(length)) => Some(memory),
             () = sleep_until(deadline) => {
                 self.upstreams.counters.responses_without_memory.add();
                 return AttemptResult::without_value(AttemptOutcome::Cancelled);
@@ -211,6 +214,19 @@
         }
     }
 
+    /// Waits for the memory of a value. The wait is this balancer's: it counts neither against the
+    /// host nor in its latency.
+    async fn value_memory(&self, bytes: usize) -> MemoryGrant {
+        let (upstreams, turn) = (self.upstreams, &self.request.turn);
+        if let Some(memory) = upstreams.budget.memory.try_grant_response(bytes, turn.has_come()) {
+            return memory;
+        }
+        upstreams.record_event(UpstreamEvent::AttemptWaits(self.attempt));
+        let memory = upstreams.response_memory(bytes, turn).await;
+        upstreams.record_event(UpstreamEvent::AttemptProceeds(self.attempt));
+        memory
+    }
+
     /// Ends the attempt in the middle of a value, whose rest is not waited for.
     fn value_timed_out(&self, now: Micros, checked_out: CheckedOut<'_>) -> AttemptOutcome {
         let mut checked_out = checked_out;
