--- a/balancer/src/answer_turn.rs
+++ b/balancer/src/answer_turn.rs
@@ -25,10 +25,8 @@
         }
     }
 
-    /// Waits until the answer is the next one of its client; returns at once if it is already.
+    /// Waits until an answer that is not yet the next one of its client becomes it.
     pub async fn comes(&self) {
-        if !self.has_come.get() {
-            self.comes.notified().await;
-        }
+        self.comes.notified().await;
     }
 }
--- a/balancer/src/budget/memory.rs
+++ b/balancer/src/budget/memory.rs
@@ -47,9 +47,7 @@
         self.bytes = bytes;
         true
     }
-}
 
-impl MemoryGrant {
     /// The number of granted bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/balancer/src/budget/mod.rs
+++ b/balancer/src/budget/mod.rs
@@ -86,12 +86,12 @@
         let reserved_descriptors = RESERVED_DESCRIPTORS + reserved;
         let connections = most_connections(descriptors, reserved_descriptors, memory);
         let limits = memory_limits(memory, connections, 0);
-        let budget = ResourceBudget {
+        Rc::new(ResourceBudget {
             connections: Cell::new(0),
-            max_connections: Cell::default(),
+            max_connections: Cell::new(connections),
             reserved_descriptors,
             client_connections: Cell::new(0),
-            max_client_connections: Cell::default(),
+            max_client_connections: Cell::new(connections / 2),
             descriptors: Cell::new(descriptors),
             memory_bytes: Cell::new(memory),
             listed_hosts: Cell::new(0),
@@ -101,9 +101,7 @@
             awaited_clients: SheddableClients::default(),
             closing_clients: SheddableClients::default(),
             next_wait: Cell::new(0),
-        };
-        budget.apply_limits();
-        Rc::new(budget)
+        })
     }
 
     /// Changes the limits. Connections past a lowered limit stay open until they are closed one by
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -49,9 +49,7 @@
 struct ReadPlan {
     /// Further commands may be served.
     takes_commands: bool,
-    /// The memory budget allows more bytes.
-    has_memory: bool,
-    /// Bytes are read.
+    /// Bytes are read: they are wanted, and there is memory for them.
     reads: bool,
     /// The input is polled, if only to notice that the client disconnects.
     watches_client: bool,
@@ -303,11 +301,10 @@
         // unread bytes filled the client's window, its disconnect would go unnoticed, and its
         // requests would continue.
         let reads_ahead = may_read && !takes_commands && works_for_client && self.input.can_read_ahead();
-        let has_memory = (takes_commands || reads_ahead) && self.input.reserve_read();
-        let reads = has_memory;
+        let reads = (takes_commands || reads_ahead) && self.input.reserve_read();
         if !takes_commands {
             self.input.unread.wait_for_others();
-        } else if !has_memory && (snapshot.is_idle || snapshot.awaits_memory) {
+        } else if !reads && (snapshot.is_idle || snapshot.awaits_memory) {
             self.input.unread.reading_paused(self.shared.clock.now());
         } else {
             self.input.unread.reading_resumed(self.shared.clock.now());
@@ -315,7 +312,7 @@
         // A disconnect is watched for while work for the client is in progress. A complete reply is
         // written even if the client may have stopped reading.
         let watches_client = reads || works_for_client || self.outgoing.is_streaming();
-        ReadPlan { takes_commands, has_memory, reads, watches_client }
+        ReadPlan { takes_commands, reads, watches_client }
     }
 
     async fn next_event(&mut self, snapshot: &Snapshot) -> Event {
@@ -325,7 +322,7 @@
         let can_be_shed =
             snapshot.is_idle && (snapshot.is_quiet || (self.activity.had_command && !snapshot.is_partial));
         let awaits_command = snapshot.is_partial || !self.activity.had_command;
-        let waits_for_memory = plan.takes_commands && !plan.has_memory;
+        let waits_for_memory = plan.takes_commands && !plan.reads;
         let is_writing = !self.outgoing.is_empty();
         let budget = &self.shared.budget;
         let input = self.input.wait(&mut self.reader, plan.reads);
--- a/balancer/src/upstream/response.rs
+++ b/balancer/src/upstream/response.rs
@@ -39,15 +39,9 @@
             if let Some(grant) = memory.try_grant_response(bytes, turn.has_come()) {
                 return grant;
             }
-            let turn_comes = async {
-                match turn.has_come() {
-                    true => std::future::pending().await,
-                    false => turn.comes().await,
-                }
-            };
             tokio::select! {
                 () = memory.freed.notified() => {}
-                () = turn_comes => {}
+                () = turn.comes(), if !turn.has_come() => {}
             }
         }
     }
@@ -228,8 +222,7 @@
     }
 
     /// Ends the attempt in the middle of a value, whose rest is not waited for.
-    fn value_timed_out(&self, now: Micros, checked_out: CheckedOut<'_>) -> AttemptOutcome {
-        let mut checked_out = checked_out;
+    fn value_timed_out(&self, now: Micros, mut checked_out: CheckedOut<'_>) -> AttemptOutcome {
         let id = checked_out.id();
         drop(checked_out.take());
         let mut pools = self.upstreams.pools.borrow_mut();
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -11,9 +11,9 @@
 
 use super::checkout::CheckedOut;
 use super::messages::{ParseTrailer, Trailer};
+use super::value::read_trailer;
 use super::{SurplusPlace, UpstreamConnection, Upstreams};
 use crate::budget::{PieceRoom, StreamGrant};
-use crate::read;
 use crate::request::Piece;
 use crate::socket_io::read_buf;
 
@@ -50,7 +50,7 @@
         }
         drop((pieces, window));
         let trailer = timeout(TRAILER_TIMEOUT, read_trailer(connection, parse_trailer)).await;
-        let Ok(Some(Trailer { length, reusable })) = trailer else { return };
+        let Ok(Ok(Trailer { length, reusable })) = trailer else { return };
         connection.buffer.consume(length);
         connection.history.response_read(Instant::now());
         let more_follows = !connection.buffer.is_empty();
@@ -109,19 +109,3 @@
     connection.buffer.consume(piece.len());
     Some(piece)
 }
-
-/// Reads what follows a long value; `None` if the connection ends before it is complete, or if it
-/// can't be parsed.
-async fn read_trailer(connection: &mut UpstreamConnection, parse_trailer: ParseTrailer) -> Option<Trailer> {
-    loop {
-        match parse_trailer(connection.buffer.bytes()) {
-            Ok(Some(trailer)) => return Some(trailer),
-            Ok(None) if !connection.has_room() => return None,
-            Ok(None) => {}
-            Err(_) => return None,
-        }
-        if !matches!(read(&mut connection.stream, &mut connection.buffer).await, Ok(1..)) {
-            return None;
-        }
-    }
-}
--- a/balancer/src/upstream/value.rs
+++ b/balancer/src/upstream/value.rs
@@ -44,12 +44,20 @@
             None
         }
     };
+    let trailer = read_trailer(connection, parse_trailer).await?;
+    Ok(CollectedValue { value, trailer })
+}
+
+/// Reads what follows a value; it stays at the front of the buffer.
+pub async fn read_trailer(
+    connection: &mut UpstreamConnection,
+    parse_trailer: ParseTrailer,
+) -> Result<Trailer, ValueError> {
     loop {
         match parse_trailer(connection.buffer.bytes()) {
-            Ok(Some(trailer)) => return Ok(CollectedValue { value, trailer }),
-            Ok(None) if !connection.has_room() => return Err(ValueError::Invalid),
-            Ok(None) => {}
-            Err(_) => return Err(ValueError::Invalid),
+            Ok(Some(trailer)) => return Ok(trailer),
+            Ok(None) if connection.has_room() => {}
+            Ok(None) | Err(_) => return Err(ValueError::Invalid),
         }
         more(read(&mut connection.stream, &mut connection.buffer).await)?;
     }
