--- a/balancer/src/discovery/endpoints.rs
+++ b/balancer/src/discovery/endpoints.rs
@@ -145,12 +145,12 @@
     };
     let endpoints: Vec<Endpoint> = hosts.into_iter().map(|host| register(shared, host)).collect();
     shared.counters.endpoint_lists.add();
-    shared.budget.set_listed_hosts(shared.upstreams.known_hosts());
     shared.router.borrow_mut().update_endpoints(now, whole, endpoints);
     // Has to come before any request's task runs; covers hosts that a complete list lacks.
     shared.upstreams.update_accepting_hosts(|host| shared.router.borrow().accepts_attempts(host));
     shared.wake_requests();
     forget_released_hosts(shared);
+    shared.budget.set_listed_hosts(shared.upstreams.known_hosts());
     if let Some(regions) = &shared.regions {
         shared.metrics.set_regions(&regions.borrow());
     }
