Read a client's time to wait in one place, and refuse an impossible one

A value that waited for memory read the fact d without the range that commands are held to: d=1e300 overflowed the clock, and the connection's task panicked with overflow checks on.

--- a/balancer/src/downstream/command.rs
+++ b/balancer/src/downstream/command.rs
@@ -156,10 +156,7 @@
 ) -> Result<NewRequest, RequestError> {
     let facts = String::from_utf8_lossy(facts);
     let class = fact(&facts, "c").ok_or(RequestError::MissingClass)?;
-    let wait_ms = fact(&facts, "d")
-        .and_then(|wait| wait.parse::<f64>().ok())
-        .filter(|wait| WAIT_RANGE_MS.contains(wait))
-        .ok_or(RequestError::InvalidWait)?;
+    let wait = client_wait(&facts).ok_or(RequestError::InvalidWait)?;
     let names = shared.names.borrow();
     let class = names.class_id(class).map_err(|cause| RequestError::UnknownClass(cause.to_string()))?;
     Ok(NewRequest {
@@ -168,10 +165,17 @@
         key: Some(RingPosition::of(&String::from_utf8_lossy(key))),
         is_write,
         is_retry: fact(&facts, "r") == Some("1"),
-        deadline: arrived_at + (wait_ms * MICROS_PER_MS) as Micros,
+        deadline: arrived_at + wait,
     })
 }
 
+/// How long the client waits, by its facts; `None` if they don't tell, or nothing in
+/// [`WAIT_RANGE_MS`].
+pub fn client_wait(facts: &str) -> Option<Micros> {
+    let wait_ms = fact(facts, "d")?.parse::<f64>().ok()?;
+    WAIT_RANGE_MS.contains(&wait_ms).then_some((wait_ms * MICROS_PER_MS) as Micros)
+}
+
 /// The earliest time at which a command read now may have arrived: it may have waited unread for
 /// as long as the event loop lagged.
 pub fn earliest_arrival(shared: &Shared) -> Micros {
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -27,7 +27,6 @@
 use crate::requests::{self, FinalAnswer};
 use crate::shared::Shared;
 
-const MICROS_PER_MS: f64 = 1_000.0;
 /// How many commands of one connection may wait for their replies; further ones are left unread.
 const MAX_PENDING_REPLIES: usize = 32;
 /// The same while a reply is being written: a client that does not read must not fill the memory
@@ -345,9 +344,8 @@
 
     /// When the value that waits for memory has waited as long as its client does.
     fn reject_value_at(&mut self) -> Option<Instant> {
-        let wait_ms = self.input.waiting_value()?.wait_ms();
-        let wait =
-            wait_ms.map_or(COMMAND_TIMEOUT.as_micros() as Micros, |wait| (wait * MICROS_PER_MS) as Micros);
+        let wait = self.input.waiting_value()?.client_wait();
+        let wait = wait.unwrap_or(COMMAND_TIMEOUT.as_micros() as Micros);
         self.input.unread.reject_at(wait).map(|at| self.shared.clock.at(at))
     }
 
--- a/balancer/src/downstream/incoming_value.rs
+++ b/balancer/src/downstream/incoming_value.rs
@@ -1,10 +1,12 @@
 //! A command whose value is read separately, as memory for it is granted.
 
+use basaltwood::types::Micros;
 use basaltwood_wire::body::Body;
 use basaltwood_wire::facts::fact;
 use bytes::buf::Limit;
 use bytes::{Bytes, BytesMut};
 
+use super::command::client_wait;
 use super::input::{Command, SeparateValue};
 use crate::budget::{MemoryGrant, ValueGrant};
 use crate::request::{WholeValue, MAX_COPIED_VALUE};
@@ -76,10 +78,9 @@
         self.body.remaining()
     }
 
-    /// How long the client waits for the answer, in milliseconds, if its facts tell.
-    pub fn wait_ms(&self) -> Option<f64> {
-        let facts = String::from_utf8_lossy(self.words.get(FACTS_INDEX)?);
-        fact(&facts, "d")?.parse().ok()
+    /// How long the client waits for the answer, if its facts tell.
+    pub fn client_wait(&self) -> Option<Micros> {
+        client_wait(&String::from_utf8_lossy(self.words.get(FACTS_INDEX)?))
     }
 
     /// The class of the request and its id, as the client sent them.
--- a/balancer/tests/endings.rs
+++ b/balancer/tests/endings.rs
@@ -256,19 +256,14 @@
     let (release, host) = gated_host();
     let program = program(&host, [8, 1024], SETTINGS);
 
-    let begin_write = |client: &mut Client, id: &str, length: usize| {
-        let head = format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n${}\r\n{id}\r\n", id.len());
-        client.raw(format!("{head}$12\r\nc=put,d=1900\r\n${length}\r\n").as_bytes());
-    };
-
     let (mut holder, mut departing) = (program.client(), program.client());
-    begin_write(&mut holder, "id1", 1_500_000);
+    holder.begin_write("id1", "c=put,d=1900", 1_500_000);
     holder.raw(&vec![b'v'; 1_400_000]);
     program.wait_for_counter("request_values", 1_400_000);
 
     departing.get("slow", "id2", "c=read,d=1900");
     host.next();
-    begin_write(&mut departing, "id3", 900_000);
+    departing.begin_write("id3", "c=put,d=1900", 900_000);
     assert_eq!(program.client().command(&["PING"]), "+PONG");
 
     departure.apply(departing);
--- a/balancer/tests/long_values.rs
+++ b/balancer/tests/long_values.rs
@@ -150,9 +150,7 @@
 
 fn begin_write_for(program: &Program, id: &str, length: usize, facts: &str) -> Client {
     let mut client = program.client();
-    let (id_length, facts_length) = (id.len(), facts.len());
-    let words = format!("${id_length}\r\n{id}\r\n${facts_length}\r\n{facts}\r\n${length}\r\n");
-    client.raw(format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n{words}").as_bytes());
+    client.begin_write(id, facts, length);
     client
 }
 
--- a/balancer/tests/memory.rs
+++ b/balancer/tests/memory.rs
@@ -38,8 +38,7 @@
 /// A write of a value of which all but the last bytes are sent.
 fn begin_long_write(program: &Program, number: usize) -> Client {
     let mut client = program.client();
-    let head = format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$2\r\nw{number}\r\n");
-    client.raw(format!("{head}$17\r\nc=put,d=1900,k=w1\r\n${LONG_VALUE}\r\n").as_bytes());
+    client.begin_write(&format!("w{number}"), "c=put,d=1900,k=w1", LONG_VALUE);
     client.raw(&vec![b'w'; LONG_VALUE - 10]);
     client
 }
@@ -125,7 +124,7 @@
     assert_eq!(figure("edge_proxy_memory_held_bytes{purpose=\"request_values\"}"), 0);
 
     let mut writer = program.client();
-    writer.raw(b"*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$3\r\nid1\r\n$12\r\nc=put,d=1900\r\n$300000\r\n");
+    writer.begin_write("id1", "c=put,d=1900", 300_000);
     writer.raw(&[b'v'; 200_000]);
     while figure("edge_proxy_memory_held_bytes{purpose=\"request_values\"}") < 200_000 {
         sleep(Duration::from_millis(5));
@@ -137,11 +136,11 @@
     assert!(program.wait_for_counter("clients", 1).contains(" limit=50331648"));
 }
 
-/// Begins a write of a value of `length` bytes; `sent` of these are written.
-fn begin_write(client: &mut Client, id: &str, facts: &str, [length, sent]: [usize; 2]) {
-    let words = format!("${}\r\n{id}\r\n${}\r\n{facts}\r\n${length}\r\n", id.len(), facts.len());
-    client.raw(format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n{words}").as_bytes());
-    client.raw(&vec![b'v'; sent]);
+/// Sends a whole write.
+fn write(client: &mut Client, id: &str, facts: &str, length: usize) {
+    client.begin_write(id, facts, length);
+    client.raw(&vec![b'v'; length]);
+    client.raw(b"\r\n");
 }
 
 fn origin_that_counts() -> Peer {
@@ -152,12 +151,10 @@
 /// may have is held.
 fn stalled_writers(program: &Program) -> Vec<Client> {
     let writers = (0..6).map(|number| {
-        let client = program.client();
+        let mut client = program.client();
+        client.begin_write(&format!("s{number}"), "c=put,d=60000", LONG_VALUE);
         client.writing.set_nonblocking(true).expect("a socket option");
-        let head = format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$2\r\ns{number}\r\n$10\r\nc=put,d=60000\r\n");
-        let head = head.replace("$10", "$13");
-        let bytes = format!("{head}${LONG_VALUE}\r\n{}", "s".repeat(LONG_VALUE - 10));
-        let _ = (&client.writing).write(bytes.as_bytes());
+        let _ = (&client.writing).write(&vec![b's'; LONG_VALUE - 10]);
         sleep(Duration::from_millis(20));
         client.writing.set_nonblocking(false).expect("a socket option");
         client
@@ -179,8 +176,7 @@
     for (number, length) in [70_000, 60_000, 5_000, 300, 120_000].into_iter().enumerate() {
         let mut client = program.client();
         let began = Instant::now();
-        begin_write(&mut client, &format!("id{number}"), "c=put,d=1900", [length, length]);
-        client.raw(b"\r\n");
+        write(&mut client, &format!("id{number}"), "c=put,d=1900", length);
         assert_eq!(client.answer(), length.to_string());
         assert!(began.elapsed() < DEADLINE, "{length} bytes: answered after {:?}", began.elapsed());
     }
@@ -200,8 +196,7 @@
 
     let mut client = program.client();
     let began = Instant::now();
-    begin_write(&mut client, "id1", "c=put,d=500", [3_000_000, 3_000_000]);
-    client.raw(b"\r\n");
+    write(&mut client, "id1", "c=put,d=500", 3_000_000);
     assert!(client.answer().starts_with("-BUSY"));
     assert!(began.elapsed() < WAIT + MAX_LATENESS, "answered after {:?}", began.elapsed());
 
@@ -245,8 +240,7 @@
     let slow = stalled_writers(&program);
 
     let mut client = program.client();
-    begin_write(&mut client, "id1", "c=put,d=1000", [3_000_000, 3_000_000]);
-    client.raw(b"\r\n");
+    write(&mut client, "id1", "c=put,d=1000", 3_000_000);
     let written = Instant::now();
     sleep(WAIT);
     slow.into_iter().for_each(Client::disconnect);
@@ -255,3 +249,19 @@
     let left = 1_000 - written.elapsed().as_millis() as u64;
     assert!(told <= left + SLACK_MS, "told {told} ms, {left} ms are left");
 }
+
+/// Guards against a time to wait that no request may state, and that overflowed the clock while the
+/// value waited for memory: the connection's task panicked.
+#[test]
+fn write_with_an_impossible_time_that_waits_for_memory_gets_an_error() {
+    let program = program(&[host()], [24, 192]);
+    let _slow = stalled_writers(&program);
+    let mut client = program.client();
+    write(&mut client, "id1", "c=put,d=1e300", 3_000_000);
+
+    let answer = client.answer();
+    assert!(answer.starts_with("-BUSY") || answer.starts_with("-ERR no d"), "{answer}");
+    assert!(program
+        .metrics("edge_proxy_active 0")
+        .contains("invariant_violations{name=\"task_panicked\"} 0"));
+}
--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -360,6 +360,12 @@
         self.raw(text.as_bytes());
     }
 
+    /// Sends a write of a value of `length` bytes up to the value itself.
+    pub fn begin_write(&mut self, id: &str, facts: &str, length: usize) {
+        let words = format!("${}\r\n{id}\r\n${}\r\n{facts}\r\n", id.len(), facts.len());
+        self.raw(format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n{words}${length}\r\n").as_bytes());
+    }
+
     pub fn get(&mut self, key: &str, id: &str, facts: &str) {
         self.send(&["CACHE.GET", key, id, facts]);
     }
