Reject a value that waits for memory before replies begin when the process ends

A client whose value waited for memory when the process entered Flushing had its rejection queued after the step that begins replies. Nothing woke its connection again, so the reply was never written and the process did not end within 15 s.

Four tests for checks that no test saw go: that one, responses left unread until granted, the first answer's memory, and the wait of a new connection for a descriptor. Each is red with its check taken out.

--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -132,10 +132,10 @@
     async fn serve(&mut self) -> CloseReason {
         loop {
             self.take_commands().await;
-            self.begin_ready_reply();
             if *self.phase.borrow() == Phase::Flushing && self.input.waiting_value().is_some() {
                 self.reject_value();
             }
+            self.begin_ready_reply();
             let is_idle = self.pending.is_empty() && self.outgoing.is_empty();
             if let Some(reason) = self.closing.filter(|_| is_idle) {
                 return reason;
--- a/balancer/tests/memory.rs
+++ b/balancer/tests/memory.rs
@@ -2,21 +2,24 @@
 
 #[path = "../../tests/common/mod.rs"]
 mod common;
+mod stand_ins;
 
-use std::io::{BufRead, BufReader, Write as _};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc::{channel, Receiver};
+use std::io::Write as _;
+use std::net::SocketAddr;
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
 use common::*;
 use socket2::{Domain, Socket, Type};
+use stand_ins::origin_that_reports_waits;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
 const VALUE: usize = 64_000;
 const LONG_VALUE: usize = 4 * 1024 * 1024;
 /// Responses to requests that are sent at once come at once.
 const HOST_DELAY: Duration = Duration::from_millis(50);
+/// The response to a key that begins with `slow` comes after those to requests sent later.
+const SLOW_HOST_DELAY: Duration = Duration::from_millis(300);
 /// How long clients take until they read.
 const SLOWNESS: Duration = Duration::from_secs(2);
 
@@ -47,7 +50,7 @@
 fn host() -> Peer {
     let (value, long) = ("v".repeat(VALUE), "l".repeat(LONG_VALUE));
     Peer::host(move |request| {
-        sleep(HOST_DELAY);
+        sleep(if request.contains(" slow") { SLOW_HOST_DELAY } else { HOST_DELAY });
         if request.contains(" long") {
             hit(&long)
         } else {
@@ -113,6 +116,46 @@
     assert_eq!(answer.len(), VALUE, "{answer:.60}");
 }
 
+/// Guards against the same with the pool of answers full: responses stay in the system's buffers
+/// until their memory is granted.
+#[test]
+fn responses_are_not_read_before_their_memory_is_granted() {
+    const LIMIT_MB: u32 = 16;
+    let hosts: Vec<Peer> = (0..40).map(|_| host()).collect();
+    let program = program(&hosts, [LIMIT_MB, 384]);
+    // Their answers are 15.4 MB, beside the program itself.
+    let mut readers: Vec<Client> = (0..30).map(|_| client_with_small_buffer(&program)).collect();
+    for (number, client) in readers.iter_mut().enumerate() {
+        pipelined_reads(client, number, 8);
+    }
+
+    let began = Instant::now();
+    let mut peak_kb = 0;
+    while began.elapsed() < SLOWNESS / 2 {
+        peak_kb = peak_kb.max(program.anonymous_kb());
+        sleep(Duration::from_millis(2));
+    }
+    assert!(peak_kb < LIMIT_MB * 1024, "{peak_kb} kB of anonymous memory in use");
+    assert!(peak_kb > 2 * 1024, "the reads were not played: {peak_kb} kB");
+}
+
+/// Guards against a client's answers that wait for each other: the first one comes last, and the
+/// memory that it needs is held by those that have to be written after it.
+#[test]
+fn first_answer_finds_memory_although_later_ones_came_before() {
+    let hosts: Vec<Peer> = (0..8).map(|_| host()).collect();
+    let program = program(&hosts, [8, 192]);
+    let mut clients: Vec<Client> = (0..4).map(|_| program.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.get(&format!("slow{number}"), &format!("first{number}"), "c=read,d=1900");
+        pipelined_reads(client, number, 9);
+    }
+    for client in &mut clients {
+        let answer = client.answer();
+        assert_eq!(answer.len(), VALUE, "{answer:.60}");
+    }
+}
+
 #[test]
 fn metrics_show_the_memory_held_by_purpose() {
     let program = program(&[host()], [48, 192]);
@@ -206,26 +249,6 @@
     program.wait_for_counter("values_rejected", 1);
 }
 
-/// Starts an origin that reports the time that each request states, in milliseconds.
-fn origin_that_reports_waits() -> (SocketAddr, Receiver<u64>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    let (sender, waits) = channel();
-    spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let mut writing = stream.try_clone().expect("a second handle");
-            let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
-            let facts = lines.find_map(|line| line.strip_prefix("X-Facts: ").map(str::to_owned));
-            let wait = facts.and_then(|facts| facts.split(",d=").nth(1)?.split(',').next()?.parse().ok());
-            let _ = sender.send(wait.expect("the request states its time"));
-            let _ = writing.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-            // The rest of the request is read before the connection ends.
-            spawn(move || lines.count());
-        }
-    });
-    (address, waits)
-}
-
 /// Guards against a deadline that begins only after the wait for memory: hosts were told that all of
 /// the client's time is left.
 #[test]
@@ -265,3 +288,32 @@
         .metrics("edge_proxy_active 0")
         .contains("invariant_violations{name=\"task_panicked\"} 0"));
 }
+
+/// Guards against requests that are taken and not answered when the process ends: their values lie
+/// whole in the system's buffers and wait for memory.
+#[test]
+fn write_that_waits_for_memory_is_rejected_when_the_process_ends() {
+    const TRICKLED: usize = 100;
+    let (host, origin) = (Peer::host(|_| miss()), origin_that_counts());
+    let known = [entry("a", host.address, "active"), entry("origin", origin.address, "active")];
+    let mut program = Program::managed(BINARY, &known, [16, 192]);
+    // Holds its memory to the end: it is slow, but not silent.
+    let mut holder = program.client();
+    holder.begin_write("held", "c=put,d=1900", LONG_VALUE);
+    holder.raw(&vec![b'h'; LONG_VALUE - TRICKLED]);
+    program.wait_for_counter("request_values", (LONG_VALUE - TRICKLED) as u64);
+    spawn(move || {
+        for _ in 1..TRICKLED {
+            sleep(Duration::from_millis(100));
+            let _ = holder.writing.write_all(b"h");
+        }
+    });
+    let mut client = program.client();
+    write(&mut client, "id1", "c=put,d=60000", 3_000_000);
+
+    program.signal("TERM");
+    let answer = client.answer();
+    assert!(answer.starts_with("-BUSY"), "{answer}");
+    assert!(program.wait_for_exit().success());
+    program.wait_for_log("values_rejected=1");
+}
--- a/balancer/tests/races.rs
+++ b/balancer/tests/races.rs
@@ -15,8 +15,8 @@
 use common::*;
 use expect_test::expect;
 use stand_ins::{
-    breaking_host, four_gated_hosts, long_deadline_settings, one_attempt_in_flight, Departure,
-    StalledListener, EACH_DEPARTURE,
+    breaking_host, four_gated_hosts, long_deadline_settings, one_attempt_in_flight,
+    origin_that_reports_waits, Departure, StalledListener, EACH_DEPARTURE,
 };
 
 /// A key whose response a stand-in holds back, and whose home among the hosts a and b is a.
@@ -330,3 +330,34 @@
         copy = response;
     }
 }
+
+/// Guards against a deadline that begins only after a new connection's wait for a descriptor: hosts
+/// were told that all of the client's time is left.
+#[test]
+fn time_told_to_a_host_is_less_the_wait_for_a_descriptor() {
+    const WAIT: Duration = Duration::from_millis(500);
+    /// What the time told may exceed the time left by. Source: the operators' requirements.
+    const SLACK_MS: u64 = 150;
+    let (hosts, mut known) = four_gated_hosts();
+    let (origin, waits) = origin_that_reports_waits();
+    known.push(entry("origin", origin, "active"));
+    let program =
+        Program::start_with(BINARY, unreachable_address(), &known, [192, 40], &long_deadline_settings());
+    // All descriptors for clients are held by clients that wait for their answers.
+    let mut waiting: Vec<Client> = (0..12).map(|_| program.client()).collect();
+    for (nth, client) in waiting.iter_mut().enumerate() {
+        client.get(&format!("slow{nth}"), &format!("id{nth}"), "c=read,d=9000");
+    }
+    let line = program.wait_for_counter("attempts", 12);
+    assert!(line.contains(" rejected=0 "), "{line}");
+
+    let mut late = program.client();
+    late.send(&["CACHE.SET", "k", "late", "c=put,d=1000", "v"]);
+    let written = Instant::now();
+    thread::sleep(WAIT);
+    drop(hosts);
+
+    let told = waits.recv_timeout(TEST_TIMEOUT).expect("the write is served");
+    let left = 1_000 - written.elapsed().as_millis() as u64;
+    assert!(told <= left + SLACK_MS, "told {told} ms, {left} ms are left");
+}
--- a/balancer/tests/stand_ins/mod.rs
+++ b/balancer/tests/stand_ins/mod.rs
@@ -2,8 +2,8 @@
 //! until the test releases them, clients that leave, and settings under which attempts wait.
 #![allow(dead_code)] // no test file uses all of them
 
-use std::io::Read;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
 use std::time::Duration;
@@ -120,3 +120,23 @@
         (accepted, wrote)
     }
 }
+
+/// Starts an origin that reports the time that each request states, in milliseconds.
+pub fn origin_that_reports_waits() -> (SocketAddr, Receiver<u64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (sender, waits) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut writing = stream.try_clone().expect("a second handle");
+            let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+            let facts = lines.find_map(|line| line.strip_prefix("X-Facts: ").map(str::to_owned));
+            let wait = facts.and_then(|facts| facts.split(",d=").nth(1)?.split(',').next()?.parse().ok());
+            let _ = sender.send(wait.expect("the request states its time"));
+            let _ = writing.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            // The rest of the request is read before the connection ends.
+            thread::spawn(move || lines.count());
+        }
+    });
+    (address, waits)
+}
--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -285,12 +285,21 @@
         self.memory_kb() / 1024
     }
 
+    /// The most memory that was in use, in kB.
     pub fn memory_kb(&self) -> u32 {
+        self.status_kb("VmHWM:")
+    }
+
+    /// The anonymous memory in use now, in kB.
+    pub fn anonymous_kb(&self) -> u32 {
+        self.status_kb("RssAnon:")
+    }
+
+    fn status_kb(&self, name: &str) -> u32 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
             .expect("the program is running");
-        let line =
-            status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the status file has VmHWM");
-        line.trim().trim_end_matches(" kB").parse::<u32>().expect("VmHWM is a number")
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("the status file has it");
+        line.trim().trim_end_matches(" kB").parse::<u32>().expect("the figure is a number")
     }
 
     pub fn wait_for_exit(&mut self) -> ExitStatus {
