--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -153,7 +153,7 @@
             && matches!(client.reply(Duration::from_secs(1)), Ok(Reply::Line(line)) if line == "+PONG")
     }
 
-    /// Sends a signal by its number, which is the same on x86-64 and on arm64.
+    /// Sends a signal by its number.
     pub fn signal(&self, number: i32) {
         unsafe { kill(self.pid() as i32, number) };
     }
@@ -322,7 +322,7 @@
 pub fn reset(stream: &TcpStream) {
     use std::os::fd::AsRawFd;
     let linger: [i32; 2] = [1, 0];
-    // The numbers of SOL_SOCKET and SO_LINGER are those of Linux on x86-64 and on arm64.
+    // SOL_SOCKET and SO_LINGER, as Linux numbers them.
     unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr().cast(), 8) };
 }
 
