Audit at run time the bytes announced and the bytes written of each reply

Change: the first line of each reply is read as a client reads it, and its length compared with the bytes written when the reply ends. A difference violates the invariant reply_length_wrong, the request counts as an error instead of as served, and the connection is closed, so that the next reply is not taken for the rest.

--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -19,7 +19,9 @@
 use super::command::{earliest_arrival, parse, Parsed};
 use super::idle_close::{Activity, Snapshot};
 use super::input::{Command, Input, InputEvent, ProtocolError};
-use super::reply::{encode, next_awaited, take_ready, OutgoingReply, OutputEvent, PendingReply};
+use super::reply::{
+    encode, next_awaited, take_ready, OutgoingReply, OutputEvent, PendingReply, ReplyProgress,
+};
 use super::write_check::WriteCheck;
 use crate::budget::MemoryGrant;
 use crate::lifecycle::Phase;
@@ -405,7 +407,10 @@
     fn handle_output(&mut self, event: OutputEvent) -> ControlFlow<CloseReason> {
         match event {
             OutputEvent::Wrote(Ok(count)) if count > 0 => {
-                self.outgoing.written(count);
+                let progress = self.outgoing.written(count, &self.shared.invariants);
+                if progress == ReplyProgress::LengthWrong {
+                    return ControlFlow::Break(CloseReason::ValueTruncated);
+                }
                 self.activity.replied_in_takeover = *self.phase.borrow() == Phase::Takeover;
                 // The time limit applies to progress: a client that keeps receiving bytes, however
                 // slowly, gets this reply and those after it.
--- a/balancer/src/downstream/mod.rs
+++ b/balancer/src/downstream/mod.rs
@@ -12,6 +12,7 @@
 mod incoming_value;
 mod input;
 mod reply;
+mod reply_audit;
 mod write_check;
 
 pub use accept::accept;
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -10,6 +10,7 @@
 use tokio::io::AsyncWrite;
 use tokio::sync::oneshot;
 
+use super::reply_audit::ReplyAudit;
 use crate::answer_turn::AnswerTurn;
 use crate::budget::MemoryGrant;
 use crate::invariants::{Invariant, Invariants};
@@ -49,6 +50,7 @@
     /// The memory of the reply, or of the piece of a long value that is being written.
     memory: Option<MemoryGrant>,
     request: Option<(ActiveRequest, RequestOutcome)>,
+    audit: ReplyAudit,
 }
 
 /// The result of a step of writing.
@@ -61,6 +63,18 @@
     StreamBroken,
 }
 
+/// What writing to a client led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplyProgress {
+    /// Bytes of the reply are left.
+    Continues,
+    /// The reply was written as its first line announced it.
+    Complete,
+    /// The reply ended with another length than its first line announced: the client can't tell where the
+    /// next reply begins.
+    LengthWrong,
+}
+
 impl OutgoingReply {
     /// Creates a reply from its complete text.
     pub fn ready(text: Bytes) -> OutgoingReply {
@@ -114,15 +128,23 @@
 
     /// Records that `count` bytes were written. With the last byte of the reply the request has
     /// ended for its client.
-    pub fn written(&mut self, count: usize) {
+    pub fn written(&mut self, count: usize, invariants: &Invariants) -> ReplyProgress {
+        self.audit.written(&self.text, count);
         self.text.advance(count);
         if self.text.is_empty() {
             self.text = self.rest.pop_front().unwrap_or_default();
         }
-        if self.is_empty() {
-            self.memory = None;
+        if !self.is_empty() {
+            return ReplyProgress::Continues;
+        }
+        self.memory = None;
+        if self.audit.is_as_announced() {
             self.end_request();
+            return ReplyProgress::Complete;
         }
+        invariants.violated(Invariant::ReplyLengthWrong, format_args!("{}", self.audit));
+        self.fail_request();
+        ReplyProgress::LengthWrong
     }
 
     fn end_request(&mut self) {
@@ -131,6 +153,13 @@
         }
     }
 
+    /// Ends the request as failed, whatever its answer was.
+    fn fail_request(&mut self) {
+        if let Some((request, _)) = self.request.take() {
+            request.finish(RequestOutcome::Error);
+        }
+    }
+
     /// Makes the next chunk of a long value the text, or the terminator after the last chunk. If
     /// the host does not send the rest, the request has failed, and the client learns it from the
     /// close of its connection.
@@ -150,8 +179,7 @@
                 OutputEvent::ChunkReady
             }
             None => {
-                self.request = self.request.take().map(|(request, _)| (request, RequestOutcome::Error));
-                self.end_request();
+                self.fail_request();
                 OutputEvent::StreamBroken
             }
         }
--- a/balancer/src/invariants.rs
+++ b/balancer/src/invariants.rs
@@ -27,11 +27,13 @@
     StatedTimeTooLong,
     /// A task of this process panicked.
     TaskPanicked,
+    /// A reply ended with more or fewer bytes than its first line announced.
+    ReplyLengthWrong,
 }
 
 impl Invariant {
     /// All invariants.
-    pub const EACH: [Invariant; 10] = [
+    pub const EACH: [Invariant; 11] = [
         Invariant::ReplyOwedAtClose,
         Invariant::AnswerMissing,
         Invariant::AnswerLate,
@@ -42,6 +44,7 @@
         Invariant::SentToDrainingHost,
         Invariant::StatedTimeTooLong,
         Invariant::TaskPanicked,
+        Invariant::ReplyLengthWrong,
     ];
 
     /// The invariant's name in the metrics and the log.
@@ -57,6 +60,7 @@
             Invariant::SentToDrainingHost => "sent_to_draining_host",
             Invariant::StatedTimeTooLong => "stated_time_too_long",
             Invariant::TaskPanicked => "task_panicked",
+            Invariant::ReplyLengthWrong => "reply_length_wrong",
         }
     }
 }
--- a/balancer/tests/admin.rs
+++ b/balancer/tests/admin.rs
@@ -91,7 +91,8 @@
         invariant_violations{name="outstanding_past_window"} 0
         invariant_violations{name="sent_to_draining_host"} 0
         invariant_violations{name="stated_time_too_long"} 0
-        invariant_violations{name="task_panicked"} 0"#]]
+        invariant_violations{name="task_panicked"} 0
+        invariant_violations{name="reply_length_wrong"} 0"#]]
     .assert_eq(&page);
 }
 
--- a/wire/src/resp/reply.rs
+++ b/wire/src/resp/reply.rs
@@ -5,7 +5,7 @@
 use super::element::{
     find_element_end, parse_bulk, parse_bulk_head, parse_element_count, parse_line, parse_number,
 };
-use super::{RespError, MAX_BUFFERED_VALUE, MAX_VALUE};
+use super::{RespError, CRLF, MAX_BUFFERED_VALUE, MAX_VALUE};
 
 /// The index of the first element that reports the host's load. Those before it are the value and
 /// the request's status, which have to be valid.
@@ -160,6 +160,18 @@
     }
 }
 
+/// The length of the reply that begins with these bytes, as its first line announces it; `None` while that
+/// line is incomplete. Only strings, errors and numbers are expected, as a balancer sends them.
+pub fn announced_length(beginning: &[u8]) -> Option<usize> {
+    let head = parse_line(beginning, 0).ok()??;
+    if !head.text.starts_with(b"$") {
+        return Some(head.next);
+    }
+    // A null has neither content nor terminator.
+    let content = parse_number(&head.text[1..]).ok().and_then(|length| usize::try_from(length).ok());
+    Some(head.next + content.map_or(0, |length| length + CRLF.len()))
+}
+
 fn status_reply(line: &[u8]) -> BalancerReply {
     match line.strip_prefix(b"-BUSY") {
         Some([]) => BalancerReply::Busy(None),
--- a/wire/tests/resp.rs
+++ b/wire/tests/resp.rs
@@ -1,7 +1,7 @@
 //! RESP2: encoded messages parse to the same content, and no input makes a parser panic.
 
 use basaltwood_wire::body::Body;
-use basaltwood_wire::resp;
+use basaltwood_wire::resp::{self, announced_length};
 use proptest::prelude::*;
 
 /// Copies bytes up to the end of the body; returns their number.
@@ -172,3 +172,13 @@
     let error = resp::parse_balancer_reply(b"?").expect_err("malformed");
     assert_eq!(error.to_string(), "no answer to a command of ours");
 }
+
+#[test]
+fn announced_length_covers_the_whole_reply() {
+    let whole: [&[u8]; 5] = [b"$5\r\nvalue\r\n", b"$0\r\n\r\n", b"$-1\r\n", b"-BUSY 20\r\n", b"+PONG\r\n"];
+    for reply in whole {
+        assert_eq!(announced_length(reply), Some(reply.len()));
+    }
+    assert_eq!(announced_length(b"$80000\r\nfirst bytes"), Some(8 + 80_000 + 2));
+    assert_eq!(announced_length(b"$80000"), None);
+}
