Make head and value of a reply in one place, and read no more than was granted

Cause: a value over 16 KiB was written only if it held a memory grant, while its head was written anyway. The grant for a response of unknown length is asked for before a read past 4 KiB, but a direct read put up to 64 KiB into a buffer that grew with it, so that a chunked response could be whole with no grant.

Change: OutgoingReply::of_value makes head and rest together, whatever holds the memory; WholeValue can't be made without the memory that it needs; Buffer::unfilled offers the allocated space and no more; a response that finds no memory by its deadline fails instead of being read without it.

--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -20,13 +20,13 @@
 use super::idle_close::{Activity, Snapshot};
 use super::input::{Command, Input, InputEvent, ProtocolError};
 use super::reply::{
-    encode, next_awaited, take_ready, OutgoingReply, OutputEvent, PendingReply, ReplyProgress,
+    encode_rejection, next_awaited, take_ready, OutgoingReply, OutputEvent, PendingReply, ReplyProgress,
 };
 use super::write_check::WriteCheck;
 use crate::budget::MemoryGrant;
 use crate::lifecycle::Phase;
 use crate::presence::PresenceGuard;
-use crate::requests::{self, FinalAnswer};
+use crate::requests;
 use crate::shared::Shared;
 
 /// How many commands of one connection may wait for their replies; further ones are left unread.
@@ -364,7 +364,7 @@
             Some(self.shared.metrics.request_started(class, id))
         });
         let retry_after = self.shared.router.borrow().retry_after();
-        let text = encode(&FinalAnswer::Rejected { retry_after });
+        let text = encode_rejection(retry_after);
         self.pending.push_back(PendingReply::Rejected { text, request });
     }
 
--- a/balancer/src/downstream/incoming_value.rs
+++ b/balancer/src/downstream/incoming_value.rs
@@ -9,8 +9,8 @@
 use super::command::client_wait;
 use super::input::{Command, SeparateValue};
 use crate::budget::{MemoryGrant, ValueGrant};
-use crate::request::{WholeValue, MAX_COPIED_VALUE};
 use crate::shared::Shared;
+use crate::value::{WholeValue, MAX_COPIED_VALUE};
 
 /// The longest value that each connection has memory for, in bytes.
 const MAX_SMALL_VALUE: usize = 1024;
--- a/balancer/src/downstream/input.rs
+++ b/balancer/src/downstream/input.rs
@@ -250,7 +250,7 @@
         if !self.reserve_read() {
             return true;
         }
-        matches!(self.buffer.unfilled().map(|room| reader.try_read_buf(room)), Ok(Ok(1..)))
+        matches!(self.buffer.unfilled().map(|mut room| reader.try_read_buf(&mut room)), Ok(Ok(1..)))
     }
 }
 
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::rc::Rc;
 
-use basaltwood_memory_ledger::Purpose;
+use basaltwood::types::Micros;
 use basaltwood_wire::resp;
 use bytes::{Buf, Bytes};
 use tokio::io::AsyncWrite;
@@ -15,9 +15,11 @@
 use crate::budget::MemoryGrant;
 use crate::invariants::{Invariant, Invariants};
 use crate::metrics::{ActiveRequest, RequestOutcome};
-use crate::request::{Piece, StreamedValue, Value, WholeValue, MAX_COPIED_VALUE};
 use crate::requests::{AnswerDelivery, FinalAnswer};
 use crate::socket_io::{write_some, TcpSocket};
+use crate::value::{Piece, StreamedValue, Value, WholeValue, MAX_COPIED_VALUE};
+
+const MICROS_PER_MS: Micros = 1_000;
 
 /// The reply to one command.
 pub enum PendingReply {
@@ -83,26 +85,43 @@
 
     fn of_request(request: ActiveRequest, delivery: AnswerDelivery) -> OutgoingReply {
         let AnswerDelivery { answer, memory } = delivery;
-        let outcome = match &answer {
-            FinalAnswer::Succeeded(_) => RequestOutcome::Ok,
-            FinalAnswer::Rejected { .. } => RequestOutcome::Shed,
-            FinalAnswer::Failed => RequestOutcome::Error,
+        let (mut reply, outcome) = match answer {
+            FinalAnswer::Succeeded(value) => (OutgoingReply::of_value(value), RequestOutcome::Ok),
+            FinalAnswer::Rejected { retry_after } => {
+                (OutgoingReply::ready(encode_rejection(retry_after)), RequestOutcome::Shed)
+            }
+            FinalAnswer::Failed => {
+                (OutgoingReply::ready(resp::encode_error("dead-lettered")), RequestOutcome::Error)
+            }
         };
-        let mut reply = OutgoingReply { text: encode(&answer), memory, ..OutgoingReply::default() };
+        reply.memory = reply.memory.or(memory);
         reply.request = Some((request, outcome));
-        match answer {
-            FinalAnswer::Succeeded(Value::Streamed(stream)) => reply.stream = Some(stream),
-            FinalAnswer::Succeeded(Value::Whole(WholeValue { bytes, memory: Some(memory) })) => {
-                if bytes.len() > MAX_COPIED_VALUE {
-                    reply.rest = VecDeque::from([bytes, Bytes::from_static(resp::CRLF)]);
-                }
-                reply.memory = Some(memory.held_for(Purpose::Replies));
-            }
-            _ => {}
-        }
         reply
     }
 
+    /// The reply with this value: its first line and everything that the line announces.
+    fn of_value(value: Value) -> OutgoingReply {
+        match value {
+            Value::Whole(value) => OutgoingReply::of_whole_value(value),
+            Value::Streamed(stream) => OutgoingReply {
+                text: resp::encode_bulk_head(stream.length),
+                stream: Some(stream),
+                ..OutgoingReply::default()
+            },
+        }
+    }
+
+    fn of_whole_value(value: WholeValue) -> OutgoingReply {
+        let (bytes, memory) = value.into_reply();
+        let (text, rest) = if bytes.len() <= MAX_COPIED_VALUE {
+            (resp::encode_bulk(&bytes), VecDeque::new())
+        } else {
+            let head = resp::encode_bulk_head(bytes.len());
+            (head, VecDeque::from([bytes, Bytes::from_static(resp::CRLF)]))
+        };
+        OutgoingReply { text, rest, memory, ..OutgoingReply::default() }
+    }
+
     /// Whether nothing is left to write.
     pub fn is_empty(&self) -> bool {
         self.text.is_empty() && self.rest.is_empty() && self.stream.is_none()
@@ -220,18 +239,10 @@
     }
 }
 
-/// Encodes a final answer as RESP2; of a value that is not copied, only the head.
-pub fn encode(answer: &FinalAnswer) -> Bytes {
-    match answer {
-        FinalAnswer::Succeeded(Value::Whole(WholeValue { bytes, .. })) if bytes.len() <= MAX_COPIED_VALUE => {
-            resp::encode_bulk(bytes)
-        }
-        FinalAnswer::Succeeded(Value::Whole(value)) => resp::encode_bulk_head(value.bytes.len()),
-        FinalAnswer::Succeeded(Value::Streamed(stream)) => resp::encode_bulk_head(stream.length),
-        FinalAnswer::Rejected { retry_after: Some(time) } => {
-            Bytes::from(format!("-BUSY {}\r\n", time / 1000))
-        }
-        FinalAnswer::Rejected { retry_after: None } => Bytes::from_static(b"-BUSY\r\n"),
-        FinalAnswer::Failed => resp::encode_error("dead-lettered"),
+/// Encodes a rejection, with the time in milliseconds after which a retry makes sense, if there is one.
+pub fn encode_rejection(retry_after: Option<Micros>) -> Bytes {
+    match retry_after {
+        Some(time) => Bytes::from(format!("-BUSY {}\r\n", time / MICROS_PER_MS)),
+        None => Bytes::from_static(b"-BUSY\r\n"),
     }
 }
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -30,6 +30,7 @@
 mod socket_table;
 mod takeover;
 mod upstream;
+mod value;
 mod write_log;
 
 use std::io;
@@ -75,5 +76,5 @@
 
 /// Reads once into a connection's buffer; returns 0 at the end of the stream. Cancel safe.
 async fn read(from: &mut (impl AsyncRead + TcpSocket + Unpin), buffer: &mut Buffer) -> io::Result<usize> {
-    socket_io::read_buf(from, buffer.unfilled()?).await
+    socket_io::read_buf(from, &mut buffer.unfilled()?).await
 }
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -6,20 +6,15 @@
 use basaltwood::types::{AttemptNumber, AttemptOutcome, Micros, RetrySafety};
 use basaltwood_wire::facts;
 use bytes::Bytes;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 use crate::answer_turn::AnswerTurn;
 use crate::budget::{MemoryGrant, ValueGrant};
 use crate::outstanding::OutstandingAttempts;
 use crate::presence::ClientPresence;
+use crate::value::{Value, MAX_COPIED_VALUE};
 use crate::write_log::WriteLog;
 
-/// The maximum length of a value that is copied into the message which it is a part of, in bytes:
-/// one write costs less than three. A longer one is written by itself.
-pub const MAX_COPIED_VALUE: usize = 16 * 1024;
-/// The bytes of a message beside the value that is copied into it.
-const MESSAGE_BYTES: usize = 64;
-
 /// The outcome of an attempt, with the value that it returned, if any.
 pub struct AttemptResult {
     /// How the attempt ended.
@@ -34,71 +29,12 @@
         AttemptResult { outcome: AttemptOutcome::Succeeded, value: Some(value) }
     }
 
-    /// Keeps the memory granted for the response as far as its value needs it.
-    pub fn keep_memory(&mut self, memory: Option<MemoryGrant>) {
-        if let (Some(Value::Whole(value)), Some(mut memory)) = (&mut self.value, memory) {
-            memory.try_resize(WholeValue::memory_needed(value.bytes.len()));
-            value.memory = Some(memory);
-        }
-    }
-
     /// The result of an attempt that returned no value.
     pub fn without_value(outcome: AttemptOutcome) -> AttemptResult {
         AttemptResult { outcome, value: None }
     }
 }
 
-/// A value that an attempt returned.
-pub enum Value {
-    /// The complete value.
-    Whole(WholeValue),
-    /// A value that is too long to be held in memory as a whole.
-    Streamed(StreamedValue),
-}
-
-/// A complete value.
-pub struct WholeValue {
-    /// The value.
-    pub bytes: Bytes,
-    /// The memory granted for it; `None` for a short one, which its request's memory covers.
-    pub memory: Option<MemoryGrant>,
-}
-
-impl WholeValue {
-    /// The memory that a value of this length needs until it is written.
-    pub fn memory_needed(length: usize) -> usize {
-        if length > MAX_COPIED_VALUE {
-            length
-        } else {
-            // The value, and its copy in the message.
-            2 * length + MESSAGE_BYTES
-        }
-    }
-}
-
-impl From<Bytes> for WholeValue {
-    fn from(bytes: Bytes) -> WholeValue {
-        WholeValue { bytes, memory: None }
-    }
-}
-
-/// A piece of a streamed value.
-pub struct Piece {
-    /// The bytes of the piece.
-    pub bytes: Bytes,
-    /// The memory granted beyond what each stream has for a piece.
-    pub memory: Option<MemoryGrant>,
-}
-
-/// A value that is received in chunks, as fast as they are taken. If the chunks end while `length`
-/// is above 0, the host did not send the rest.
-pub struct StreamedValue {
-    /// The number of bytes that are still to come.
-    pub length: usize,
-    /// The chunks, in order.
-    pub pieces: mpsc::Receiver<Piece>,
-}
-
 /// The memory that a request holds until its last attempt has ended.
 pub struct RequestMemory {
     /// The memory reserved for the value, unless the value is small.
--- a/balancer/src/requests.rs
+++ b/balancer/src/requests.rs
@@ -6,7 +6,6 @@
 
 use basaltwood::router::{NewRequest, RequestAction};
 use basaltwood::types::*;
-use bytes::Bytes;
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, JoinError, JoinSet};
 
@@ -14,9 +13,10 @@
 use crate::invariants::Invariant;
 use crate::loop_profile::Stage;
 use crate::panics::{catch_panic, Panicked};
-use crate::request::{AttemptResult, ClientRequest, Value};
+use crate::request::{AttemptResult, ClientRequest};
 use crate::shared::Shared;
 use crate::upstream::AttemptTarget;
+use crate::value::{Value, WholeValue};
 
 /// A final answer that is more than this late violates an invariant: half of the lateness at which
 /// an answer counts as lost; 0.15 s of it allow for a stalled process. Source: the operators'
@@ -222,7 +222,7 @@
     fn succeed(&mut self) {
         log::debug!(request = self.id.0; "request succeeded");
         self.shared.counters.succeeded.add();
-        let value = self.value.take().unwrap_or_else(|| Value::Whole(Bytes::new().into()));
+        let value = self.value.take().unwrap_or_else(|| Value::Whole(WholeValue::empty()));
         self.finish(FinalAnswer::Succeeded(value));
     }
 
--- a/balancer/src/upstream/cache.rs
+++ b/balancer/src/upstream/cache.rs
@@ -7,7 +7,7 @@
 use super::messages::{
     ParseTrailer, ParsedResponse, RequestBytes, ResponseError, Trailer, ValueHead, WholeResponse,
 };
-use crate::request::{AttemptResult, ClientRequest, Value};
+use crate::request::ClientRequest;
 
 /// Encodes the command for a request, with `time_left` as its timeout.
 pub fn encode(request: &ClientRequest, time_left: Micros) -> RequestBytes {
@@ -40,14 +40,12 @@
     }
     let parsed = resp::parse_reply(bytes)?;
     let Some(ParsedReply { reply, end }) = parsed else { return Ok(None) };
-    let result = match reply {
-        Reply::Value(range) => {
-            let value = Bytes::copy_from_slice(&bytes[range]);
-            AttemptResult::succeeded(Value::Whole(value.into()))
-        }
-        Reply::Miss => AttemptResult::without_value(AttemptOutcome::Miss),
-        Reply::Busy => AttemptResult::without_value(AttemptOutcome::Rejected),
-        Reply::Failed => AttemptResult::without_value(AttemptOutcome::Error),
+    let (outcome, value) = match reply {
+        Reply::Value(range) => (AttemptOutcome::Succeeded, Some(Bytes::copy_from_slice(&bytes[range]))),
+        Reply::Miss => (AttemptOutcome::Miss, None),
+        Reply::Busy => (AttemptOutcome::Rejected, None),
+        Reply::Failed => (AttemptOutcome::Error, None),
     };
-    Ok(Some(ParsedResponse::Whole(WholeResponse { result, length: end.consumed, reusable: end.keep_alive })))
+    let response = WholeResponse { outcome, value, length: end.consumed, reusable: end.keep_alive };
+    Ok(Some(ParsedResponse::Whole(response)))
 }
--- a/balancer/src/upstream/messages.rs
+++ b/balancer/src/upstream/messages.rs
@@ -4,12 +4,12 @@
 use std::io;
 
 use basaltwood::policy::SendPermit;
+use basaltwood::types::AttemptOutcome;
 use basaltwood_wire::http;
 use basaltwood_wire::resp::RespError;
 use bytes::Bytes;
 use tokio::io::AsyncWrite;
 
-use crate::request::AttemptResult;
 use crate::socket_io::{write_all, TcpSocket};
 
 /// Bytes from an upstream that are no valid response to the request. Their connection can't be used
@@ -26,7 +26,9 @@
 
 /// A whole response at the front of a buffer.
 pub struct WholeResponse {
-    pub result: AttemptResult,
+    pub outcome: AttemptOutcome,
+    /// The value; `None` if the outcome has none.
+    pub value: Option<Bytes>,
     /// The length of the response, in bytes.
     pub length: usize,
     /// Whether the connection may carry another request.
--- a/balancer/src/upstream/origin.rs
+++ b/balancer/src/upstream/origin.rs
@@ -10,7 +10,7 @@
 use super::messages::{
     ParseTrailer, ParsedResponse, RequestBytes, ResponseError, Trailer, ValueHead, WholeResponse,
 };
-use crate::request::{AttemptResult, ClientRequest, Value};
+use crate::request::ClientRequest;
 
 /// Encodes the HTTP request to the origin at `address`, with `time_left` as its timeout.
 pub fn encode(address: SocketAddr, request: &ClientRequest, time_left: Micros) -> RequestBytes {
@@ -44,13 +44,14 @@
     }
     let parsed = http::parse_response(bytes, MAX_BUFFERED_VALUE)?;
     let Some(response) = parsed else { return Ok(None) };
-    let result = match response.status {
-        200 => AttemptResult::succeeded(Value::Whole(response.body.into())),
-        503 | 504 if response.unprocessed => AttemptResult::without_value(AttemptOutcome::Rejected),
-        _ => AttemptResult::without_value(AttemptOutcome::Error),
+    let (outcome, value) = match response.status {
+        200 => (AttemptOutcome::Succeeded, Some(response.body)),
+        503 | 504 if response.unprocessed => (AttemptOutcome::Rejected, None),
+        _ => (AttemptOutcome::Error, None),
     };
     Ok(Some(ParsedResponse::Whole(WholeResponse {
-        result,
+        outcome,
+        value,
         length: response.consumed,
         reusable: response.keep_alive,
     })))
--- a/balancer/src/upstream/response.rs
+++ b/balancer/src/upstream/response.rs
@@ -18,13 +18,14 @@
 use super::late::LateResponse;
 use super::messages::{ParsedResponse, Trailer, ValueHead, WholeResponse};
 use super::streaming::ValueStream;
-use super::value::{collect_value, CollectedValue, ValueError};
+use super::value::{collect_value, CollectedValue, GrantedBytes, ValueError};
 use super::{SurplusPlace, UpstreamEvent, Upstreams};
 use crate::answer_turn::AnswerTurn;
 use crate::budget::MemoryGrant;
 use crate::outstanding::OutstandingAttempt;
 use crate::read;
-use crate::request::{AttemptResult, StreamedValue, Value, WholeValue};
+use crate::request::AttemptResult;
+use crate::value::{StreamedValue, Value, WholeValue};
 
 /// The memory for a response whose length is unknown until it is whole: the read buffer, and the
 /// value that is copied out of it.
@@ -61,7 +62,10 @@
                 return AttemptResult::without_value(AttemptOutcome::NotSent);
             };
             if !connection.has_room() && memory.is_none() {
-                memory = Some(self.memory_for_unknown_length(deadline).await);
+                let Some(granted) = self.memory_for_unknown_length(deadline).await else {
+                    return self.without_memory();
+                };
+                memory = Some(granted);
             }
             let (mut reader, writer) = connection.stream.split();
             let filled = tokio::select! {
@@ -87,9 +91,8 @@
                 Ok(Some(ParsedResponse::ValueHead(head))) => {
                     return self.collect(now, checked_out, head).await
                 }
-                Ok(Some(ParsedResponse::Whole(mut response))) => {
-                    response.result.keep_memory(memory.flatten());
-                    return self.answered_whole(now, checked_out, response);
+                Ok(Some(ParsedResponse::Whole(response))) => {
+                    return self.answered_whole(now, checked_out, response, memory);
                 }
                 Err(cause) => {
                     log::debug!("host {}: invalid response: {cause}", self.target.host.0);
@@ -179,8 +182,7 @@
             () = self.request.wait_finished() => None,
             memory = self.value_memory(WholeValue::memory_needed(length)) => Some(memory),
             () = sleep_until(deadline) => {
-                self.upstreams.counters.responses_without_memory.add();
-                return AttemptResult::without_value(AttemptOutcome::Cancelled);
+                return self.without_memory();
             }
         };
         let Some(connection) = checked_out.connection() else {
@@ -199,11 +201,39 @@
             Ok(Ok(CollectedValue { value, trailer })) => {
                 let fingerprint =
                     value.as_ref().map(|value| ResponseFingerprint::of(&value.bytes, self.request));
-                let value = value.unwrap_or_else(|| Bytes::new().into());
-                let result = AttemptResult::succeeded(Value::Whole(value));
+                let (value, memory) = match value {
+                    Some(GrantedBytes { bytes, memory }) => (bytes, Some(memory)),
+                    None => (Bytes::new(), None),
+                };
                 let Trailer { length, reusable } = trailer;
-                let response = WholeResponse { result, length, reusable };
-                self.answered(now, checked_out, response, fingerprint, false)
+                let outcome = AttemptOutcome::Succeeded;
+                let response = WholeResponse { outcome, value: Some(value), length, reusable };
+                self.answered(now, checked_out, response, memory, fingerprint, false)
+            }
+        }
+    }
+
+    /// Ends the attempt because no memory was free for its response in time, which is no evidence about
+    /// the host.
+    fn without_memory(&self) -> AttemptResult {
+        self.upstreams.counters.responses_without_memory.add();
+        AttemptResult::without_value(AttemptOutcome::Cancelled)
+    }
+
+    /// The attempt's result by what was parsed, with the memory that was granted for it.
+    fn result(
+        &self,
+        outcome: AttemptOutcome,
+        value: Option<Bytes>,
+        memory: Option<MemoryGrant>,
+    ) -> AttemptResult {
+        let Some(bytes) = value else { return AttemptResult::without_value(outcome) };
+        match WholeValue::new(bytes, memory) {
+            Ok(value) => AttemptResult { outcome, value: Some(Value::Whole(value)) },
+            Err(cause) => {
+                let AttemptKey { request, number } = self.attempt;
+                log::warn!(request = request.0, attempt = number.0, host = self.target.host.0, cause:%; "response dropped");
+                self.without_memory()
             }
         }
     }
@@ -247,6 +277,7 @@
         now: Micros,
         mut checked_out: CheckedOut<'_>,
         response: WholeResponse,
+        memory: Option<MemoryGrant>,
     ) -> AttemptResult {
         let Some(connection) = checked_out.connection() else {
             return AttemptResult::without_value(AttemptOutcome::NotSent);
@@ -254,7 +285,7 @@
         let (response_bytes, behind) = connection.buffer.bytes().split_at(response.length);
         let fingerprint = ResponseFingerprint::of(response_bytes, self.request);
         let is_repeated = response_bytes == behind;
-        self.answered(now, checked_out, response, Some(fingerprint), is_repeated)
+        self.answered(now, checked_out, response, memory, Some(fingerprint), is_repeated)
     }
 
     /// Handles a response whose last bytes are at the front of the buffer. `is_repeated` if the same
@@ -264,10 +295,12 @@
         now: Micros,
         mut checked_out: CheckedOut<'_>,
         response: WholeResponse,
+        memory: Option<MemoryGrant>,
         fingerprint: Option<ResponseFingerprint>,
         is_repeated: bool,
     ) -> AttemptResult {
-        let WholeResponse { result, length, reusable } = response;
+        let WholeResponse { outcome, value, length, reusable } = response;
+        let result = self.result(outcome, value, memory);
         let upstreams = self.upstreams;
         let id = checked_out.id();
         let Some(connection) = checked_out.connection() else {
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -14,8 +14,8 @@
 use super::value::read_trailer;
 use super::{SurplusPlace, UpstreamConnection, Upstreams};
 use crate::budget::{PieceRoom, StreamGrant};
-use crate::request::Piece;
 use crate::socket_io::read_buf;
+use crate::value::Piece;
 
 /// A host that sends no byte of a long value for this long is expected to send no more of it.
 const PIECE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/balancer/src/upstream/value.rs
+++ b/balancer/src/upstream/value.rs
@@ -8,7 +8,6 @@
 use super::UpstreamConnection;
 use crate::budget::MemoryGrant;
 use crate::read;
-use crate::request::WholeValue;
 use crate::socket_io::read_buf;
 
 /// Why a value could not be read.
@@ -19,10 +18,16 @@
     Invalid,
 }
 
+/// The bytes of a value, and the memory granted for them.
+pub struct GrantedBytes {
+    pub bytes: Bytes,
+    pub memory: MemoryGrant,
+}
+
 /// A value that was read whole.
 pub struct CollectedValue {
     /// `None` if it was discarded.
-    pub value: Option<WholeValue>,
+    pub value: Option<GrantedBytes>,
     /// The bytes after the value, which are at the front of the buffer.
     pub trailer: Trailer,
 }
@@ -37,7 +42,7 @@
     let value = match memory {
         Some(memory) => {
             let bytes = read_value(connection, length).await?;
-            Some(WholeValue { bytes, memory: Some(memory) })
+            Some(GrantedBytes { bytes, memory })
         }
         None => {
             discard_value(connection, length).await?;
--- a/balancer/tests/long_values.rs
+++ b/balancer/tests/long_values.rs
@@ -6,7 +6,8 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver};
-use std::thread::spawn;
+use std::thread::{sleep, spawn};
+use std::time::Duration;
 
 use common::*;
 
@@ -291,3 +292,35 @@
         assert!(connections.try_recv().is_err(), "the host gets no other attempt");
     }
 }
+
+/// Guards against an answer whose length only its end tells being passed on as its head alone, when all of
+/// it is read at one go.
+#[test]
+fn chunked_answer_that_is_read_at_one_go_is_passed_on_whole() {
+    let value = "v".repeat(48_000);
+    let chunked = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{value}\r\n0\r\n\r\n",
+        value.len()
+    );
+    let (release, wait) = gate();
+    let origin = Peer::http(move |request| {
+        wait(request);
+        Reply::Text(chunked.clone())
+    });
+    let host = Peer::host(|_| miss());
+    let program = program_at(&[("a", host.address), ("origin", origin.address)], [48, 192]);
+    let mut client = program.client();
+    for nth in 0..5 {
+        client.get("slow", &format!("id{nth}"), "c=read,d=1900");
+        while !origin.next().contains("slow") {}
+        // While the process is stopped the whole answer arrives; the signal that continues it also ends
+        // the runtime's wait before the runtime has seen any of it.
+        program.signal("STOP");
+        release.send(()).expect("the origin waits");
+        sleep(Duration::from_millis(100));
+        program.signal("CONT");
+        assert!(client.answer() == value, "answer {nth} is not the value");
+    }
+    let page = program.metrics("edge_proxy_ok{kind=\"read\"} 5");
+    assert!(page.contains("invariant_violations{name=\"reply_length_wrong\"} 0"), "{page}");
+}
--- a/testbed/src/discovery_calls.rs
+++ b/testbed/src/discovery_calls.rs
@@ -66,8 +66,8 @@
                 self.buffer.consume(request.consumed);
                 return Some(request);
             }
-            let unfilled = self.buffer.unfilled().ok()?;
-            if self.stream.read_buf(unfilled).await.ok()? == 0 {
+            let mut unfilled = self.buffer.unfilled().ok()?;
+            if self.stream.read_buf(&mut unfilled).await.ok()? == 0 {
                 return None;
             }
         }
--- a/testbed/src/load/connection.rs
+++ b/testbed/src/load/connection.rs
@@ -191,10 +191,10 @@
             Ok(false) => {}
             Err(_) => break,
         }
-        let Ok(unfilled) = buffer.unfilled() else { break };
+        let Ok(mut unfilled) = buffer.unfilled() else { break };
         tokio::select! {
             biased;
-            read = reading.read_buf(unfilled) => if !matches!(read, Ok(1..)) { break },
+            read = reading.read_buf(&mut unfilled) => if !matches!(read, Ok(1..)) { break },
             () = connection.changed.notified() => continue,
         }
         if connection.deliver_replies(&mut buffer, balancer, &ledger).is_err() {
--- a/testbed/src/measure.rs
+++ b/testbed/src/measure.rs
@@ -177,8 +177,8 @@
         if !out.is_empty() && stream.write_all(&out.split()).await.is_err() {
             return;
         }
-        let Ok(unfilled) = buffer.unfilled() else { return };
-        if !matches!(stream.read_buf(unfilled).await, Ok(1..)) {
+        let Ok(mut unfilled) = buffer.unfilled() else { return };
+        if !matches!(stream.read_buf(&mut unfilled).await, Ok(1..)) {
             return;
         }
     }
--- a/testbed/src/router/exchange.rs
+++ b/testbed/src/router/exchange.rs
@@ -109,8 +109,8 @@
     }
     let mut buffer = Buffer::new(resp::MAX_BUFFERED_MESSAGE + MAX_HEAD_BYTES);
     loop {
-        let Ok(unfilled) = buffer.unfilled() else { return AttemptOutcome::Failed };
-        let read = timeout_at(deadline, stream.read_buf(unfilled)).await;
+        let Ok(mut unfilled) = buffer.unfilled() else { return AttemptOutcome::Failed };
+        let read = timeout_at(deadline, stream.read_buf(&mut unfilled)).await;
         if !matches!(read, Ok(Ok(1..))) {
             return AttemptOutcome::Failed;
         }
--- a/testbed/src/router/mod.rs
+++ b/testbed/src/router/mod.rs
@@ -181,8 +181,8 @@
                     }
                 }
                 Ok(None) => {
-                    let Ok(unfilled) = buffer.unfilled() else { return };
-                    if !matches!(stream.read_buf(unfilled).await, Ok(1..)) {
+                    let Ok(mut unfilled) = buffer.unfilled() else { return };
+                    if !matches!(stream.read_buf(&mut unfilled).await, Ok(1..)) {
                         return;
                     }
                 }
@@ -200,7 +200,7 @@
     stream.write_all(&request).await.ok()?;
     let mut buffer = Buffer::new(MAX_LIST_BYTES);
     loop {
-        if stream.read_buf(buffer.unfilled().ok()?).await.ok()? == 0 {
+        if stream.read_buf(&mut buffer.unfilled().ok()?).await.ok()? == 0 {
             return None;
         }
         if let Some(response) = http::parse_response(buffer.bytes(), MAX_LIST_BYTES).ok()? {
--- a/testbed/src/scale/fleet.rs
+++ b/testbed/src/scale/fleet.rs
@@ -134,8 +134,8 @@
                 }
             }
             Ok(None) => {
-                let Ok(unfilled) = buffer.unfilled() else { return };
-                let read = timeout(service.idle_timeout, stream.read_buf(unfilled)).await;
+                let Ok(mut unfilled) = buffer.unfilled() else { return };
+                let read = timeout(service.idle_timeout, stream.read_buf(&mut unfilled)).await;
                 if !matches!(read, Ok(Ok(1..))) {
                     return;
                 }
--- a/testbed/src/scale/simulated/exchange.rs
+++ b/testbed/src/scale/simulated/exchange.rs
@@ -48,8 +48,8 @@
     ) -> AttemptOutcome {
         loop {
             let Some(connection) = checked_out.connection() else { return AttemptOutcome::NotSent };
-            let Ok(unfilled) = connection.buffer.unfilled() else { return AttemptOutcome::Error };
-            let read = timeout_at(deadline, connection.stream.read_buf(unfilled)).await;
+            let Ok(mut unfilled) = connection.buffer.unfilled() else { return AttemptOutcome::Error };
+            let read = timeout_at(deadline, connection.stream.read_buf(&mut unfilled)).await;
             let now = self.clock.now();
             match read {
                 Err(_) => {
--- a/testbed/src/scale/simulated/watch.rs
+++ b/testbed/src/scale/simulated/watch.rs
@@ -109,8 +109,8 @@
         stream.write_all(request).await.map_err(timed_out)?;
         self.counters.count(|counters| counters.discovery_bytes_out += request.len() as u64);
         loop {
-            let unfilled = buffer.unfilled().map_err(timed_out)?;
-            let read = stream.read_buf(unfilled).await.map_err(timed_out)?;
+            let mut unfilled = buffer.unfilled().map_err(timed_out)?;
+            let read = stream.read_buf(&mut unfilled).await.map_err(timed_out)?;
             if read == 0 {
                 return Err(WatchError::TimedOut(
                     "connection closed before the end of the response".to_owned(),
--- a/testbed/src/world/host/connection.rs
+++ b/testbed/src/world/host/connection.rs
@@ -136,11 +136,11 @@
     }
 
     async fn read(&mut self) -> ControlFlow<ConnectionState> {
-        let Ok(unfilled) = self.buffer.unfilled() else {
+        let Ok(mut unfilled) = self.buffer.unfilled() else {
             return ControlFlow::Break(ConnectionState::Reset);
         };
         let idle_timeout = to_duration(self.host.settings.idle_timeout);
-        let read = timeout(idle_timeout, self.stream.read_buf(unfilled)).await;
+        let read = timeout(idle_timeout, self.stream.read_buf(&mut unfilled)).await;
         if !matches!(read, Ok(Ok(1..))) {
             return ControlFlow::Break(ConnectionState::Open);
         }
--- a/wire/src/buffer.rs
+++ b/wire/src/buffer.rs
@@ -3,7 +3,8 @@
 
 use std::io;
 
-use bytes::{Buf, BytesMut};
+use bytes::buf::Limit;
+use bytes::{Buf, BufMut, BytesMut};
 
 /// The memory for the first read, in bytes; it doubles as more is needed.
 const READ_STEP: usize = 4 * 1024;
@@ -57,11 +58,12 @@
         self.bytes.capacity() - self.bytes.len()
     }
 
-    /// The buffer with space for the next read. Cancelling that read loses no bytes.
+    /// The space for the next read, which never exceeds the allocation: what is read has its memory, however
+    /// much has arrived. Cancelling that read loses no bytes.
     ///
     /// # Errors
     /// `InvalidData` if the buffer is full.
-    pub fn unfilled(&mut self) -> io::Result<&mut BytesMut> {
+    pub fn unfilled(&mut self) -> io::Result<Limit<&mut BytesMut>> {
         if self.is_full() {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
@@ -75,7 +77,8 @@
             self.bytes = moved;
             self.allocated = capacity;
         }
-        Ok(&mut self.bytes)
+        let spare = self.spare();
+        Ok((&mut self.bytes).limit(spare))
     }
 
     /// Drops `count` parsed bytes from the front.
