Pass on the end of a long value only where the bytes behind it show that it is the end

Cause: a streamed value was ended at its client as soon as the stated bytes had come; what the host sent behind them was checked afterwards and affected the connection alone.

Change: the terminator of the client's bulk string waits until CRLF, the request's status and the first byte of the load report have come. Otherwise the connection ends without it: the client can tell. The failure is counted (values_length_wrong), logged, and is evidence of an error against its host; nothing is sent again. What follows a value is described by a type (ValueEnding) in place of a boxed closure.

--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -61,8 +61,8 @@
     values_rejected,
     // Responses for which no memory was free in the time of their attempt.
     responses_without_memory,
-    // Long values that a host did not send in full.
-    values_truncated,
+    // Long values that a host did not send in full, and those whose head states a wrong length.
+    values_truncated, values_length_wrong,
     // Connections to hosts: opened, reused, found closed when about to be reused.
     connections_opened, connections_reused, connections_stale,
     // Endpoint lists applied; calls to discovery refused for now, timed out or lost, and answered
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -17,7 +17,7 @@
 use crate::metrics::{ActiveRequest, RequestOutcome};
 use crate::requests::{AnswerDelivery, FinalAnswer};
 use crate::socket_io::{write_some, TcpSocket};
-use crate::value::{Piece, StreamedValue, Value, WholeValue, MAX_COPIED_VALUE};
+use crate::value::{Piece, StreamPart, StreamedValue, Value, WholeValue, MAX_COPIED_VALUE};
 
 const MICROS_PER_MS: Micros = 1_000;
 
@@ -61,7 +61,7 @@
     Wrote(io::Result<usize>),
     /// The next chunk of a long value can be written.
     ChunkReady,
-    /// The host did not send the rest of a long value.
+    /// The host did not send the rest of a long value, or the length in its head is wrong.
     StreamBroken,
 }
 
@@ -179,24 +179,23 @@
         }
     }
 
-    /// Makes the next chunk of a long value the text, or the terminator after the last chunk. If
-    /// the host does not send the rest, the request has failed, and the client learns it from the
-    /// close of its connection.
+    /// Makes the next chunk of a long value the text, or the terminator once the value is known to be
+    /// whole. Otherwise the request has failed, and the client learns it from the close of its
+    /// connection: a bulk string without its terminator is not whole.
     async fn next_chunk(&mut self) -> OutputEvent {
         let Some(stream) = &mut self.stream else { return std::future::pending().await };
-        if stream.length == 0 {
-            self.text = Bytes::from_static(resp::CRLF);
-            self.stream = None;
-            self.memory = None;
-            return OutputEvent::ChunkReady;
-        }
-        match stream.pieces.recv().await {
-            Some(Piece { bytes, memory }) => {
-                stream.length -= bytes.len();
+        match stream.parts.recv().await {
+            Some(StreamPart::Piece(Piece { bytes, memory })) => {
                 self.text = bytes;
                 self.memory = memory;
                 OutputEvent::ChunkReady
             }
+            Some(StreamPart::End) => {
+                self.text = Bytes::from_static(resp::CRLF);
+                self.stream = None;
+                self.memory = None;
+                OutputEvent::ChunkReady
+            }
             None => {
                 self.fail_request();
                 OutputEvent::StreamBroken
--- a/balancer/src/shared.rs
+++ b/balancer/src/shared.rs
@@ -141,6 +141,7 @@
                     router.attempt_on_new_connection(now, request, number);
                 }
                 UpstreamEvent::HostAlive(host) => router.host_alive(now, host),
+                UpstreamEvent::ValueInvalid(host) => router.value_invalid(now, host),
                 UpstreamEvent::ProcessStalled(duration) => router.process_stalled(now, duration),
             }
         }
--- a/balancer/src/upstream/cache.rs
+++ b/balancer/src/upstream/cache.rs
@@ -4,9 +4,7 @@
 use basaltwood_wire::resp::{self, LongReply, ParsedReply, Reply, MAX_INLINE_VALUE};
 use bytes::Bytes;
 
-use super::messages::{
-    ParseTrailer, ParsedResponse, RequestBytes, ResponseError, Trailer, ValueHead, WholeResponse,
-};
+use super::messages::{ParsedResponse, RequestBytes, ResponseError, ValueEnding, ValueHead, WholeResponse};
 use crate::request::ClientRequest;
 
 /// Encodes the command for a request, with `time_left` as its timeout.
@@ -32,11 +30,8 @@
     if let Some(LongReply { start, length, trailing_elements }) =
         resp::parse_long_reply_head(bytes, MAX_INLINE_VALUE)
     {
-        let parse_trailer: ParseTrailer = Box::new(move |bytes| {
-            let trailer = resp::parse_after_long_value(bytes, trailing_elements)?;
-            Ok(trailer.map(|end| Trailer { length: end.consumed, reusable: end.keep_alive }))
-        });
-        return Ok(Some(ParsedResponse::ValueHead(ValueHead { start, length, parse_trailer })));
+        let ending = ValueEnding::Elements(trailing_elements);
+        return Ok(Some(ParsedResponse::ValueHead(ValueHead { start, length, ending })));
     }
     let parsed = resp::parse_reply(bytes)?;
     let Some(ParsedReply { reply, end }) = parsed else { return Ok(None) };
--- a/balancer/src/upstream/late.rs
+++ b/balancer/src/upstream/late.rs
@@ -90,7 +90,7 @@
 /// request.
 async fn discard_response(connection: &mut UpstreamConnection, head: ValueHead) -> bool {
     connection.buffer.consume(head.start);
-    let Ok(collected) = collect_value(connection, head.length, None, head.parse_trailer).await else {
+    let Ok(collected) = collect_value(connection, head.length, None, head.ending).await else {
         return false;
     };
     connection.buffer.consume(collected.trailer.length);
--- a/balancer/src/upstream/messages.rs
+++ b/balancer/src/upstream/messages.rs
@@ -6,7 +6,7 @@
 use basaltwood::policy::SendPermit;
 use basaltwood::types::AttemptOutcome;
 use basaltwood_wire::http;
-use basaltwood_wire::resp::RespError;
+use basaltwood_wire::resp::{self, RespError};
 use bytes::Bytes;
 use tokio::io::AsyncWrite;
 
@@ -41,7 +41,8 @@
     pub start: usize,
     /// The length of the value, in bytes.
     pub length: usize,
-    pub parse_trailer: ParseTrailer,
+    /// What follows the value.
+    pub ending: ValueEnding,
 }
 
 /// The bytes that follow a value that was read separately.
@@ -62,8 +63,45 @@
 /// longer value.
 pub type ParseResponse = fn(&[u8]) -> Result<Option<ParsedResponse>, ResponseError>;
 
-/// Parses what follows a long value; `None` until it is complete.
-pub type ParseTrailer = Box<dyn Fn(&[u8]) -> Result<Option<Trailer>, ResponseError>>;
+/// What follows a value that is read separately, by its protocol.
+#[derive(Clone, Copy, Debug)]
+pub enum ValueEnding {
+    /// CRLF and the further elements of a RESP2 array.
+    Elements(i64),
+    /// Nothing: the body of an HTTP response ends with its length.
+    Nothing {
+        /// Whether the connection may carry another request.
+        reusable: bool,
+    },
+}
+
+impl ValueEnding {
+    /// Whether the bytes after the value show that it ended where its head said; false while that is not
+    /// known.
+    ///
+    /// # Errors
+    /// The length in the head is wrong.
+    pub fn is_value_whole(self, bytes: &[u8]) -> Result<bool, ResponseError> {
+        match self {
+            ValueEnding::Elements(count) => Ok(resp::is_long_value_whole(bytes, count)?),
+            ValueEnding::Nothing { .. } => Ok(true),
+        }
+    }
+
+    /// Parses what follows the value; `None` until it is complete.
+    ///
+    /// # Errors
+    /// The bytes are not what follows a value.
+    pub fn parse(self, bytes: &[u8]) -> Result<Option<Trailer>, ResponseError> {
+        match self {
+            ValueEnding::Elements(count) => {
+                let end = resp::parse_after_long_value(bytes, count)?;
+                Ok(end.map(|end| Trailer { length: end.consumed, reusable: end.keep_alive }))
+            }
+            ValueEnding::Nothing { reusable } => Ok(Some(Trailer { length: 0, reusable })),
+        }
+    }
+}
 
 /// An encoded request.
 pub struct RequestBytes {
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -57,6 +57,8 @@
     NewConnection(AttemptKey),
     /// The host answered again after a silence, and was not restarted.
     HostAlive(HostId),
+    /// The host sent a value whose length is wrong, in a response that was taken for a success.
+    ValueInvalid(HostId),
     /// This process stalled for this long.
     ProcessStalled(Micros),
 }
--- a/balancer/src/upstream/origin.rs
+++ b/balancer/src/upstream/origin.rs
@@ -7,9 +7,7 @@
 use basaltwood_wire::http::{self, LongResponse};
 use basaltwood_wire::resp::{MAX_BUFFERED_VALUE, MAX_INLINE_VALUE, MAX_VALUE};
 
-use super::messages::{
-    ParseTrailer, ParsedResponse, RequestBytes, ResponseError, Trailer, ValueHead, WholeResponse,
-};
+use super::messages::{ParsedResponse, RequestBytes, ResponseError, ValueEnding, ValueHead, WholeResponse};
 use crate::request::ClientRequest;
 
 /// Encodes the HTTP request to the origin at `address`, with `time_left` as its timeout.
@@ -37,9 +35,8 @@
     if let Some(LongResponse { head, body_length: length }) = long {
         if head.status == 200 {
             let (start, reusable) = (head.consumed, head.keep_alive);
-            // Nothing follows the body of an HTTP response.
-            let parse_trailer: ParseTrailer = Box::new(move |_| Ok(Some(Trailer { length: 0, reusable })));
-            return Ok(Some(ParsedResponse::ValueHead(ValueHead { start, length, parse_trailer })));
+            let ending = ValueEnding::Nothing { reusable };
+            return Ok(Some(ParsedResponse::ValueHead(ValueHead { start, length, ending })));
         }
     }
     let parsed = http::parse_response(bytes, MAX_BUFFERED_VALUE)?;
--- a/balancer/src/upstream/response.rs
+++ b/balancer/src/upstream/response.rs
@@ -162,18 +162,18 @@
         connection.buffer.consume(head.start);
         let id = checked_out.id();
         self.upstreams.pools.borrow_mut().response_begun(now, id);
-        let (sender, pieces) = mpsc::channel(1);
-        let ValueHead { length, parse_trailer, .. } = head;
-        let stream = ValueStream { host: self.target.host, id, connection, length, parse_trailer };
+        let (sender, parts) = mpsc::channel(1);
+        let ValueHead { length, ending, .. } = head;
+        let stream = ValueStream { host: self.target.host, id, connection, length, ending };
         spawn_local(self.upstreams.clone().stream_value(stream, sender));
-        AttemptResult::succeeded(Value::Streamed(StreamedValue { length, pieces }))
+        AttemptResult::succeeded(Value::Streamed(StreamedValue { length, parts }))
     }
 
     /// Reads a value whose head was read into memory granted for it. Until it is granted, the value
     /// stays in the system's buffers. Nothing is granted once the request is over: the value is then
     /// read only to use the connection again.
     async fn collect(&self, now: Micros, mut checked_out: CheckedOut<'_>, head: ValueHead) -> AttemptResult {
-        let ValueHead { start, length, parse_trailer } = head;
+        let ValueHead { start, length, ending } = head;
         let deadline = self.deadline_at();
         // The host has responded, however long its value waits here.
         self.upstreams.pools.borrow_mut().response_begun(now, checked_out.id());
@@ -189,7 +189,7 @@
             return AttemptResult::without_value(AttemptOutcome::NotSent);
         };
         connection.buffer.consume(start);
-        let collected = collect_value(connection, length, memory, parse_trailer);
+        let collected = collect_value(connection, length, memory, ending);
         let collected = timeout_at(deadline, collected).await;
         let now = self.upstreams.clock.now();
         match collected {
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -10,16 +10,16 @@
 use tokio::time::{timeout, Instant};
 
 use super::checkout::CheckedOut;
-use super::messages::{ParseTrailer, Trailer};
-use super::value::read_trailer;
-use super::{SurplusPlace, UpstreamConnection, Upstreams};
+use super::messages::{Trailer, ValueEnding};
+use super::value::{read_end, read_trailer, ValueError};
+use super::{SurplusPlace, UpstreamConnection, UpstreamEvent, Upstreams};
 use crate::budget::{PieceRoom, StreamGrant};
 use crate::socket_io::read_buf;
-use crate::value::Piece;
+use crate::value::{Piece, StreamPart};
 
 /// A host that sends no byte of a long value for this long is expected to send no more of it.
 const PIECE_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long to wait for the bytes after a long value; the client has its value already.
+/// How long to wait for the rest of a response whose value was passed on.
 const TRAILER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A long value on its way from a host.
@@ -30,26 +30,45 @@
     pub connection: UpstreamConnection,
     /// The length of the value, in bytes.
     pub length: usize,
-    pub parse_trailer: ParseTrailer,
+    /// What follows the value.
+    pub ending: ValueEnding,
+}
+
+/// Why a value was not passed on whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamFailure {
+    /// The host sent no more of it.
+    Truncated {
+        /// The bytes that are missing.
+        left: usize,
+    },
+    /// What follows the value shows that the length in its head is wrong.
+    LengthWrong,
+    /// Nobody reads it any more.
+    ClientGone,
 }
 
 impl Upstreams {
     /// Streams a long value, reading only as fast as its pieces are taken. For the policy the
-    /// attempt has ended; the result of the stream affects only the connection.
-    pub(super) async fn stream_value(self: Rc<Upstreams>, value: ValueStream, pieces: mpsc::Sender<Piece>) {
-        let ValueStream { host, id, connection, length, parse_trailer } = value;
+    /// attempt has ended; the result of the stream affects only the host's health and the connection.
+    pub(super) async fn stream_value(
+        self: Rc<Upstreams>,
+        value: ValueStream,
+        parts: mpsc::Sender<StreamPart>,
+    ) {
+        let ValueStream { host, id, connection, length, ending } = value;
         let mut checked_out = CheckedOut::new(&self, id, connection);
         let Some(connection) = checked_out.connection() else { return };
         let window = tokio::select! {
             window = self.budget.memory.start_stream() => window,
-            () = pieces.closed() => return,
+            () = parts.closed() => return,
         };
-        let whole = self.send_pieces(host, connection, length, &window, &pieces).await;
-        if !whole {
+        if let Err(failure) = pass_on(connection, length, ending, &window, &parts).await {
+            self.record_stream_failure(host, id, failure);
             return;
         }
-        drop((pieces, window));
-        let trailer = timeout(TRAILER_TIMEOUT, read_trailer(connection, parse_trailer)).await;
+        drop((parts, window));
+        let trailer = timeout(TRAILER_TIMEOUT, read_trailer(connection, ending)).await;
         let Ok(Ok(Trailer { length, reusable })) = trailer else { return };
         connection.buffer.consume(length);
         connection.history.response_read(Instant::now());
@@ -66,30 +85,48 @@
         }
     }
 
-    /// Passes on the pieces of a value; returns whether all of them were passed on.
-    async fn send_pieces(
-        &self,
-        host: HostId,
-        connection: &mut UpstreamConnection,
-        length: usize,
-        window: &StreamGrant,
-        pieces: &mpsc::Sender<Piece>,
-    ) -> bool {
-        let mut left = length;
-        while left > 0 {
-            let PieceRoom { max_bytes, grant } = window.piece_room(left);
-            let Some(bytes) = next_piece(connection, max_bytes).await else {
-                // The client notices: its connection ends before the announced length.
-                self.counters.values_truncated.add();
-                log::debug!("host {}: a value ended {left} bytes before its end", host.0);
-                return false;
-            };
-            left -= bytes.len();
-            if pieces.send(Piece { bytes, memory: grant }).await.is_err() {
-                return false;
+    /// Counts and logs a value that was not passed on whole. A wrong length is a failed attempt that has
+    /// run, found out after the policy was told of a success.
+    fn record_stream_failure(&self, host: HostId, connection: ConnectionId, failure: StreamFailure) {
+        match failure {
+            StreamFailure::ClientGone => return,
+            StreamFailure::Truncated { .. } => self.counters.values_truncated.add(),
+            StreamFailure::LengthWrong => {
+                self.counters.values_length_wrong.add();
+                self.record_event(UpstreamEvent::ValueInvalid(host));
             }
         }
-        true
+        log::debug!(host = host.0, connection = connection.0, failure:?; "long value not passed on whole");
+    }
+}
+
+/// Passes on a value. Its end is passed on once the bytes behind it show that it is the end: until then
+/// the client waits for the terminator of its bulk string.
+async fn pass_on(
+    connection: &mut UpstreamConnection,
+    length: usize,
+    ending: ValueEnding,
+    window: &StreamGrant,
+    parts: &mpsc::Sender<StreamPart>,
+) -> Result<(), StreamFailure> {
+    let mut left = length;
+    while left > 0 {
+        let PieceRoom { max_bytes, grant } = window.piece_room(left);
+        let Some(bytes) = next_piece(connection, max_bytes).await else {
+            return Err(StreamFailure::Truncated { left });
+        };
+        left -= bytes.len();
+        let piece = StreamPart::Piece(Piece { bytes, memory: grant });
+        parts.send(piece).await.map_err(|_| StreamFailure::ClientGone)?;
+    }
+    let end = tokio::select! {
+        end = timeout(PIECE_TIMEOUT, read_end(connection, ending)) => end,
+        () = parts.closed() => return Err(StreamFailure::ClientGone),
+    };
+    match end {
+        Ok(Ok(())) => parts.send(StreamPart::End).await.map_err(|_| StreamFailure::ClientGone),
+        Ok(Err(ValueError::Invalid)) => Err(StreamFailure::LengthWrong),
+        Ok(Err(ValueError::ConnectionEnded)) | Err(_) => Err(StreamFailure::Truncated { left: 0 }),
     }
 }
 
--- a/balancer/src/upstream/value.rs
+++ b/balancer/src/upstream/value.rs
@@ -4,7 +4,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
-use super::messages::{ParseTrailer, Trailer};
+use super::messages::{ResponseError, Trailer, ValueEnding};
 use super::UpstreamConnection;
 use crate::budget::MemoryGrant;
 use crate::read;
@@ -37,7 +37,7 @@
     connection: &mut UpstreamConnection,
     length: usize,
     memory: Option<MemoryGrant>,
-    parse_trailer: ParseTrailer,
+    ending: ValueEnding,
 ) -> Result<CollectedValue, ValueError> {
     let value = match memory {
         Some(memory) => {
@@ -49,18 +49,31 @@
             None
         }
     };
-    let trailer = read_trailer(connection, parse_trailer).await?;
+    let trailer = read_trailer(connection, ending).await?;
     Ok(CollectedValue { value, trailer })
 }
 
 /// Reads what follows a value; it stays at the front of the buffer.
 pub async fn read_trailer(
     connection: &mut UpstreamConnection,
-    parse_trailer: ParseTrailer,
+    ending: ValueEnding,
 ) -> Result<Trailer, ValueError> {
+    read_until(connection, |bytes| ending.parse(bytes)).await
+}
+
+/// Reads what follows a value until that shows that the value ended where its head said.
+pub async fn read_end(connection: &mut UpstreamConnection, ending: ValueEnding) -> Result<(), ValueError> {
+    read_until(connection, |bytes| Ok(ending.is_value_whole(bytes)?.then_some(()))).await
+}
+
+/// Reads into the buffer until its bytes parse.
+async fn read_until<T>(
+    connection: &mut UpstreamConnection,
+    parse: impl Fn(&[u8]) -> Result<Option<T>, ResponseError>,
+) -> Result<T, ValueError> {
     loop {
-        match parse_trailer(connection.buffer.bytes()) {
-            Ok(Some(trailer)) => return Ok(trailer),
+        match parse(connection.buffer.bytes()) {
+            Ok(Some(parsed)) => return Ok(parsed),
             Ok(None) if connection.has_room() => {}
             Ok(None) | Err(_) => return Err(ValueError::Invalid),
         }
--- a/balancer/src/value.rs
+++ b/balancer/src/value.rs
@@ -83,11 +83,19 @@
     pub memory: Option<MemoryGrant>,
 }
 
-/// A value that is received in chunks, as fast as they are taken. If the chunks end while `length`
-/// is above 0, the host did not send the rest.
+/// A part of a streamed value.
+pub enum StreamPart {
+    /// The next bytes.
+    Piece(Piece),
+    /// The value is whole: what its host sent behind it shows that it ended where its head said.
+    End,
+}
+
+/// A value that is received in parts, as fast as they are taken. If the parts end without
+/// [`StreamPart::End`], the host did not send the rest, or the length in its head is wrong.
 pub struct StreamedValue {
-    /// The number of bytes that are still to come.
+    /// The length of the value, in bytes.
     pub length: usize,
-    /// The chunks, in order.
-    pub pieces: mpsc::Receiver<Piece>,
+    /// The parts, in order.
+    pub parts: mpsc::Receiver<StreamPart>,
 }
--- a/src/mailboxes.rs
+++ b/src/mailboxes.rs
@@ -24,6 +24,8 @@
     AttemptEnded { attempt: AttemptKey, outcome: AttemptOutcome, elapsed: Micros },
     /// The host answered on a connection from before it fell silent.
     Alive,
+    /// A value of the host turned out to be invalid after its attempt had counted as a success.
+    ValueInvalid,
     /// This process was stalled for this time.
     ProcessStalled(Micros),
     /// The concurrency limit that the predecessor process learned for the host.
--- a/src/policy/host.rs
+++ b/src/policy/host.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Adds the evidence of an error: a value turned out to be invalid after its attempt had counted as a
+    /// success.
+    pub fn value_invalid(&mut self) {
+        self.failure_evidence += ERROR_EVIDENCE;
+    }
+
     /// Suspects the host if there is enough evidence against its health. Ends its ejection after
     /// `MIN_EJECTION_TIME` or longer, if no answer has ended it before.
     pub fn sweep(&mut self, fleet: FleetMeasures, mailboxes: &mut Mailboxes) {
--- a/src/router.rs
+++ b/src/router.rs
@@ -277,6 +277,11 @@
         self.handle(now, PolicyEvent::HostAlive { host });
     }
 
+    /// Reports that a host sent an invalid value in a response that was reported as a success.
+    pub fn value_invalid(&mut self, now: Micros, host: HostId) {
+        self.handle(now, PolicyEvent::ValueInvalid { host });
+    }
+
     /// Reports that this process was stalled for `span`.
     pub fn process_stalled(&mut self, now: Micros, span: Micros) {
         self.handle(now, PolicyEvent::ProcessStalled(span));
--- a/src/types/events.rs
+++ b/src/types/events.rs
@@ -170,6 +170,12 @@
         /// The host.
         host: HostId,
     },
+    /// A response that was reported as a success turned out to be invalid while its value was passed on:
+    /// the attempt has run and failed.
+    ValueInvalid {
+        /// The host.
+        host: HostId,
+    },
     /// This process was stalled for this time; silence of a host meanwhile is no evidence.
     ProcessStalled(Micros),
     /// A timer that the policy set is due.
--- a/wire/src/resp/mod.rs
+++ b/wire/src/resp/mod.rs
@@ -15,8 +15,8 @@
 };
 pub use error::RespError;
 pub use reply::{
-    announced_length, parse_after_long_value, parse_balancer_reply, parse_long_reply_head, parse_reply,
-    BalancerReply, LongReply, MessageEnd, ParsedReply, Reply,
+    announced_length, is_long_value_whole, parse_after_long_value, parse_balancer_reply,
+    parse_long_reply_head, parse_reply, BalancerReply, LongReply, MessageEnd, ParsedReply, Reply,
 };
 
 /// The maximum length of a value that is parsed with its message, in bytes. The memory for a longer
--- a/wire/src/resp/reply.rs
+++ b/wire/src/resp/reply.rs
@@ -90,6 +90,30 @@
     }
 }
 
+/// Whether the bytes after a long value, from its CRLF on, show that the value ended where its head said; false
+/// while that is not known. The request's status has come in full then, and a load report, if one is announced,
+/// has begun: a value whose head says too much would have taken them for its own.
+///
+/// # Errors
+/// The value is not followed by CRLF and a valid status, so the length in its head is wrong.
+pub fn is_long_value_whole(bytes: &[u8], trailing_elements: i64) -> Result<bool, RespError> {
+    if !CRLF.starts_with(&bytes[..bytes.len().min(CRLF.len())]) {
+        return Err(RespError::MissingBulkStringEnd);
+    }
+    if bytes.len() < CRLF.len() {
+        return Ok(false);
+    }
+    let mut at = CRLF.len();
+    for _ in 1..FIRST_LOAD_ELEMENT.min(trailing_elements + 1) {
+        match find_element_end(bytes, at, 1)? {
+            Some(next) => at = next,
+            None => return Ok(false),
+        }
+    }
+    let has_load_report = trailing_elements >= FIRST_LOAD_ELEMENT;
+    Ok(!has_load_report || bytes.len() > at)
+}
+
 /// Finds the end of the elements after the value of a reply.
 fn trailing_end(bytes: &[u8], mut at: usize, count: i64) -> Result<Option<MessageEnd>, RespError> {
     for index in 1..=count {
