Begin nothing that must be told of behind a reply that can break off

Cause: commands were begun whatever came before them. Nothing can be written behind half a value, and a value is known to be long only with its head, which may come after the requests behind it have begun.

Change: src/policy/pipelining.rs decides. A write, or a request that is not harmless to repeat, begins once every reply before it is whole in memory; nothing begins behind a value that is being passed on. A request that waits is rejected when its time is over or the process ends. Harmless reads still begin behind reads; if one before them turns out to be long, it is held back until it is whole, 1 s at most and within the memory, so that a break-off fails like that of a short value. Receipts of writes are never streamed. A connection that ends behind a broken value with such a request begun violates reply_owed_at_close.

--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -49,6 +49,9 @@
     // Clients accepted, closed to free a descriptor for others, and closed for being slow;
     // requests; malformed commands.
     clients, clients_shed, clients_slow, requests, malformed,
+    // Requests that had to wait for replies before their own, and those of them that were rejected
+    // because their time was over or the process ended.
+    requests_held, requests_held_rejected,
     // How requests ended; `abandoned` if the client had left.
     succeeded, rejected, failed, abandoned,
     // Attempts started, and how they ended.
--- a/balancer/src/downstream/closing.rs
+++ b/balancer/src/downstream/closing.rs
@@ -78,17 +78,20 @@
     pub reason: CloseReason,
     /// The number of replies that were not written in full.
     pub pending_replies: usize,
+    /// The number of requests among them that have begun and whose client has to be told how they ended.
+    pub untold_effects: usize,
 }
 
 /// Closes a client's connection. Returns once the client has closed too, has received everything,
 /// or is no longer waited for.
 pub async fn close(shared: &Rc<Shared>, mut stream: TcpStream, closed: Closed) {
-    let Closed { number, reason, pending_replies } = closed;
-    log::debug!(client = number, reason:?, owed = pending_replies; "client connection ends");
-    if pending_replies > 0 && !reason.allows_pending_replies() {
+    let Closed { number, reason, pending_replies, untold_effects } = closed;
+    log::debug!(client = number, reason:?, owed = pending_replies, untold_effects; "client connection ends");
+    let is_truncated = reason == CloseReason::ValueTruncated;
+    if (pending_replies > 0 && !reason.allows_pending_replies()) || (untold_effects > 0 && is_truncated) {
         shared.invariants.violated(
             Invariant::ReplyOwedAtClose,
-            format_args!("client {number}, {reason:?}, {pending_replies} replies pending"),
+            format_args!("client {number}, {reason:?}, {pending_replies} replies pending, {untold_effects} with effects"),
         );
     }
     if !reason.client_may_read() || stream.shutdown().await.is_err() {
--- a/balancer/src/downstream/command.rs
+++ b/balancer/src/downstream/command.rs
@@ -9,11 +9,12 @@
 use basaltwood_wire::resp;
 use bytes::Bytes;
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 use super::input::{Command, SeparateValue};
 use crate::lifecycle::Phase;
 use crate::outstanding::OutstandingAttempts;
+use crate::pipeline_slot::PipelineSlot;
 use crate::presence::ClientPresence;
 use crate::request::{ClientRequest, RequestMemory};
 use crate::shared::Shared;
@@ -55,6 +56,14 @@
     IdInUse,
 }
 
+/// The connection that a command came on, as its request sees it.
+pub struct CommandOrigin {
+    /// Whether the client is still connected.
+    pub client: ClientPresence,
+    /// Notified when more is known of a reply of the connection.
+    pub replies_changed: Rc<Notify>,
+}
+
 /// What a command was parsed into.
 pub enum Parsed {
     /// A request for the policy. Its id is reserved.
@@ -73,12 +82,12 @@
     command: Command,
     arrived_at: Micros,
     phase: Phase,
-    client: ClientPresence,
+    origin: CommandOrigin,
 ) -> Parsed {
     let words = &command.words;
     let name = words[0].to_ascii_uppercase();
     match &name[..] {
-        b"CACHE.GET" | b"CACHE.SET" => match request(shared, command, arrived_at, client) {
+        b"CACHE.GET" | b"CACHE.SET" => match request(shared, command, arrived_at, origin) {
             Ok((request, new_request)) => Parsed::Request(Rc::new(request), new_request),
             Err(cause) => Parsed::Malformed(resp::encode_error(&cause.to_string())),
         },
@@ -98,7 +107,7 @@
     shared: &Shared,
     command: Command,
     arrived_at: Micros,
-    client: ClientPresence,
+    origin: CommandOrigin,
 ) -> Result<(ClientRequest, NewRequest), RequestError> {
     let Command { words, value: separate_value, memory: words_memory } = command;
     let mut words = words.into_iter();
@@ -135,7 +144,8 @@
         retry_safety,
         write_log: WriteLog::default(),
         outstanding: OutstandingAttempts::new(shared.clock.clone(), retry_safety, new_request.deadline),
-        client,
+        slot: Rc::new(PipelineSlot::new(is_write, origin.replies_changed)),
+        client: origin.client,
         finished: watch::Sender::new(false),
     };
     Ok((request, new_request))
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use basaltwood::policy::{may_begin_behind, EarlierReply};
 use basaltwood::types::Micros;
 use basaltwood_memory_ledger::Purpose;
 use basaltwood_wire::resp;
@@ -16,15 +17,17 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::closing::{CloseReason, Closed};
-use super::command::{earliest_arrival, parse, Parsed};
+use super::command::{earliest_arrival, parse, CommandOrigin, Parsed};
 use super::idle_close::{Activity, Snapshot};
 use super::input::{Command, Input, InputEvent, ProtocolError};
 use super::reply::{
-    encode_rejection, next_awaited, take_ready, OutgoingReply, OutputEvent, PendingReply, ReplyProgress,
+    encode_rejection, next_awaited, take_ready, AwaitedReply, OutgoingReply, OutputEvent, PendingReply,
+    ReplyProgress,
 };
 use super::write_check::WriteCheck;
 use crate::budget::MemoryGrant;
 use crate::lifecycle::Phase;
+use crate::pipeline_slot::Clearance;
 use crate::presence::PresenceGuard;
 use crate::requests;
 use crate::shared::Shared;
@@ -60,6 +63,8 @@
 enum Event {
     Input(InputEvent),
     MemoryFreed,
+    /// More is known of a reply that requests may wait for.
+    ReplyKnown,
     Reply(Option<OutgoingReply>),
     Output(OutputEvent),
     TimedOut,
@@ -89,6 +94,8 @@
     closing: Option<CloseReason>,
     activity: Activity,
     shed_wakeup: Rc<Notify>,
+    /// Notified when more is known of a reply that is awaited.
+    replies_changed: Rc<Notify>,
     /// Dropped with this connection: no attempt begins for the client afterwards.
     presence: PresenceGuard,
 }
@@ -120,6 +127,7 @@
             closing: None,
             activity: Activity::new(),
             shed_wakeup: Rc::default(),
+            replies_changed: Rc::default(),
             presence: PresenceGuard::default(),
         }
     }
@@ -128,15 +136,27 @@
     pub async fn run(mut self) -> Closed {
         let reason = self.serve().await;
         let being_written = usize::from(!self.outgoing.is_empty());
-        Closed { number: self.number, reason, pending_replies: self.pending.len() + being_written }
+        Closed {
+            number: self.number,
+            reason,
+            pending_replies: self.pending.len() + being_written,
+            untold_effects: self.untold_effects(),
+        }
+    }
+
+    /// How many requests have begun whose effect must not go untold, and are not answered.
+    fn untold_effects(&self) -> usize {
+        let awaited = self.pending.iter().filter_map(PendingReply::awaited_request);
+        awaited.filter(|request| !request.slot.is_held() && request.must_be_told()).count()
     }
 
     async fn serve(&mut self) -> CloseReason {
         loop {
             self.take_commands().await;
-            if *self.phase.borrow() == Phase::Flushing && self.input.waiting_value().is_some() {
-                self.reject_value();
+            if *self.phase.borrow() == Phase::Flushing {
+                self.refuse_what_has_not_begun();
             }
+            begin_requests(self.outgoing.as_earlier_reply(), &self.pending);
             self.begin_ready_reply();
             let is_idle = self.pending.is_empty() && self.outgoing.is_empty();
             if let Some(reason) = self.closing.filter(|_| is_idle) {
@@ -191,13 +211,15 @@
         let phase = *self.phase.borrow();
         let arrived_at = self.input.unread.arrived_at(earliest_arrival(self.shared));
         self.input.unread.wait_for_others();
-        match parse(self.shared, command, arrived_at, phase, self.presence.presence()) {
+        let origin =
+            CommandOrigin { client: self.presence.presence(), replies_changed: self.replies_changed.clone() };
+        match parse(self.shared, command, arrived_at, phase, origin) {
             Parsed::Request(request, new_request) => {
                 let (delivery, awaited) = oneshot::channel();
                 let active = self.shared.metrics.request_started(new_request.class, request.id.clone());
                 log::debug!(client = self.number, client_id:% = String::from_utf8_lossy(&request.id); "command read");
-                let turn = request.turn.clone();
-                self.pending.push_back(PendingReply::Awaited { delivery: awaited, request: active, turn });
+                let reply = AwaitedReply { delivery: awaited, active, request: request.clone() };
+                self.pending.push_back(PendingReply::Awaited(reply));
                 let task = requests::serve(self.shared.clone(), request, new_request, delivery, memory);
                 spawn_local(task);
             }
@@ -237,6 +259,17 @@
         }
     }
 
+    /// Rejects a value that waits for memory, and the requests that wait for replies before theirs.
+    fn refuse_what_has_not_begun(&mut self) {
+        if self.input.waiting_value().is_some() {
+            self.reject_value();
+        }
+        let awaited = self.pending.iter().filter_map(PendingReply::awaited_request);
+        awaited
+            .filter(|request| request.slot.is_held())
+            .for_each(|request| request.slot.decide(Clearance::Refused));
+    }
+
     fn begin_ready_reply(&mut self) {
         self.pending.front().inspect(|reply| reply.set_next());
         if !self.outgoing.is_empty() {
@@ -296,7 +329,7 @@
     fn read_plan(&mut self, snapshot: &Snapshot) -> ReadPlan {
         let may_read = self.closing.is_none() && !snapshot.drain_overdue && snapshot.phase != Phase::Flushing;
         let takes_commands = may_read && self.pending.len() < self.max_pending();
-        let awaits_reply = self.pending.iter().any(|reply| matches!(reply, PendingReply::Awaited { .. }));
+        let awaits_reply = self.pending.iter().any(|reply| reply.awaited_request().is_some());
         let works_for_client = snapshot.awaits_memory || awaits_reply;
         // While a request is in progress, commands past the limit are read into the buffer too: if
         // unread bytes filled the client's window, its disconnect would go unnoticed, and its
@@ -325,6 +358,8 @@
         let awaits_command = snapshot.is_partial || !self.activity.had_command;
         let waits_for_memory = plan.takes_commands && !plan.reads;
         let is_writing = !self.outgoing.is_empty();
+        let mut awaited = self.pending.iter().filter_map(PendingReply::awaited_request);
+        let requests_held = awaited.any(|request| request.slot.is_held());
         let budget = &self.shared.budget;
         let input = self.input.wait(&mut self.reader, plan.reads);
         let output = self.outgoing.advance(&mut self.writer);
@@ -334,6 +369,7 @@
             biased;
             event = input, if plan.watches_client => Event::Input(event),
             () = budget.memory.freed.notified(), if waits_for_memory => Event::MemoryFreed,
+            () = self.replies_changed.notified(), if requests_held => Event::ReplyKnown,
             reply = awaited, if !is_writing => Event::Reply(reply),
             event = output, if is_writing => Event::Output(event),
             () = sleep_until_some(self.step_deadline) => Event::TimedOut,
@@ -376,7 +412,11 @@
             Event::TimedOut => return self.handle_timeout(),
             Event::ValueOverdue => self.reject_value(),
             Event::ShedRequested => return self.handle_shed_request(),
-            Event::Reply(None) | Event::MemoryFreed | Event::PhaseChanged | Event::Recheck => {}
+            Event::Reply(None)
+            | Event::ReplyKnown
+            | Event::MemoryFreed
+            | Event::PhaseChanged
+            | Event::Recheck => {}
         }
         ControlFlow::Continue(())
     }
@@ -462,6 +502,22 @@
     }
 }
 
+/// Lets those requests begin that may, by what is known of the replies before theirs: the one being
+/// written, and those that are pending.
+fn begin_requests(being_written: EarlierReply, pending: &VecDeque<PendingReply>) {
+    let mut earlier = being_written;
+    for (position, reply) in pending.iter().enumerate() {
+        let Some(request) = reply.awaited_request() else { continue };
+        let may_begin = may_begin_behind(earlier, request.must_be_told());
+        if may_begin && request.slot.is_held() {
+            request.slot.decide(Clearance::Given);
+            let before = pending.iter().take(position).filter_map(PendingReply::awaited_request);
+            before.for_each(|request| request.slot.set_followed());
+        }
+        earlier = earlier.max(request.slot.reply());
+    }
+}
+
 async fn sleep_until_some(at: Option<Instant>) {
     match at {
         Some(at) => sleep_until(at).await,
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::rc::Rc;
 
+use basaltwood::policy::EarlierReply;
 use basaltwood::types::Micros;
 use basaltwood_wire::resp;
 use bytes::{Buf, Bytes};
@@ -11,10 +12,10 @@
 use tokio::sync::oneshot;
 
 use super::reply_audit::ReplyAudit;
-use crate::answer_turn::AnswerTurn;
 use crate::budget::MemoryGrant;
 use crate::invariants::{Invariant, Invariants};
 use crate::metrics::{ActiveRequest, RequestOutcome};
+use crate::request::ClientRequest;
 use crate::requests::{AnswerDelivery, FinalAnswer};
 use crate::socket_io::{write_some, TcpSocket};
 use crate::value::{Piece, StreamPart, StreamedValue, Value, WholeValue, MAX_COPIED_VALUE};
@@ -28,14 +29,30 @@
     /// The request was rejected before it was read.
     Rejected { text: Bytes, request: Option<ActiveRequest> },
     /// The reply follows from a request's final answer, which is still awaited.
-    Awaited { delivery: oneshot::Receiver<AnswerDelivery>, request: ActiveRequest, turn: Rc<AnswerTurn> },
+    Awaited(AwaitedReply),
+}
+
+/// A reply that follows from a request's final answer.
+pub struct AwaitedReply {
+    pub delivery: oneshot::Receiver<AnswerDelivery>,
+    pub active: ActiveRequest,
+    /// The request.
+    pub request: Rc<ClientRequest>,
 }
 
 impl PendingReply {
     /// Lets the request of this reply know that its answer is the client's next one.
     pub fn set_next(&self) {
-        if let PendingReply::Awaited { turn, .. } = self {
-            turn.set();
+        if let Some(request) = self.awaited_request() {
+            request.turn.set();
+        }
+    }
+
+    /// The request whose final answer the reply follows from, if it is still awaited.
+    pub fn awaited_request(&self) -> Option<&Rc<ClientRequest>> {
+        match self {
+            PendingReply::Awaited(awaited) => Some(&awaited.request),
+            PendingReply::Ready(_) | PendingReply::Rejected { .. } => None,
         }
     }
 }
@@ -132,6 +149,14 @@
         !self.text.is_empty()
     }
 
+    /// What is known of this reply for requests behind it.
+    pub fn as_earlier_reply(&self) -> EarlierReply {
+        match self.stream {
+            Some(_) => EarlierReply::Streamed,
+            None => EarlierReply::Whole,
+        }
+    }
+
     /// Whether the rest of a long value is still awaited from the host.
     pub fn is_streaming(&self) -> bool {
         self.stream.is_some()
@@ -214,7 +239,7 @@
             let request = request.map(|request| (request, RequestOutcome::Shed));
             Some(OutgoingReply { request, ..OutgoingReply::ready(text) })
         }
-        PendingReply::Awaited { .. } => None,
+        PendingReply::Awaited(_) => None,
     }
 }
 
@@ -225,7 +250,7 @@
     invariants: &Invariants,
 ) -> Option<OutgoingReply> {
     let delivered = match pending.front_mut() {
-        Some(PendingReply::Awaited { delivery, .. }) => delivery.await,
+        Some(PendingReply::Awaited(awaited)) => (&mut awaited.delivery).await,
         _ => std::future::pending().await,
     };
     let delivery = delivered.unwrap_or_else(|_| {
@@ -233,7 +258,7 @@
         AnswerDelivery { answer: FinalAnswer::Failed, memory: None }
     });
     match pending.pop_front() {
-        Some(PendingReply::Awaited { request, .. }) => Some(OutgoingReply::of_request(request, delivery)),
+        Some(PendingReply::Awaited(awaited)) => Some(OutgoingReply::of_request(awaited.active, delivery)),
         _ => None,
     }
 }
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use basaltwood::policy::must_be_told;
 use basaltwood::types::{AttemptNumber, AttemptOutcome, Micros, RetrySafety};
 use basaltwood_wire::facts;
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use crate::answer_turn::AnswerTurn;
 use crate::budget::{MemoryGrant, ValueGrant};
 use crate::outstanding::OutstandingAttempts;
+use crate::pipeline_slot::PipelineSlot;
 use crate::presence::ClientPresence;
 use crate::value::{Value, MAX_COPIED_VALUE};
 use crate::write_log::WriteLog;
@@ -65,6 +67,8 @@
     pub outstanding: OutstandingAttempts,
     /// Whether the client's next answer is that of this request.
     pub turn: Rc<AnswerTurn>,
+    /// The request's place among those of its client.
+    pub slot: Rc<PipelineSlot>,
     /// Whether the client is still connected.
     pub client: ClientPresence,
     /// Set once the request has its final answer or its client has left: nothing more may be sent.
@@ -88,6 +92,11 @@
         })
     }
 
+    /// Whether the client has to be told how the request ended.
+    pub fn must_be_told(&self) -> bool {
+        must_be_told(self.value.is_some(), self.retry_safety)
+    }
+
     /// Records that the request has its final answer or that its client has left.
     pub fn finish(&self) {
         self.finished.send_replace(true);
--- a/balancer/src/requests.rs
+++ b/balancer/src/requests.rs
@@ -4,15 +4,18 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
+use basaltwood::policy::EarlierReply;
 use basaltwood::router::{NewRequest, RequestAction};
 use basaltwood::types::*;
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, JoinError, JoinSet};
+use tokio::time::sleep_until;
 
 use crate::budget::MemoryGrant;
 use crate::invariants::Invariant;
 use crate::loop_profile::Stage;
 use crate::panics::{catch_panic, Panicked};
+use crate::pipeline_slot::Clearance;
 use crate::request::{AttemptResult, ClientRequest};
 use crate::shared::Shared;
 use crate::upstream::AttemptTarget;
@@ -50,15 +53,22 @@
     shared: Rc<Shared>,
     request: Rc<ClientRequest>,
     new_request: NewRequest,
-    delivery: oneshot::Sender<AnswerDelivery>,
+    mut delivery: oneshot::Sender<AnswerDelivery>,
     memory: Option<MemoryGrant>,
 ) {
     shared.counters.requests.add();
-    // The client may have left before this task ran: no attempt is started for it then.
-    if delivery.is_closed() {
-        shared.counters.abandoned.add();
-        shared.release_id(&request.id);
-        return;
+    match wait_to_begin(&shared, &request, &mut delivery, new_request.deadline).await {
+        Beginning::Now => {}
+        Beginning::ClientGone => {
+            shared.counters.abandoned.add();
+            shared.release_id(&request.id);
+            return;
+        }
+        Beginning::Never => {
+            shared.release_id(&request.id);
+            reject_unbegun(&shared, &request, delivery, memory);
+            return;
+        }
     }
     let deadline = new_request.deadline;
     let (id, actions) = shared.loop_profile.timed(Stage::Decision, || {
@@ -87,6 +97,53 @@
     }
 }
 
+/// Whether a request begins.
+enum Beginning {
+    Now,
+    /// Its client has left: no attempt is started for it.
+    ClientGone,
+    /// It has waited as long as its client does for the replies before its own, or the process ends.
+    Never,
+}
+
+/// Waits until the request may begin behind those that came before it on its connection.
+async fn wait_to_begin(
+    shared: &Shared,
+    request: &ClientRequest,
+    delivery: &mut oneshot::Sender<AnswerDelivery>,
+    deadline: Micros,
+) -> Beginning {
+    if request.slot.is_held() {
+        shared.counters.requests_held.add();
+        log::debug!(client_id:% = String::from_utf8_lossy(&request.id); "request waits for replies before its own");
+    }
+    tokio::select! {
+        biased;
+        () = delivery.closed() => Beginning::ClientGone,
+        clearance = request.slot.decided() => match clearance {
+            Clearance::Given => Beginning::Now,
+            Clearance::Held | Clearance::Refused => Beginning::Never,
+        },
+        () = sleep_until(shared.clock.at(deadline)) => Beginning::Never,
+    }
+}
+
+/// Rejects a request that has not begun: it never ran.
+fn reject_unbegun(
+    shared: &Shared,
+    request: &ClientRequest,
+    delivery: oneshot::Sender<AnswerDelivery>,
+    memory: Option<MemoryGrant>,
+) {
+    shared.counters.rejected.add();
+    shared.counters.requests_held_rejected.add();
+    request.finish();
+    request.slot.set_reply(EarlierReply::Whole);
+    let retry_after = shared.router.borrow().retry_after();
+    // The send fails if the client has just left.
+    let _ = delivery.send(AnswerDelivery { answer: FinalAnswer::Rejected { retry_after }, memory });
+}
+
 /// A request with its attempts in flight.
 struct RequestTask {
     shared: Rc<Shared>,
@@ -242,6 +299,10 @@
 
     fn finish(&mut self, answer: FinalAnswer) {
         self.request.finish();
+        self.request.slot.set_reply(match answer {
+            FinalAnswer::Succeeded(Value::Streamed(_)) => EarlierReply::Streamed,
+            _ => EarlierReply::Whole,
+        });
         let Some(delivery) = self.delivery.take() else { return };
         self.check_lateness();
         // The send fails if the client has just left.
--- a/balancer/src/upstream/response.rs
+++ b/balancer/src/upstream/response.rs
@@ -3,10 +3,13 @@
 //! A value longer than the few bytes that each connection has is read into memory that was granted
 //! for it; meanwhile it stays in the system's buffers.
 
+use std::time::Duration;
+
+use basaltwood::policy::EarlierReply;
 use basaltwood::types::{AttemptKey, AttemptOutcome, Micros};
 use basaltwood_connection_pool::{ConnectionId, Fault};
 use basaltwood_wire::resp::{MAX_BUFFERED_MESSAGE, MAX_BUFFERED_VALUE};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout_at, Instant};
@@ -18,7 +21,7 @@
 use super::late::LateResponse;
 use super::messages::{ParsedResponse, Trailer, ValueHead, WholeResponse};
 use super::streaming::ValueStream;
-use super::value::{collect_value, CollectedValue, GrantedBytes, ValueError};
+use super::value::{collect_value, read_trailer, read_value, CollectedValue, GrantedBytes, ValueError};
 use super::{SurplusPlace, UpstreamEvent, Upstreams};
 use crate::answer_turn::AnswerTurn;
 use crate::budget::MemoryGrant;
@@ -31,6 +34,9 @@
 /// value that is copied out of it.
 const UNKNOWN_LENGTH_BYTES: usize = MAX_BUFFERED_MESSAGE + MAX_BUFFERED_VALUE;
 
+/// How long a long value is held back at the most because requests behind it have begun.
+const MAX_HOLD: Duration = Duration::from_secs(1);
+
 impl Upstreams {
     /// Waits for the memory of a response. One whose client first has to take others may use only a
     /// part of it.
@@ -85,8 +91,8 @@
             }
             match (self.parse_response)(connection.buffer.bytes()) {
                 Ok(None) => {}
-                Ok(Some(ParsedResponse::ValueHead(head))) if head.length > MAX_BUFFERED_VALUE => {
-                    return self.stream(now, checked_out, head)
+                Ok(Some(ParsedResponse::ValueHead(head))) if self.is_streamed(&head) => {
+                    return self.hold_or_stream(now, checked_out, head).await
                 }
                 Ok(Some(ParsedResponse::ValueHead(head))) => {
                     return self.collect(now, checked_out, head).await
@@ -154,17 +160,84 @@
         }
     }
 
-    /// Starts a task that passes on a long value whose head was read.
-    fn stream(&self, now: Micros, mut checked_out: CheckedOut<'_>, head: ValueHead) -> AttemptResult {
-        let Some(mut connection) = checked_out.take() else {
+    /// Whether the value is passed on as it comes. The receipt of a write is not: requests behind it
+    /// begin without waiting for it.
+    fn is_streamed(&self, head: &ValueHead) -> bool {
+        head.length > MAX_BUFFERED_VALUE && self.request.value.is_none()
+    }
+
+    /// Handles the head of a value that is to be passed on as it comes. From now on no request begins
+    /// behind it. Requests behind it that have begun would get no answer if it broke off: if there are
+    /// any, and there is memory, it is held back until it is whole or [`MAX_HOLD`] has passed.
+    async fn hold_or_stream(
+        &self,
+        now: Micros,
+        mut checked_out: CheckedOut<'_>,
+        head: ValueHead,
+    ) -> AttemptResult {
+        let slot = &self.request.slot;
+        slot.set_reply(EarlierReply::Streamed);
+        self.upstreams.pools.borrow_mut().response_begun(now, checked_out.id());
+        if let Some(connection) = checked_out.connection() {
+            connection.buffer.consume(head.start);
+        }
+        let bytes = WholeValue::memory_needed(head.length);
+        let is_next = self.request.turn.has_come();
+        let memory = match slot.is_followed() {
+            true => self.upstreams.budget.memory.try_grant_response(bytes, is_next),
+            false => None,
+        };
+        match memory {
+            Some(memory) => self.hold(checked_out, head, memory).await,
+            None => self.stream(checked_out, head, None),
+        }
+    }
+
+    /// Reads a long value whole before any of it is passed on: if it breaks off, the attempt has failed
+    /// as one with a short value does. What is there after [`MAX_HOLD`] is passed on, and the rest as it
+    /// comes.
+    async fn hold(
+        &self,
+        mut checked_out: CheckedOut<'_>,
+        head: ValueHead,
+        memory: MemoryGrant,
+    ) -> AttemptResult {
+        let ValueHead { length, ending, .. } = head;
+        let Some(connection) = checked_out.connection() else {
+            return AttemptResult::without_value(AttemptOutcome::NotSent);
+        };
+        let mut value = BytesMut::with_capacity(length);
+        let held = async {
+            read_value(connection, length, &mut value).await?;
+            read_trailer(connection, ending).await
+        };
+        let held = timeout_at(self.deadline_at().min(Instant::now() + MAX_HOLD), held).await;
+        let bytes = value.freeze();
+        let now = self.upstreams.clock.now();
+        match held {
+            Err(_) => self.stream(checked_out, head, Some(GrantedBytes { bytes, memory })),
+            Ok(Err(failure)) => AttemptResult::without_value(self.value_failed(now, checked_out, failure)),
+            Ok(Ok(trailer)) => {
+                self.collected(now, checked_out, Some(GrantedBytes { bytes, memory }), trailer)
+            }
+        }
+    }
+
+    /// Starts a task that passes on a long value, of which `beginning` was read.
+    fn stream(
+        &self,
+        mut checked_out: CheckedOut<'_>,
+        head: ValueHead,
+        beginning: Option<GrantedBytes>,
+    ) -> AttemptResult {
+        let Some(connection) = checked_out.take() else {
             return AttemptResult::without_value(AttemptOutcome::NotSent);
         };
-        connection.buffer.consume(head.start);
-        let id = checked_out.id();
-        self.upstreams.pools.borrow_mut().response_begun(now, id);
         let (sender, parts) = mpsc::channel(1);
         let ValueHead { length, ending, .. } = head;
-        let stream = ValueStream { host: self.target.host, id, connection, length, ending };
+        let rest = length - beginning.as_ref().map_or(0, |beginning| beginning.bytes.len());
+        let (host, id) = (self.target.host, checked_out.id());
+        let stream = ValueStream { host, id, beginning, connection, rest, ending };
         spawn_local(self.upstreams.clone().stream_value(stream, sender));
         AttemptResult::succeeded(Value::Streamed(StreamedValue { length, parts }))
     }
@@ -194,22 +267,35 @@
         let now = self.upstreams.clock.now();
         match collected {
             Err(_) => AttemptResult::without_value(self.value_timed_out(now, checked_out)),
-            Ok(Err(ValueError::ConnectionEnded)) => {
-                AttemptResult::without_value(self.connection_lost(now, checked_out))
-            }
-            Ok(Err(ValueError::Invalid)) => AttemptResult::without_value(AttemptOutcome::Error),
-            Ok(Ok(CollectedValue { value, trailer })) => {
-                let fingerprint =
-                    value.as_ref().map(|value| ResponseFingerprint::of(&value.bytes, self.request));
-                let (value, memory) = match value {
-                    Some(GrantedBytes { bytes, memory }) => (bytes, Some(memory)),
-                    None => (Bytes::new(), None),
-                };
-                let Trailer { length, reusable } = trailer;
-                let outcome = AttemptOutcome::Succeeded;
-                let response = WholeResponse { outcome, value: Some(value), length, reusable };
-                self.answered(now, checked_out, response, memory, fingerprint, false)
-            }
+            Ok(Err(failure)) => AttemptResult::without_value(self.value_failed(now, checked_out, failure)),
+            Ok(Ok(CollectedValue { value, trailer })) => self.collected(now, checked_out, value, trailer),
+        }
+    }
+
+    /// Handles a value that was read whole with what follows it; `None` if it was discarded.
+    fn collected(
+        &self,
+        now: Micros,
+        checked_out: CheckedOut<'_>,
+        value: Option<GrantedBytes>,
+        trailer: Trailer,
+    ) -> AttemptResult {
+        let fingerprint = value.as_ref().map(|value| ResponseFingerprint::of(&value.bytes, self.request));
+        let (value, memory) = match value {
+            Some(GrantedBytes { bytes, memory }) => (bytes, Some(memory)),
+            None => (Bytes::new(), None),
+        };
+        let Trailer { length, reusable } = trailer;
+        let response =
+            WholeResponse { outcome: AttemptOutcome::Succeeded, value: Some(value), length, reusable };
+        self.answered(now, checked_out, response, memory, fingerprint, false)
+    }
+
+    /// Ends the attempt because its value could not be read.
+    fn value_failed(&self, now: Micros, checked_out: CheckedOut<'_>, failure: ValueError) -> AttemptOutcome {
+        match failure {
+            ValueError::ConnectionEnded => self.connection_lost(now, checked_out),
+            ValueError::Invalid => AttemptOutcome::Error,
         }
     }
 
--- a/balancer/src/upstream/send_audit/tests.rs
+++ b/balancer/src/upstream/send_audit/tests.rs
@@ -9,6 +9,7 @@
 use super::*;
 use crate::clock::Clock;
 use crate::outstanding::OutstandingAttempts;
+use crate::pipeline_slot::PipelineSlot;
 use crate::presence::PresenceGuard;
 use crate::request::RequestMemory;
 use crate::write_log::WriteLog;
@@ -32,6 +33,7 @@
         retry_safety,
         write_log: WriteLog::default(),
         outstanding: OutstandingAttempts::new(Rc::new(Clock::start()), retry_safety, 500 * MS),
+        slot: Rc::new(PipelineSlot::new(false, Rc::default())),
         client: client.presence(),
         finished: watch::Sender::new(false),
     }
--- a/balancer/src/upstream/value.rs
+++ b/balancer/src/upstream/value.rs
@@ -41,8 +41,9 @@
 ) -> Result<CollectedValue, ValueError> {
     let value = match memory {
         Some(memory) => {
-            let bytes = read_value(connection, length).await?;
-            Some(GrantedBytes { bytes, memory })
+            let mut value = BytesMut::with_capacity(length);
+            read_value(connection, length, &mut value).await?;
+            Some(GrantedBytes { bytes: value.freeze(), memory })
         }
         None => {
             discard_value(connection, length).await?;
@@ -81,19 +82,23 @@
     }
 }
 
-/// Reads the next `length` bytes into memory of exactly this size.
-async fn read_value(connection: &mut UpstreamConnection, length: usize) -> Result<Bytes, ValueError> {
-    let mut value = BytesMut::with_capacity(length);
+/// Reads a value up to `length` bytes, which `value` has memory for. Cancel safe: what was read stays in
+/// `value`.
+pub async fn read_value(
+    connection: &mut UpstreamConnection,
+    length: usize,
+    value: &mut BytesMut,
+) -> Result<(), ValueError> {
     let buffered = connection.buffer.bytes();
-    let count = buffered.len().min(length);
+    let count = buffered.len().min(length - value.len());
     value.extend_from_slice(&buffered[..count]);
     connection.buffer.consume(count);
     while value.len() < length {
         let missing = length - value.len();
-        let mut unfilled = (&mut value).limit(missing);
+        let mut unfilled = (&mut *value).limit(missing);
         more(read_buf(&mut connection.stream, &mut unfilled).await)?;
     }
-    Ok(value.freeze())
+    Ok(())
 }
 
 /// Reads the next `length` bytes and drops them.
--- a/balancer/tests/stand_ins/mod.rs
+++ b/balancer/tests/stand_ins/mod.rs
@@ -2,6 +2,8 @@
 //! until the test releases them, clients that leave, and settings under which attempts wait.
 #![allow(dead_code)] // no test file uses all of them
 
+pub mod scripted;
+
 use std::io::{BufRead, BufReader, Read, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
--- a/balancer/tests/value_endings.rs
+++ b/balancer/tests/value_endings.rs
@@ -2,14 +2,15 @@
 
 #[path = "../../tests/common/mod.rs"]
 mod common;
+mod stand_ins;
 
-use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::thread::{scope, sleep, spawn};
+use std::io::Read;
+use std::net::TcpStream;
+use std::thread::scope;
 use std::time::Duration;
 
 use common::*;
+use stand_ins::scripted::{scripted_host, Answer};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
 const VALUE: usize = 80_000;
@@ -18,27 +19,6 @@
 /// What a host sends behind a value.
 const TRAILER: &str = "\r\n$3\r\nhit\r\n$-1\r\n";
 
-/// What a host sends as an answer: parts, each after a pause.
-#[derive(Clone)]
-struct Answer {
-    name: &'static str,
-    parts: Vec<(Duration, Vec<u8>)>,
-}
-
-impl Answer {
-    /// An answer whose head states a length.
-    fn stating(name: &'static str, stated: usize, rest: &[u8]) -> Answer {
-        let bytes = [format!("*3\r\n${stated}\r\n").as_bytes(), rest].concat();
-        Answer { name, parts: vec![(Duration::ZERO, bytes)] }
-    }
-
-    /// The answer with bytes that follow after a pause.
-    fn then(mut self, pause: Duration, bytes: &[u8]) -> Answer {
-        self.parts.push((pause, bytes.to_vec()));
-        self
-    }
-}
-
 fn value() -> Vec<u8> {
     (0..VALUE).map(|at| b'a' + (at % 23) as u8).collect()
 }
@@ -47,34 +27,6 @@
     [&value()[..], trailer.as_bytes()].concat()
 }
 
-/// Starts a host that gives the answer of the key's name, and leaves the connection open.
-fn host(answers: &[Answer]) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    let answers: Arc<[Answer]> = answers.into();
-    spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let answers = answers.clone();
-            spawn(move || serve(&stream, &answers));
-        }
-    });
-    address
-}
-
-fn serve(mut stream: &TcpStream, answers: &[Answer]) {
-    let mut reading = BufReader::new(stream.try_clone().expect("a second handle"));
-    while let Ok(command) = read_command(&mut reading) {
-        let key = command.split(' ').nth(1).expect("a key").to_owned();
-        let answer = answers.iter().find(|answer| answer.name == key).expect("an answer for the key");
-        for (pause, bytes) in &answer.parts {
-            sleep(*pause);
-            if stream.write_all(bytes).is_err() {
-                return;
-            }
-        }
-    }
-}
-
 /// Reads a bulk string to its end; `None` if the connection ends before.
 fn read_whole(mut stream: TcpStream) -> Option<Vec<u8>> {
     stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
@@ -96,7 +48,7 @@
 fn values_at_once(program: &Program, answers: &[Answer]) -> Vec<(&'static str, Option<Vec<u8>>)> {
     scope(|clients| {
         let start = |answer: &Answer| {
-            let name = answer.name;
+            let name = answer.key;
             let mut client = program.client();
             client.get(name, &format!("id-{name}"), "c=once,d=1500");
             clients.spawn(move || (name, read_whole(client.writing)))
@@ -122,7 +74,7 @@
         Answer::stating("longer-by-the-status", VALUE + "\r\n$3\r\nhit".len(), &whole),
         Answer::stating("longer-by-the-trailer", VALUE + TRAILER.len(), &whole),
     ];
-    let program = Program::managed(BINARY, &[entry("a", host(&answers), "active")], [48, 192]);
+    let program = Program::managed(BINARY, &[entry("a", scripted_host(&answers).0, "active")], [48, 192]);
 
     for (name, value) in values_of(&program, &answers) {
         assert!(value.is_none(), "{name}: {} bytes were served as whole", value.unwrap_or_default().len());
@@ -149,7 +101,7 @@
         Answer::stating("load-report-without-end", VALUE, &value_and("\r\n$-1\r\n$99\r\nload")),
         Answer::stating("two-answers", VALUE, &[value_and(TRAILER), value_and(TRAILER)].concat()),
     ];
-    let program = Program::managed(BINARY, &[entry("a", host(&answers), "active")], [48, 192]);
+    let program = Program::managed(BINARY, &[entry("a", scripted_host(&answers).0, "active")], [48, 192]);
 
     for (name, served) in values_of(&program, &answers) {
         assert!(served.as_ref() == Some(&value()), "{name}: the value was not served");
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,8 +6,9 @@
 //! Each host has a tracker (`HostTracker`), and a dispatcher (`Dispatcher`) holds the requests;
 //! they share no state and exchange messages. `admission.rs` checks each attempt and each final
 //! answer when it is decided, `send_permit.rs` checks each attempt again before its first byte, and
-//! `retry_safety.rs` decides whether a request may be sent again, and `outstanding.rs` when an attempt
-//! that is still out has to be cancelled.
+//! `retry_safety.rs` decides whether a request may be sent again, `outstanding.rs` when an attempt
+//! that is still out has to be cancelled, and `pipelining.rs` whether a request may begin behind others of
+//! its client.
 
 use crate::dispatcher::Dispatcher;
 use crate::host_tracker::{HostStatus, HostTracker, Mailboxes};
@@ -23,6 +24,7 @@
 mod host;
 pub(crate) mod hot_keys;
 mod outstanding;
+mod pipelining;
 mod retry_safety;
 mod selection;
 mod send_permit;
@@ -30,6 +32,7 @@
 
 pub use arrival::UnreadBytes;
 pub use outstanding::BegunAttempts;
+pub use pipelining::{may_begin_behind, must_be_told, EarlierReply};
 pub use retry_safety::{check_repeat, rejection_is_harmless, PossibleRun, Repeat};
 pub use send_permit::{SendPermit, SendRefusal};
 
