Refuse an at-most-once id that may have run for a client that left

Cause: an id was known while its request was open and forgotten with its last attempt, whoever heard its end.

Ids that never ran stay free; writes with a key are told apart by their hosts.

Open: the successor in an upgrade knows none of its predecessor's ids.

--- a/balancer/src/downstream/command.rs
+++ b/balancer/src/downstream/command.rs
@@ -54,6 +54,9 @@
     /// Hosts drop or refuse a second request with the same id.
     #[error("an op with this id is open")]
     IdInUse,
+    /// A request with the same id ended without its client hearing the answer.
+    #[error("an op with this id may have run")]
+    MayHaveRun,
 }
 
 /// The connection that a command came on, as its request sees it.
@@ -129,6 +132,9 @@
         return Err(RequestError::ControlCharacters);
     }
     let new_request = new_request(shared, &key, &facts, arrived_at, is_write)?;
+    if shared.may_have_run(&id) {
+        return Err(RequestError::MayHaveRun);
+    }
     if !shared.reserve_id(&id) {
         return Err(RequestError::IdInUse);
     }
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -135,6 +135,7 @@
     /// Serves the connection until it is to be closed.
     pub async fn run(mut self) -> Closed {
         let reason = self.serve().await;
+        self.record_unheard_answers();
         let being_written = usize::from(!self.outgoing.is_empty());
         Closed {
             number: self.number,
@@ -144,6 +145,16 @@
         }
     }
 
+    /// Records the requests whose answer was there and was not written in full. Those that have none yet
+    /// are abandoned.
+    fn record_unheard_answers(&self) {
+        let pending = self.pending.iter().filter_map(PendingReply::awaited_request);
+        let unheard = pending.chain(self.outgoing.request());
+        unheard
+            .filter(|request| request.is_finished())
+            .for_each(|request| self.shared.answer_unheard(request));
+    }
+
     /// How many requests have begun whose effect must not go untold, and are not answered.
     fn untold_effects(&self) -> usize {
         let awaited = self.pending.iter().filter_map(PendingReply::awaited_request);
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -68,7 +68,9 @@
     stream: Option<StreamedValue>,
     /// The memory of the reply, or of the piece of a long value that is being written.
     memory: Option<MemoryGrant>,
-    request: Option<(ActiveRequest, RequestOutcome)>,
+    active: Option<(ActiveRequest, RequestOutcome)>,
+    /// The request that is answered, until the reply is written.
+    request: Option<Rc<ClientRequest>>,
     audit: ReplyAudit,
 }
 
@@ -100,7 +102,7 @@
         OutgoingReply { text, ..OutgoingReply::default() }
     }
 
-    fn of_request(request: ActiveRequest, delivery: AnswerDelivery) -> OutgoingReply {
+    fn of_request(awaited: AwaitedReply, delivery: AnswerDelivery) -> OutgoingReply {
         let AnswerDelivery { answer, memory } = delivery;
         let (mut reply, outcome) = match answer {
             FinalAnswer::Succeeded(value) => (OutgoingReply::of_value(value), RequestOutcome::Ok),
@@ -112,7 +114,8 @@
             }
         };
         reply.memory = reply.memory.or(memory);
-        reply.request = Some((request, outcome));
+        reply.active = Some((awaited.active, outcome));
+        reply.request = Some(awaited.request);
         reply
     }
 
@@ -149,6 +152,11 @@
         !self.text.is_empty()
     }
 
+    /// The request whose reply is not yet written in full.
+    pub fn request(&self) -> Option<&Rc<ClientRequest>> {
+        self.request.as_ref()
+    }
+
     /// What is known of this reply for requests behind it.
     pub fn as_earlier_reply(&self) -> EarlierReply {
         match self.stream {
@@ -192,15 +200,16 @@
     }
 
     fn end_request(&mut self) {
-        if let Some((request, outcome)) = self.request.take() {
-            request.finish(outcome);
+        self.request = None;
+        if let Some((active, outcome)) = self.active.take() {
+            active.finish(outcome);
         }
     }
 
     /// Ends the request as failed, whatever its answer was.
     fn fail_request(&mut self) {
-        if let Some((request, _)) = self.request.take() {
-            request.finish(RequestOutcome::Error);
+        if let Some((active, _)) = self.active.take() {
+            active.finish(RequestOutcome::Error);
         }
     }
 
@@ -236,8 +245,8 @@
     {
         PendingReply::Ready(text) => Some(OutgoingReply::ready(text)),
         PendingReply::Rejected { text, request } => {
-            let request = request.map(|request| (request, RequestOutcome::Shed));
-            Some(OutgoingReply { request, ..OutgoingReply::ready(text) })
+            let active = request.map(|active| (active, RequestOutcome::Shed));
+            Some(OutgoingReply { active, ..OutgoingReply::ready(text) })
         }
         PendingReply::Awaited(_) => None,
     }
@@ -258,7 +267,7 @@
         AnswerDelivery { answer: FinalAnswer::Failed, memory: None }
     });
     match pending.pop_front() {
-        Some(PendingReply::Awaited(awaited)) => Some(OutgoingReply::of_request(awaited.active, delivery)),
+        Some(PendingReply::Awaited(awaited)) => Some(OutgoingReply::of_request(awaited, delivery)),
         _ => None,
     }
 }
--- a/balancer/src/requests.rs
+++ b/balancer/src/requests.rs
@@ -87,6 +87,7 @@
         attempts: JoinSet::new(),
         in_flight: BTreeMap::new(),
         value: None,
+        is_abandoned: false,
     };
     // Dropping `delivery` without an answer makes the connection reply that the request failed.
     if let Err(panicked) = catch_panic(task.run(actions)).await {
@@ -159,6 +160,8 @@
     in_flight: BTreeMap<AttemptNumber, AbortHandle>,
     /// The value that the most recently ended attempt returned.
     value: Option<Value>,
+    /// Whether the client left before the final answer.
+    is_abandoned: bool,
 }
 
 impl RequestTask {
@@ -182,6 +185,9 @@
             };
         }
         self.shared.unregister(self.id);
+        if self.is_abandoned {
+            self.shared.answer_unheard(&self.request);
+        }
         self.shared.release_id(&self.request.id);
     }
 
@@ -271,6 +277,7 @@
     fn abandon(&mut self) -> Vec<RequestAction> {
         log::debug!(request = self.id.0; "request abandoned by its client");
         self.delivery = None;
+        self.is_abandoned = true;
         self.request.finish();
         self.shared.counters.abandoned.add();
         self.shared.router.borrow_mut().client_gone(self.shared.clock.now(), self.id)
@@ -306,7 +313,9 @@
         let Some(delivery) = self.delivery.take() else { return };
         self.check_lateness();
         // The send fails if the client has just left.
-        let _ = delivery.send(AnswerDelivery { answer, memory: self.memory.take() });
+        if delivery.send(AnswerDelivery { answer, memory: self.memory.take() }).is_err() {
+            self.is_abandoned = true;
+        }
     }
 
     /// Reports an invariant violation if the final answer comes well after the request's deadline.
--- a/balancer/src/shared.rs
+++ b/balancer/src/shared.rs
@@ -2,8 +2,10 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashSet};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 
+use basaltwood::policy::{must_not_begin_again, EndedRequests};
 use basaltwood::router::Router;
 use basaltwood::types::{AttemptKey, PolicyConfig, PoolSize, RequestClassId, RequestId, RetrySafety};
 use basaltwood_membership::StartTimes;
@@ -19,6 +21,7 @@
 use crate::invariants::Invariants;
 use crate::loop_profile::{LoadSnapshot, LoopProfile};
 use crate::metrics::Metrics;
+use crate::request::ClientRequest;
 use crate::socket_table::SocketTable;
 use crate::upstream::{UpstreamEvent, Upstreams};
 
@@ -55,6 +58,10 @@
     /// The client-chosen ids of open requests: hosts drop or refuse a second request with the same
     /// id.
     ids_in_use: RefCell<HashSet<Bytes>>,
+    /// Requests that may have run and whose client did not hear how they ended.
+    ended_requests: RefCell<EndedRequests>,
+    /// Hashes the ids of ended requests.
+    id_hasher: RandomState,
 }
 
 impl Shared {
@@ -84,6 +91,8 @@
             retry_safety: config.classes.iter().map(|class| class.retry_safety).collect(),
             wakeups: RefCell::default(),
             ids_in_use: RefCell::default(),
+            ended_requests: RefCell::default(),
+            id_hasher: RandomState::new(),
         }
     }
 
@@ -185,6 +194,21 @@
         self.ids_in_use.borrow_mut().insert(id.clone())
     }
 
+    /// Records that the client of a request did not hear its answer. If the request may have run and must
+    /// not run twice, its id can't be used again.
+    pub fn answer_unheard(&self, request: &ClientRequest) {
+        if must_not_begin_again(request.retry_safety, request.write_log.may_have_run()) {
+            let id = self.id_hasher.hash_one(&request.id);
+            self.ended_requests.borrow_mut().record(self.clock.now(), id);
+        }
+    }
+
+    /// Whether a request with this id may have run, and must not run again.
+    pub fn may_have_run(&self, id: &Bytes) -> bool {
+        let id = self.id_hasher.hash_one(id);
+        self.ended_requests.borrow_mut().contains(self.clock.now(), id)
+    }
+
     /// Releases the id of a request that has ended with all its attempts.
     pub fn release_id(&self, id: &Bytes) {
         self.ids_in_use.borrow_mut().remove(id);
--- a/balancer/src/write_log.rs
+++ b/balancer/src/write_log.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Whether an attempt was written in full and is not known not to have run.
+    pub fn may_have_run(&self) -> bool {
+        self.written.borrow().iter().any(|attempt| !attempt.proven_not_run)
+    }
+
     /// Records an attempt's outcome, which may prove that it did not run.
     pub fn ended(&self, number: AttemptNumber, outcome: AttemptOutcome) {
         let mut written = self.written.borrow_mut();
