End the use of a dropped host once another host has its address

Cause: with droppedStayOpen a host that the list dropped stays in use while it answers; what answered was the new process at its address.

Change: each list compares the addresses of dropped hosts with those of the others; a dropped host whose address another one has is gone (PolicyEvent::HostReplaced).

--- a/balancer/src/discovery/endpoints.rs
+++ b/balancer/src/discovery/endpoints.rs
@@ -146,6 +146,7 @@
     let endpoints: Vec<Endpoint> = hosts.into_iter().map(|host| register(shared, host)).collect();
     shared.counters.endpoint_lists.add();
     shared.router.borrow_mut().update_endpoints(now, whole, endpoints);
+    end_replaced_hosts(shared, now);
     // Has to come before any request's task runs; covers hosts that a complete list lacks.
     shared.upstreams.update_accepting_hosts(|host| shared.router.borrow().accepts_attempts(host));
     shared.wake_requests();
@@ -231,6 +232,19 @@
     Endpoint { origin, ..endpoint }
 }
 
+/// Ends the use of hosts that the list dropped and whose address another host has: requests under their
+/// name would go to a process that has its own slow start and drain.
+fn end_replaced_hosts(shared: &Shared, now: Micros) {
+    let dropped = shared.router.borrow().dropped_hosts();
+    if dropped.is_empty() {
+        return;
+    }
+    for host in shared.upstreams.replaced_hosts(&dropped) {
+        log::info!(host = host.0; "host dropped by the list, and its address taken by another: no longer used");
+        shared.router.borrow_mut().host_replaced(now, host);
+    }
+}
+
 /// Frees all memory of hosts that are gone: without it memory would grow as hosts are replaced.
 fn forget_released_hosts(shared: &Shared) {
     for host in shared.router.borrow().released_hosts() {
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -21,7 +21,7 @@
 mod value;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -179,6 +179,16 @@
         self.perform_pool_actions();
     }
 
+    /// Those of the dropped hosts whose address is now that of a host that was not dropped.
+    pub fn replaced_hosts(&self, dropped: &[HostId]) -> Vec<HostId> {
+        let hosts = self.hosts.borrow();
+        let listed = hosts.iter().filter(|(host, _)| !dropped.contains(host));
+        let listed: BTreeSet<SocketAddr> = listed.map(|(_, entry)| entry.address).collect();
+        let is_replaced =
+            |host: &&HostId| hosts.get(host).is_some_and(|entry| listed.contains(&entry.address));
+        dropped.iter().filter(is_replaced).copied().collect()
+    }
+
     /// Updates which hosts accept attempts; to be called whenever the list was read. If a host does
     /// not, its idle connections are closed, and attempts that wait for a connection to it end.
     pub fn update_accepting_hosts(&self, accepts_attempts: impl Fn(HostId) -> bool) {
--- /dev/null
+++ b/balancer/tests/replaced_hosts.rs
@@ -0,0 +1,82 @@
+//! A new process at the address of a cache host that has gone.
+
+#[path = "../../tests/common/mod.rs"]
+mod common;
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use common::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_basaltwood-balancer");
+const KEYS: usize = 40;
+/// Longer than the grace in which a host that leaves may still get requests.
+const GRACE: Duration = Duration::from_millis(1_200);
+
+/// Hosts that a list drops stay in use while they answer.
+fn settings_that_keep_dropped_hosts() -> String {
+    SETTINGS.replace("\"invariants\":{", "\"invariants\":{\"droppedStayOpen\":true,")
+}
+
+/// Reads all keys; each is served by some host.
+fn read_all(program: &Program, round: &str) {
+    let mut client = program.client();
+    for nth in 0..KEYS {
+        let answer =
+            client.command(&["CACHE.GET", &format!("k{nth}"), &format!("{round}-{nth}"), "c=read,d=1900"]);
+        assert!(answer.starts_with("from "), "{round}: {answer}");
+    }
+}
+
+fn received(host: &Peer) -> usize {
+    std::iter::from_fn(|| host.try_next()).filter(|line| line.contains("CACHE.GET")).count()
+}
+
+/// In which order the list tells that host a has gone and that b is at its address.
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    Together,
+    GoneFirst,
+    NewFirst,
+}
+
+/// Guards against a new process being taken for the host that had its address before: as long as that one
+/// counts as alive, its keys go to the new process, past its slow start and its drain.
+#[test]
+fn new_process_at_the_address_of_a_dropped_host_is_not_taken_for_it() {
+    for order in [Order::Together, Order::GoneFirst, Order::NewFirst] {
+        let (reused, other) = (Peer::host(|_| hit("from reused")), Peer::host(|_| hit("from other")));
+        let discovery = Discovery::start();
+        let at = |name: &str, lifecycle: &str| entry(name, reused.address, lifecycle);
+        let (b, c) = (at("b", "active"), entry("c", other.address, "active"));
+        let known = [at("a", "active"), c.clone()];
+        let settings = settings_that_keep_dropped_hosts();
+        let program = Program::start_with(BINARY, discovery.peer.address, &known, [192, 256], &settings);
+        read_all(&program, "before");
+        assert!(received(&reused) > 0, "host a has keys");
+
+        match order {
+            Order::Together => discovery.publish(&[b.clone(), c.clone()]),
+            Order::GoneFirst => {
+                discovery.publish(std::slice::from_ref(&c));
+                program.wait_for_counter("endpoint_lists", 2);
+                read_all(&program, "dropped");
+                assert!(received(&reused) > 0, "host a stays in use while nobody has its address");
+                discovery.publish_changes(std::slice::from_ref(&b));
+            }
+            Order::NewFirst => {
+                discovery.publish_changes(std::slice::from_ref(&b));
+                program.wait_for_counter("endpoint_lists", 2);
+                discovery.publish(&[b.clone(), c.clone()]);
+            }
+        }
+        let lists = if matches!(order, Order::Together) { 2 } else { 3 };
+        program.wait_for_counter("endpoint_lists", lists);
+        discovery.publish_changes(&[at("b", "leaving")]);
+        program.wait_for_counter("endpoint_lists", lists + 1);
+        sleep(GRACE);
+        received(&reused);
+        read_all(&program, "after");
+        assert_eq!(received(&reused), 0, "{order:?}: requests to a host that leaves, for the one before");
+    }
+}
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -176,6 +176,7 @@
                 self.attempt_in_doubt(request, attempt, mailboxes)
             }
             PolicyEvent::HostAlive { host } => mailboxes.send_to_host(host, HostMessage::Alive),
+            PolicyEvent::HostReplaced { host } => mailboxes.send_to_host(host, HostMessage::Replaced),
             PolicyEvent::ValueInvalid { host } => mailboxes.send_to_host(host, HostMessage::ValueInvalid),
             PolicyEvent::ProcessStalled(span) => {
                 let hosts = (0..).map(HostId).zip(&self.host_statuses);
--- a/src/host_tracker.rs
+++ b/src/host_tracker.rs
@@ -153,6 +153,7 @@
                 }
             }
             HostMessage::Alive => self.mark_not_restarted(now),
+            HostMessage::Replaced => self.mark_replaced(),
             HostMessage::ValueInvalid => self.value_invalid(),
             HostMessage::ProcessStalled(span) => {
                 self.in_flight.values_mut().for_each(|attempt| attempt.sent_at += span);
--- a/src/mailboxes.rs
+++ b/src/mailboxes.rs
@@ -24,6 +24,8 @@
     AttemptEnded { attempt: AttemptKey, outcome: AttemptOutcome, elapsed: Micros },
     /// The host answered on a connection from before it fell silent.
     Alive,
+    /// The host's address is another host's.
+    Replaced,
     /// A value of the host turned out to be invalid after its attempt had counted as a success.
     ValueInvalid,
     /// This process was stalled for this time.
--- a/src/policy/host.rs
+++ b/src/policy/host.rs
@@ -27,12 +27,23 @@
     /// Marks a host that is missing from the endpoint list as gone once it is suspected.
     pub fn mark_gone_if_dropped(&mut self) {
         if self.is_dropped && !self.is_seen_alive() {
-            self.is_dropped = false;
-            self.status.endpoint.as_mut().expect("a dropped host was listed before").lifecycle =
-                Lifecycle::Gone;
+            self.mark_gone();
         }
     }
 
+    /// Marks a host that is missing from the endpoint list as gone because another one has its address:
+    /// the answers that seemed to show it alive may be that one's.
+    pub fn mark_replaced(&mut self) {
+        if self.is_dropped {
+            self.mark_gone();
+        }
+    }
+
+    fn mark_gone(&mut self) {
+        self.is_dropped = false;
+        self.status.endpoint.as_mut().expect("a dropped host was listed before").lifecycle = Lifecycle::Gone;
+    }
+
     /// Applies the host's entry of the endpoint list.
     pub fn update_endpoint(&mut self, endpoint: Endpoint) {
         self.has_drained |= endpoint.lifecycle == Lifecycle::Draining;
--- a/src/policy_views.rs
+++ b/src/policy_views.rs
@@ -10,6 +10,11 @@
         self.dispatcher.host_statuses.get(host.index()).is_some_and(|status| status.is_up())
     }
 
+    /// The hosts that the list dropped and that stay in use because they answer.
+    pub fn dropped_hosts(&self) -> Vec<HostId> {
+        self.hosts.iter().filter(|host| host.is_dropped).map(|host| host.id).collect()
+    }
+
     /// Hosts that are gone and that no open request refers to; their numbers may be reused.
     pub fn released_hosts(&self) -> Vec<HostId> {
         let requests = &self.dispatcher.requests;
--- a/src/router.rs
+++ b/src/router.rs
@@ -277,6 +277,17 @@
         self.handle(now, PolicyEvent::HostAlive { host });
     }
 
+    /// The hosts that the list dropped and that stay in use because they answer.
+    pub fn dropped_hosts(&self) -> Vec<HostId> {
+        self.policy.dropped_hosts()
+    }
+
+    /// Reports that another host has the address of one that the list dropped: what answers there is no
+    /// evidence about the one that was dropped.
+    pub fn host_replaced(&mut self, now: Micros, host: HostId) {
+        self.handle(now, PolicyEvent::HostReplaced { host });
+    }
+
     /// Reports that a host sent an invalid value in a response that was reported as a success.
     pub fn value_invalid(&mut self, now: Micros, host: HostId) {
         self.handle(now, PolicyEvent::ValueInvalid { host });
--- a/src/types/events.rs
+++ b/src/types/events.rs
@@ -170,6 +170,11 @@
         /// The host.
         host: HostId,
     },
+    /// A host that the list dropped has been replaced: its address is another host's.
+    HostReplaced {
+        /// The host that was dropped.
+        host: HostId,
+    },
     /// A response that was reported as a success turned out to be invalid while its value was passed on:
     /// the attempt has run and failed.
     ValueInvalid {
