Give up a peer that pauses in a long value by need, not by the clock

Cause: PIECE_TIMEOUT and twice WRITE_CHECK_INTERVAL, both 5 s and without a source.

Change: after 5 s a peer that pauses in a value which is passed on as it comes is given up once others need what it holds (descriptors, memory for replies and streams, the end of the process), else after 60 s. A stream also ends when its client leaves while its host pauses. Whole replies, and what follows a value, keep their 5 s.

--- a/balancer/src/budget/memory.rs
+++ b/balancer/src/budget/memory.rs
@@ -149,6 +149,17 @@
         self.freed.notify_waiters();
     }
 
+    /// Whether replies or streamed values hold more than half of their memory.
+    pub fn replies_are_scarce(&self) -> bool {
+        let (ledger, limits) = (self.ledger.borrow(), self.limits());
+        let is_scarce = |pool: Pool| {
+            let purposes = Purpose::EACH.into_iter().filter(|purpose| purpose.pool() == pool);
+            let held: usize = purposes.map(|purpose| ledger.held(purpose)).sum();
+            held > limits.of(pool) / 2
+        };
+        is_scarce(Pool::Answers) || is_scarce(Pool::Streams)
+    }
+
     /// The bytes held for a purpose.
     pub fn held(&self, purpose: Purpose) -> usize {
         self.ledger.borrow().held(purpose)
--- a/balancer/src/budget/mod.rs
+++ b/balancer/src/budget/mod.rs
@@ -47,6 +47,8 @@
     /// Clients whose connections are shut down on this side and that have not closed yet.
     closing_clients: SheddableClients,
     next_wait: Cell<u64>,
+    /// Whether the process is about to end.
+    is_ending: Cell<bool>,
 }
 
 /// The wakeups of clients that can be shed, by the number of their wait: the longest wait first.
@@ -101,6 +103,7 @@
             awaited_clients: SheddableClients::default(),
             closing_clients: SheddableClients::default(),
             next_wait: Cell::new(0),
+            is_ending: Cell::new(false),
         })
     }
 
@@ -136,6 +139,21 @@
         Connections { clients, to_hosts, listed_hosts: self.listed_hosts.get() }
     }
 
+    /// Whether others need what a peer holds that pauses in the middle of a value: over three quarters of the
+    /// descriptors are in use, or over half of the memory for replies; or the process is about to end.
+    pub fn is_scarce(&self) -> bool {
+        let is_scarce = |used: usize, limit: usize| 4 * used > 3 * limit;
+        self.is_ending.get()
+            || is_scarce(self.connections.get(), self.max_connections.get())
+            || is_scarce(self.client_connections.get(), self.max_client_connections.get())
+            || self.memory.replies_are_scarce()
+    }
+
+    /// Records that the process is about to end: it waits for no pauses.
+    pub fn process_ends(&self) {
+        self.is_ending.set(true);
+    }
+
     /// The number of open connections above the limit.
     pub fn excess_connections(&self) -> usize {
         self.connections.get().saturating_sub(self.max_connections.get())
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -27,6 +27,7 @@
 use super::write_check::WriteCheck;
 use crate::budget::MemoryGrant;
 use crate::lifecycle::Phase;
+use crate::pauses::Pause;
 use crate::pipeline_slot::Clearance;
 use crate::presence::PresenceGuard;
 use crate::requests;
@@ -37,9 +38,9 @@
 /// The same while a reply is being written: a client that does not read must not fill the memory
 /// that all clients share.
 const MAX_PENDING_WHILE_WRITING: usize = 4;
-/// A client that receives nothing of its reply for twice this time is disconnected: after the first
-/// interval its unacknowledged bytes are recorded, after the second they must have become fewer. A
-/// write itself shows progress only once a third of the system's buffer is free.
+/// How often a client that is being written to is checked for receiving its reply: its unacknowledged
+/// bytes are recorded, and the next time they must have become fewer. A write itself shows progress only
+/// once a third of the system's buffer is free.
 const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 /// A command without its value must be complete within this time, the first one counted from the
 /// accept; a value must make progress within it. Clients that send nothing or a partial command
@@ -90,6 +91,8 @@
     step_deadline: Option<Instant>,
     /// The last check of unacknowledged bytes, while a reply is being written.
     write_check: Option<WriteCheck>,
+    /// Since when the client has received nothing of the reply being written.
+    reader_pause: Option<Pause>,
     /// Set once no more input is read: the client sent QUIT or violated the protocol.
     closing: Option<CloseReason>,
     activity: Activity,
@@ -124,6 +127,7 @@
             outgoing: OutgoingReply::default(),
             step_deadline: None,
             write_check: None,
+            reader_pause: None,
             closing: None,
             activity: Activity::new(),
             shed_wakeup: Rc::default(),
@@ -467,6 +471,7 @@
                 // slowly, gets this reply and those after it.
                 self.step_deadline = None;
                 self.write_check = None;
+                self.reader_pause = None;
                 ControlFlow::Continue(())
             }
             OutputEvent::ChunkReady => ControlFlow::Continue(()),
@@ -492,10 +497,18 @@
         ControlFlow::Continue(())
     }
 
-    /// Disconnects the client if it received nothing of its reply since the previous check.
+    /// Disconnects the client if it has received nothing of its reply for too long: from one check to the
+    /// next, but of a long value, which is not held in memory, for as long as nobody needs what it holds.
     fn check_reader(&mut self) -> ControlFlow<CloseReason> {
         let check = WriteCheck::of(&self.reader, &self.shared.sockets);
-        if self.write_check.is_some_and(|before| !check.may_show_progress_since(before)) {
+        let is_stalled = self.write_check.is_some_and(|before| !check.may_show_progress_since(before));
+        if !is_stalled {
+            // The time of the next check counts: the client may have paused since this one.
+            self.reader_pause = None;
+        }
+        let pause = *self.reader_pause.get_or_insert_with(Pause::begin);
+        let may_pause = self.outgoing.is_long_value() && !pause.is_over(&self.shared.budget);
+        if is_stalled && !may_pause {
             self.shared.counters.clients_slow.add();
             return ControlFlow::Break(CloseReason::ReaderStalled);
         }
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -72,6 +72,8 @@
     /// The request that is answered, until the reply is written.
     request: Option<Rc<ClientRequest>>,
     audit: ReplyAudit,
+    /// Whether the reply is a long value that is passed on as it comes.
+    is_long_value: bool,
 }
 
 /// The result of a step of writing.
@@ -126,6 +128,7 @@
             Value::Streamed(stream) => OutgoingReply {
                 text: resp::encode_bulk_head(stream.length),
                 stream: Some(stream),
+                is_long_value: true,
                 ..OutgoingReply::default()
             },
         }
@@ -165,6 +168,11 @@
         }
     }
 
+    /// Whether the reply is a long value that is passed on as it comes, up to its last byte.
+    pub fn is_long_value(&self) -> bool {
+        self.is_long_value
+    }
+
     /// Whether the rest of a long value is still awaited from the host.
     pub fn is_streaming(&self) -> bool {
         self.stream.is_some()
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -21,6 +21,7 @@
 mod metrics;
 mod outstanding;
 mod panics;
+mod pauses;
 mod pipeline_slot;
 mod presence;
 mod process;
--- a/balancer/src/process/mod.rs
+++ b/balancer/src/process/mod.rs
@@ -98,6 +98,7 @@
         }
         if timeout_at(deadline, self.connections_closed()).await.is_err() {
             self.enter(Phase::Flushing);
+            shared.budget.process_ends();
             shared.router.borrow_mut().shut_down(shared.clock.now());
             shared.wake_requests();
             // Clients that remain don't read their answers; their connections time out.
--- a/balancer/src/upstream/streaming.rs
+++ b/balancer/src/upstream/streaming.rs
@@ -13,12 +13,15 @@
 use super::messages::{Trailer, ValueEnding};
 use super::value::{read_end, read_trailer, GrantedBytes, ValueError};
 use super::{SurplusPlace, UpstreamConnection, UpstreamEvent, Upstreams};
-use crate::budget::{PieceRoom, StreamGrant};
+use crate::budget::{PieceRoom, ResourceBudget, StreamGrant};
+use crate::pauses::Pause;
 use crate::socket_io::read_buf;
 use crate::value::{Piece, StreamPart};
 
-/// A host that sends no byte of a long value for this long is expected to send no more of it.
-const PIECE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often a host that pauses in the middle of a value is looked at.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// How long to wait for the bytes that show that a value is whole: its host has sent all of it.
+const END_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long to wait for the rest of a response whose value was passed on.
 const TRAILER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -71,7 +74,7 @@
                 return;
             }
         }
-        if let Err(failure) = pass_on(connection, rest, ending, &window, &parts).await {
+        if let Err(failure) = pass_on(&self.budget, connection, rest, ending, &window, &parts).await {
             self.record_stream_failure(host, id, failure);
             return;
         }
@@ -111,6 +114,7 @@
 /// Passes on the rest of a value. Its end is passed on once the bytes behind it show that it is the end: until then
 /// the client waits for the terminator of its bulk string.
 async fn pass_on(
+    budget: &ResourceBudget,
     connection: &mut UpstreamConnection,
     rest: usize,
     ending: ValueEnding,
@@ -120,15 +124,17 @@
     let mut left = rest;
     while left > 0 {
         let PieceRoom { max_bytes, grant } = window.piece_room(left);
-        let Some(bytes) = next_piece(connection, max_bytes).await else {
-            return Err(StreamFailure::Truncated { left });
+        let bytes = tokio::select! {
+            bytes = next_piece(budget, connection, max_bytes) => bytes,
+            () = parts.closed() => return Err(StreamFailure::ClientGone),
         };
+        let Some(bytes) = bytes else { return Err(StreamFailure::Truncated { left }) };
         left -= bytes.len();
         let piece = StreamPart::Piece(Piece { bytes, memory: grant });
         parts.send(piece).await.map_err(|_| StreamFailure::ClientGone)?;
     }
     let end = tokio::select! {
-        end = timeout(PIECE_TIMEOUT, read_end(connection, ending)) => end,
+        end = timeout(END_TIMEOUT, read_end(connection, ending)) => end,
         () = parts.closed() => return Err(StreamFailure::ClientGone),
     };
     match end {
@@ -139,18 +145,27 @@
 }
 
 /// The next piece of a value, from the buffer or else from the socket; `None` if the connection
-/// ended, failed or sent nothing within [`PIECE_TIMEOUT`].
-async fn next_piece(connection: &mut UpstreamConnection, max_bytes: usize) -> Option<Bytes> {
-    if connection.buffer.is_empty() {
-        let mut piece = BytesMut::with_capacity(max_bytes);
+/// ended or failed, or the host paused for too long. Cancelled only where the connection is dropped.
+async fn next_piece(
+    budget: &ResourceBudget,
+    connection: &mut UpstreamConnection,
+    max_bytes: usize,
+) -> Option<Bytes> {
+    let buffered = connection.buffer.bytes();
+    if !buffered.is_empty() {
+        let piece = Bytes::copy_from_slice(&buffered[..max_bytes.min(buffered.len())]);
+        connection.buffer.consume(piece.len());
+        return Some(piece);
+    }
+    let pause = Pause::begin();
+    let mut piece = BytesMut::with_capacity(max_bytes);
+    loop {
         let mut unfilled = (&mut piece).limit(max_bytes);
-        return match timeout(PIECE_TIMEOUT, read_buf(&mut connection.stream, &mut unfilled)).await {
-            Ok(Ok(1..)) => Some(piece.freeze()),
-            _ => None,
-        };
+        match timeout(PAUSE_CHECK_INTERVAL, read_buf(&mut connection.stream, &mut unfilled)).await {
+            Ok(Ok(1..)) => return Some(piece.freeze()),
+            Ok(Ok(0) | Err(_)) => return None,
+            Err(_) if pause.is_over(budget) => return None,
+            Err(_) => {}
+        }
     }
-    let buffered = connection.buffer.bytes();
-    let piece = Bytes::copy_from_slice(&buffered[..max_bytes.min(buffered.len())]);
-    connection.buffer.consume(piece.len());
-    Some(piece)
 }
