--- a/balancer/src/upstream/response.rs
+++ b/balancer/src/upstream/response.rs
@@ -194,8 +194,9 @@
     }
 
     /// Reads a long value whole before any of it is passed on: if it breaks off, the attempt has failed
-    /// as one with a short value does. What is there after [`MAX_HOLD`] is passed on, and the rest as it
-    /// comes.
+    /// as one with a short value does. What is there after [`MAX_HOLD`], or when the attempt's time is over, is
+    /// passed on, and the rest as it comes; but not if an earlier attempt of the request has failed and the time
+    /// is over: this one is likely to break off too, and nothing was passed on yet.
     async fn hold(
         &self,
         mut checked_out: CheckedOut<'_>,
@@ -211,11 +212,14 @@
             read_value(connection, length, &mut value).await?;
             read_trailer(connection, ending).await
         };
-        let held = timeout_at(self.deadline_at().min(Instant::now() + MAX_HOLD), held).await;
+        let (deadline, hold_until) = (self.deadline_at(), Instant::now() + MAX_HOLD);
+        let may_stream = hold_until < deadline || self.attempt.number.0 == 0;
+        let held = timeout_at(deadline.min(hold_until), held).await;
         let bytes = value.freeze();
         let now = self.upstreams.clock.now();
         match held {
-            Err(_) => self.stream(checked_out, head, Some(GrantedBytes { bytes, memory })),
+            Err(_) if may_stream => self.stream(checked_out, head, Some(GrantedBytes { bytes, memory })),
+            Err(_) => AttemptResult::without_value(self.value_timed_out(now, checked_out)),
             Ok(Err(failure)) => AttemptResult::without_value(self.value_failed(now, checked_out, failure)),
             Ok(Ok(trailer)) => {
                 self.collected(now, checked_out, Some(GrantedBytes { bytes, memory }), trailer)
