Read up to 512 KiB of commands ahead, so that a client's end shows behind them

Cause: 32 commands are served at a time and 80 KiB were read ahead; past that the end of the connection waits behind bytes that nobody reads.

Change: 512 KiB are read ahead, as far as memory for commands is granted; a buffer that is full is read into again once half of it is free. A single command is refused at 80 KiB as before.

--- a/balancer/src/downstream/input.rs
+++ b/balancer/src/downstream/input.rs
@@ -24,6 +24,9 @@
 /// Bytes that a connection may hold although the memory budget is used up by others: enough for
 /// commands without a value.
 pub const UNBUDGETED_BYTES: usize = 4 * 1024;
+/// How many bytes of commands are read before these can be served, memory permitting: the end of a client's
+/// connection shows only behind all that it has sent.
+const MAX_READ_AHEAD: usize = 512 * 1024;
 /// How often a client from which nothing more is read is checked for having disconnected: no
 /// attempt may begin for it more than 0.1 s after it left. Source: the operators' requirements.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -97,7 +100,7 @@
     /// Creates an empty input.
     pub fn new(budget: &ResourceBudget) -> Input {
         Input {
-            buffer: Buffer::new(resp::MAX_BUFFERED_MESSAGE),
+            buffer: Buffer::new(MAX_READ_AHEAD),
             memory: budget.memory.empty_grant(Purpose::Input),
             incoming: None,
             unread: UnreadBytes::default(),
@@ -151,7 +154,7 @@
 
     /// Whether the buffer has room for more commands and no value is being read.
     pub fn can_read_ahead(&self) -> bool {
-        self.incoming.is_none() && !self.buffer.is_full()
+        self.incoming.is_none() && self.buffer.has_cheap_space()
     }
 
     /// Discards the value that is being read.
@@ -175,7 +178,9 @@
         self.discard();
         if self.incoming.is_none() {
             match resp::parse_command(self.buffer.bytes()).map_err(malformed)? {
-                None if self.buffer.is_full() => return Err(ProtocolError::CommandTooLong),
+                None if self.buffer.bytes().len() >= resp::MAX_BUFFERED_MESSAGE => {
+                    return Err(ProtocolError::CommandTooLong)
+                }
                 None => return Ok(None),
                 Some(ParsedCommand::Complete(CompleteCommand { words, consumed })) => {
                     let memory = self.consume_words(consumed);
--- a/balancer/tests/departed_clients.rs
+++ b/balancer/tests/departed_clients.rs
@@ -6,6 +6,9 @@
 mod common;
 mod stand_ins;
 
+use std::thread::sleep;
+use std::time::Duration;
+
 use common::*;
 use stand_ins::{four_gated_hosts, Departure, EACH_DEPARTURE};
 
@@ -54,3 +57,41 @@
         }
     }
 }
+
+/// Guards against attempts beginning for a client that sent more commands than wait at a time and left: the end of
+/// its connection shows only behind all that it sent.
+#[test]
+fn client_that_sends_much_at_once_and_leaves_gets_no_further_attempt() {
+    const COMMANDS: usize = 380;
+    for departure in EACH_DEPARTURE {
+        let (release, wait) = gate();
+        let host = Peer::host(move |request| {
+            wait(request);
+            miss()
+        });
+        let origin = Peer::http(|_| http_answer(200, "v"));
+        let known = [entry("a", host.address, "active"), entry("origin", origin.address, "active")];
+        let program = Program::start(BINARY, unreachable_address(), &known, 256);
+        let mut client = program.client();
+        let facts = format!("c=read,p={},d=1900", "x".repeat(1_200));
+        let commands: String = (0..COMMANDS)
+            .map(|nth| {
+                let (key, id) = (format!("slow{nth:04}"), format!("id{nth:06}"));
+                let words =
+                    ["CACHE.GET", &key, &id, &facts].map(|word| format!("${}\r\n{word}\r\n", word.len()));
+                format!("*4\r\n{}", words.concat())
+            })
+            .collect();
+        client.raw(commands.as_bytes());
+        while !host.next().contains("slow") {}
+        departure.apply(client);
+
+        // The client's end is noticed while its first requests are at the host.
+        sleep(Duration::from_millis(100));
+        drop(release);
+        program.wait_for_counter("abandoned", 1);
+        sleep(Duration::from_millis(100));
+        assert!(origin.received_nothing(), "{departure:?}: an attempt began after the client had left");
+        assert_eq!(program.client().command(&["PING"]), "+PONG");
+    }
+}
--- a/wire/src/buffer.rs
+++ b/wire/src/buffer.rs
@@ -45,6 +45,14 @@
         self.bytes.len() >= self.max_length
     }
 
+    /// Whether a read costs no copy of a large part of the contents: there is space behind them, or the buffer
+    /// may grow, or half of it is free.
+    pub fn has_cheap_space(&self) -> bool {
+        let is_half_empty = 2 * self.bytes.len() <= self.max_length;
+        is_half_empty
+            || (!self.is_full() && (self.spare() >= MIN_SPARE || self.next_capacity() > self.allocated))
+    }
+
     /// The memory that the buffer will have allocated for the next read, in bytes.
     pub fn next_capacity(&self) -> usize {
         if self.bytes.len() + MIN_SPARE <= self.allocated {
