Read nothing into a full buffer whose commands wait for memory

Cause: bytes were asked for whenever fewer commands were pending than may be; where a full buffer held commands that waited for memory, the read failed and the connection counted as broken.

Change: nothing is read into a full buffer. Its commands wait for memory or for the replies before them.

--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -350,7 +350,9 @@
         // unread bytes filled the client's window, its disconnect would go unnoticed, and its
         // requests would continue.
         let reads_ahead = may_read && !takes_commands && works_for_client && self.input.can_read_ahead();
-        let reads = (takes_commands || reads_ahead) && self.input.reserve_read();
+        // A full buffer holds commands that wait for memory.
+        let reads_commands = takes_commands && self.input.has_space();
+        let reads = (reads_commands || reads_ahead) && self.input.reserve_read();
         if !takes_commands {
             self.input.unread.wait_for_others();
         } else if !reads && (snapshot.is_idle || snapshot.awaits_memory) {
--- a/balancer/src/downstream/input.rs
+++ b/balancer/src/downstream/input.rs
@@ -152,6 +152,12 @@
         (words.bytes() > 0).then(|| words.held_for(Purpose::Commands))
     }
 
+    /// Whether the next read has somewhere to put its bytes.
+    pub fn has_space(&self) -> bool {
+        matches!(&self.incoming, Some(Incoming::Value(value)) if value.remaining() > 0)
+            || !self.buffer.is_full()
+    }
+
     /// Whether the buffer has room for more commands and no value is being read.
     pub fn can_read_ahead(&self) -> bool {
         self.incoming.is_none() && self.buffer.has_cheap_space()
--- a/balancer/tests/memory.rs
+++ b/balancer/tests/memory.rs
@@ -317,3 +317,41 @@
     assert!(program.wait_for_exit().success());
     program.wait_for_log("values_rejected=1");
 }
+
+/// Guards against a connection being ended with requests owed because its buffer is full of commands that wait for
+/// memory: it waits.
+#[test]
+fn clients_that_send_more_than_memory_holds_get_all_their_answers() {
+    const CLIENTS: usize = 24;
+    const READS: usize = 400;
+    let hosts = [host_of_short_values()];
+    let program = program(&hosts, [16, 256]);
+    let padding = "x".repeat(1_800);
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let mut client = program.client();
+            let facts = format!("c=read,d=60000,p={padding}");
+            spawn(move || {
+                let mut sending = Client::over(client.writing.try_clone().expect("a second handle"));
+                let sender = spawn(move || {
+                    for nth in 0..READS {
+                        sending.get(&format!("k{number}-{nth}"), &format!("id-{number}-{nth}"), &facts);
+                    }
+                });
+                let answered = (0..READS).take_while(|_| client.answer() != "closed").count();
+                let _ = sender.join();
+                answered
+            })
+        })
+        .collect();
+    let answered: Vec<usize> = clients.into_iter().map(|client| client.join().expect("it ends")).collect();
+    assert!(answered.iter().all(|&answered| answered == READS), "{answered:?}");
+}
+
+/// A host with short values, which come after the requests of all clients.
+fn host_of_short_values() -> Peer {
+    Peer::host(|_| {
+        sleep(HOST_DELAY);
+        hit("v")
+    })
+}
