Split pending replies and value responses off the files that had grown

PendingReplies has the queue and what is asked of it; value_response.rs has the responses whose value is read apart from their head. No change of behaviour.

--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -1,11 +1,9 @@
 //! Serves one client's connection, from its first byte until it is to be closed.
 
-use std::collections::VecDeque;
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 
-use basaltwood::policy::{may_begin_behind, EarlierReply};
 use basaltwood::types::Micros;
 use basaltwood_memory_ledger::Purpose;
 use basaltwood_wire::resp;
@@ -20,15 +18,12 @@
 use super::command::{earliest_arrival, parse, CommandOrigin, Parsed};
 use super::idle_close::{Activity, Snapshot};
 use super::input::{Command, Input, InputEvent, ProtocolError};
-use super::reply::{
-    encode_rejection, next_awaited, take_ready, AwaitedReply, OutgoingReply, OutputEvent, PendingReply,
-    ReplyProgress,
-};
+use super::pending::{AwaitedReply, PendingReplies, PendingReply};
+use super::reply::{encode_rejection, OutgoingReply, OutputEvent, ReplyProgress};
 use super::write_check::WriteCheck;
 use crate::budget::MemoryGrant;
 use crate::lifecycle::Phase;
 use crate::pauses::Pause;
-use crate::pipeline_slot::Clearance;
 use crate::presence::PresenceGuard;
 use crate::requests;
 use crate::shared::Shared;
@@ -85,7 +80,7 @@
     writer: WriteHalf<'a>,
     input: Input,
     /// Replies in the order of their commands.
-    pending: VecDeque<PendingReply>,
+    pending: PendingReplies,
     outgoing: OutgoingReply,
     /// When the reply being written must have made progress, or the command begun must be complete.
     step_deadline: Option<Instant>,
@@ -123,7 +118,7 @@
             reader,
             writer,
             input,
-            pending: VecDeque::new(),
+            pending: PendingReplies::default(),
             outgoing: OutgoingReply::default(),
             step_deadline: None,
             write_check: None,
@@ -139,39 +134,24 @@
     /// Serves the connection until it is to be closed.
     pub async fn run(mut self) -> Closed {
         let reason = self.serve().await;
-        self.record_unheard_answers();
+        let unheard = self.pending.answered_requests().chain(self.outgoing.request());
+        unheard.for_each(|request| self.shared.answer_unheard(request));
         let being_written = usize::from(!self.outgoing.is_empty());
         Closed {
             number: self.number,
             reason,
             pending_replies: self.pending.len() + being_written,
-            untold_effects: self.untold_effects(),
+            untold_effects: self.pending.untold_effects(),
         }
     }
 
-    /// Records the requests whose answer was there and was not written in full. Those that have none yet
-    /// are abandoned.
-    fn record_unheard_answers(&self) {
-        let pending = self.pending.iter().filter_map(PendingReply::awaited_request);
-        let unheard = pending.chain(self.outgoing.request());
-        unheard
-            .filter(|request| request.is_finished())
-            .for_each(|request| self.shared.answer_unheard(request));
-    }
-
-    /// How many requests have begun whose effect must not go untold, and are not answered.
-    fn untold_effects(&self) -> usize {
-        let awaited = self.pending.iter().filter_map(PendingReply::awaited_request);
-        awaited.filter(|request| !request.slot.is_held() && request.must_be_told()).count()
-    }
-
     async fn serve(&mut self) -> CloseReason {
         loop {
             self.take_commands().await;
             if *self.phase.borrow() == Phase::Flushing {
                 self.refuse_what_has_not_begun();
             }
-            begin_requests(self.outgoing.as_earlier_reply(), &self.pending);
+            self.pending.begin_requests(self.outgoing.as_earlier_reply());
             self.begin_ready_reply();
             let is_idle = self.pending.is_empty() && self.outgoing.is_empty();
             if let Some(reason) = self.closing.filter(|_| is_idle) {
@@ -234,7 +214,7 @@
                 let active = self.shared.metrics.request_started(new_request.class, request.id.clone());
                 log::debug!(client = self.number, client_id:% = String::from_utf8_lossy(&request.id); "command read");
                 let reply = AwaitedReply { delivery: awaited, active, request: request.clone() };
-                self.pending.push_back(PendingReply::Awaited(reply));
+                self.pending.push(PendingReply::Awaited(reply));
                 let task = requests::serve(self.shared.clone(), request, new_request, delivery, memory);
                 spawn_local(task);
             }
@@ -251,7 +231,7 @@
     }
 
     fn reply(&mut self, text: Bytes) {
-        self.pending.push_back(PendingReply::Ready(text));
+        self.pending.push(PendingReply::Ready(text));
     }
 
     /// Queues the last reply to a client that violates the protocol.
@@ -279,18 +259,15 @@
         if self.input.waiting_value().is_some() {
             self.reject_value();
         }
-        let awaited = self.pending.iter().filter_map(PendingReply::awaited_request);
-        awaited
-            .filter(|request| request.slot.is_held())
-            .for_each(|request| request.slot.decide(Clearance::Refused));
+        self.pending.refuse_held();
     }
 
     fn begin_ready_reply(&mut self) {
-        self.pending.front().inspect(|reply| reply.set_next());
+        self.pending.set_next();
         if !self.outgoing.is_empty() {
             return;
         }
-        if let Some(reply) = take_ready(&mut self.pending) {
+        if let Some(reply) = self.pending.take_ready() {
             self.begin_reply(reply);
         }
     }
@@ -344,7 +321,7 @@
     fn read_plan(&mut self, snapshot: &Snapshot) -> ReadPlan {
         let may_read = self.closing.is_none() && !snapshot.drain_overdue && snapshot.phase != Phase::Flushing;
         let takes_commands = may_read && self.pending.len() < self.max_pending();
-        let awaits_reply = self.pending.iter().any(|reply| reply.awaited_request().is_some());
+        let awaits_reply = self.pending.awaits_answer();
         let works_for_client = snapshot.awaits_memory || awaits_reply;
         // While a request is in progress, commands past the limit are read into the buffer too: if
         // unread bytes filled the client's window, its disconnect would go unnoticed, and its
@@ -375,12 +352,11 @@
         let awaits_command = snapshot.is_partial || !self.activity.had_command;
         let waits_for_memory = plan.takes_commands && !plan.reads;
         let is_writing = !self.outgoing.is_empty();
-        let mut awaited = self.pending.iter().filter_map(PendingReply::awaited_request);
-        let requests_held = awaited.any(|request| request.slot.is_held());
+        let requests_held = self.pending.has_held();
         let budget = &self.shared.budget;
         let input = self.input.wait(&mut self.reader, plan.reads);
         let output = self.outgoing.advance(&mut self.writer);
-        let awaited = next_awaited(&mut self.pending, &self.shared.invariants);
+        let awaited = self.pending.next_awaited(&self.shared.invariants);
         let shed_requested = budget.shed_requested(awaits_command, &self.shed_wakeup);
         tokio::select! {
             biased;
@@ -418,7 +394,7 @@
         });
         let retry_after = self.shared.router.borrow().retry_after();
         let text = encode_rejection(retry_after);
-        self.pending.push_back(PendingReply::Rejected { text, request });
+        self.pending.push(PendingReply::Rejected { text, request });
     }
 
     fn handle(&mut self, event: Event) -> ControlFlow<CloseReason> {
@@ -528,22 +504,6 @@
     }
 }
 
-/// Lets those requests begin that may, by what is known of the replies before theirs: the one being
-/// written, and those that are pending.
-fn begin_requests(being_written: EarlierReply, pending: &VecDeque<PendingReply>) {
-    let mut earlier = being_written;
-    for (position, reply) in pending.iter().enumerate() {
-        let Some(request) = reply.awaited_request() else { continue };
-        let may_begin = may_begin_behind(earlier, request.must_be_told());
-        if may_begin && request.slot.is_held() {
-            request.slot.decide(Clearance::Given);
-            let before = pending.iter().take(position).filter_map(PendingReply::awaited_request);
-            before.for_each(|request| request.slot.set_followed());
-        }
-        earlier = earlier.max(request.slot.reply());
-    }
-}
-
 async fn sleep_until_some(at: Option<Instant>) {
     match at {
         Some(at) => sleep_until(at).await,
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -9,8 +9,8 @@
 use basaltwood_wire::resp;
 use bytes::{Buf, Bytes};
 use tokio::io::AsyncWrite;
-use tokio::sync::oneshot;
 
+use super::pending::AwaitedReply;
 use super::reply_audit::ReplyAudit;
 use crate::budget::MemoryGrant;
 use crate::invariants::{Invariant, Invariants};
@@ -22,41 +22,6 @@
 
 const MICROS_PER_MS: Micros = 1_000;
 
-/// The reply to one command.
-pub enum PendingReply {
-    /// The reply is complete.
-    Ready(Bytes),
-    /// The request was rejected before it was read.
-    Rejected { text: Bytes, request: Option<ActiveRequest> },
-    /// The reply follows from a request's final answer, which is still awaited.
-    Awaited(AwaitedReply),
-}
-
-/// A reply that follows from a request's final answer.
-pub struct AwaitedReply {
-    pub delivery: oneshot::Receiver<AnswerDelivery>,
-    pub active: ActiveRequest,
-    /// The request.
-    pub request: Rc<ClientRequest>,
-}
-
-impl PendingReply {
-    /// Lets the request of this reply know that its answer is the client's next one.
-    pub fn set_next(&self) {
-        if let Some(request) = self.awaited_request() {
-            request.turn.set();
-        }
-    }
-
-    /// The request whose final answer the reply follows from, if it is still awaited.
-    pub fn awaited_request(&self) -> Option<&Rc<ClientRequest>> {
-        match self {
-            PendingReply::Awaited(awaited) => Some(&awaited.request),
-            PendingReply::Ready(_) | PendingReply::Rejected { .. } => None,
-        }
-    }
-}
-
 /// The reply that is being written, with its request and that request's outcome.
 #[derive(Default)]
 pub struct OutgoingReply {
@@ -104,7 +69,15 @@
         OutgoingReply { text, ..OutgoingReply::default() }
     }
 
-    fn of_request(awaited: AwaitedReply, delivery: AnswerDelivery) -> OutgoingReply {
+    /// Creates the reply to a request that was rejected before it was read; `None` for the request if its class
+    /// is unknown.
+    pub fn rejected(text: Bytes, request: Option<ActiveRequest>) -> OutgoingReply {
+        let active = request.map(|active| (active, RequestOutcome::Shed));
+        OutgoingReply { active, ..OutgoingReply::ready(text) }
+    }
+
+    /// Creates the reply with a request's final answer.
+    pub fn of_request(awaited: AwaitedReply, delivery: AnswerDelivery) -> OutgoingReply {
         let AnswerDelivery { answer, memory } = delivery;
         let (mut reply, outcome) = match answer {
             FinalAnswer::Succeeded(value) => (OutgoingReply::of_value(value), RequestOutcome::Ok),
@@ -246,40 +219,6 @@
     }
 }
 
-/// Takes the first reply off the queue, if it is complete.
-pub fn take_ready(pending: &mut VecDeque<PendingReply>) -> Option<OutgoingReply> {
-    match pending
-        .pop_front_if(|first| matches!(first, PendingReply::Ready(_) | PendingReply::Rejected { .. }))?
-    {
-        PendingReply::Ready(text) => Some(OutgoingReply::ready(text)),
-        PendingReply::Rejected { text, request } => {
-            let active = request.map(|active| (active, RequestOutcome::Shed));
-            Some(OutgoingReply { active, ..OutgoingReply::ready(text) })
-        }
-        PendingReply::Awaited(_) => None,
-    }
-}
-
-/// Waits for the final answer that the first reply in the queue needs, and takes that reply off. A
-/// request that ended without a final answer, which is a bug, counts as failed.
-pub async fn next_awaited(
-    pending: &mut VecDeque<PendingReply>,
-    invariants: &Invariants,
-) -> Option<OutgoingReply> {
-    let delivered = match pending.front_mut() {
-        Some(PendingReply::Awaited(awaited)) => (&mut awaited.delivery).await,
-        _ => std::future::pending().await,
-    };
-    let delivery = delivered.unwrap_or_else(|_| {
-        invariants.violated(Invariant::AnswerMissing, format_args!("a request ended unanswered"));
-        AnswerDelivery { answer: FinalAnswer::Failed, memory: None }
-    });
-    match pending.pop_front() {
-        Some(PendingReply::Awaited(awaited)) => Some(OutgoingReply::of_request(awaited, delivery)),
-        _ => None,
-    }
-}
-
 /// Encodes a rejection, with the time in milliseconds after which a retry makes sense, if there is one.
 pub fn encode_rejection(retry_after: Option<Micros>) -> Bytes {
     match retry_after {
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -19,6 +19,7 @@
 mod streaming;
 mod surplus;
 mod value;
+mod value_response;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
--- /dev/null
+++ b/balancer/src/upstream/value_response.rs
@@ -0,0 +1,219 @@
+//! Responses whose value is read apart from their head: into memory granted for it, or passed on as it comes.
+
+use std::time::Duration;
+
+use basaltwood::policy::EarlierReply;
+use basaltwood::types::{AttemptOutcome, Micros};
+use basaltwood_wire::resp::MAX_BUFFERED_VALUE;
+use bytes::{Bytes, BytesMut};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, timeout_at, Instant};
+
+use super::checkout::CheckedOut;
+use super::duplicates::ResponseFingerprint;
+use super::exchange::Exchange;
+use super::messages::{Trailer, ValueHead, WholeResponse};
+use super::streaming::ValueStream;
+use super::value::{collect_value, read_trailer, read_value, CollectedValue, GrantedBytes, ValueError};
+use super::{UpstreamEvent, Upstreams};
+use crate::answer_turn::AnswerTurn;
+use crate::budget::MemoryGrant;
+use crate::request::AttemptResult;
+use crate::value::{StreamedValue, Value, WholeValue};
+
+/// How long a long value is held back at the most because requests behind it have begun.
+const MAX_HOLD: Duration = Duration::from_secs(1);
+
+impl Upstreams {
+    /// Waits for the memory of a response. One whose client first has to take others may use only a
+    /// part of it.
+    pub(super) async fn response_memory(&self, bytes: usize, turn: &AnswerTurn) -> MemoryGrant {
+        let memory = &self.budget.memory;
+        loop {
+            if let Some(grant) = memory.try_grant_response(bytes, turn.has_come()) {
+                return grant;
+            }
+            tokio::select! {
+                () = memory.freed.notified() => {}
+                () = turn.comes(), if !turn.has_come() => {}
+            }
+        }
+    }
+}
+
+impl Exchange<'_> {
+    /// Whether the value is passed on as it comes. The receipt of a write is not: requests behind it
+    /// begin without waiting for it.
+    pub(super) fn is_streamed(&self, head: &ValueHead) -> bool {
+        head.length > MAX_BUFFERED_VALUE && self.request.value.is_none()
+    }
+
+    /// Handles the head of a value that is to be passed on as it comes. From now on no request begins
+    /// behind it. Requests behind it that have begun would get no answer if it broke off: if there are
+    /// any, and there is memory, it is held back until it is whole or [`MAX_HOLD`] has passed.
+    pub(super) async fn hold_or_stream(
+        &self,
+        now: Micros,
+        mut checked_out: CheckedOut<'_>,
+        head: ValueHead,
+    ) -> AttemptResult {
+        let slot = &self.request.slot;
+        slot.set_reply(EarlierReply::Streamed);
+        self.upstreams.pools.borrow_mut().response_begun(now, checked_out.id());
+        if let Some(connection) = checked_out.connection() {
+            connection.buffer.consume(head.start);
+        }
+        let bytes = WholeValue::memory_needed(head.length);
+        let is_next = self.request.turn.has_come();
+        let memory = match slot.is_followed() {
+            true => self.upstreams.budget.memory.try_grant_response(bytes, is_next),
+            false => None,
+        };
+        match memory {
+            Some(memory) => self.hold(checked_out, head, memory).await,
+            None => self.stream(checked_out, head, None),
+        }
+    }
+
+    /// Reads a long value whole before any of it is passed on: if it breaks off, the attempt has failed
+    /// as one with a short value does. What is there after [`MAX_HOLD`], or when the attempt's time is over, is
+    /// passed on, and the rest as it comes; but not if an earlier attempt of the request has failed and the time
+    /// is over: this one is likely to break off too, and nothing was passed on yet.
+    async fn hold(
+        &self,
+        mut checked_out: CheckedOut<'_>,
+        head: ValueHead,
+        memory: MemoryGrant,
+    ) -> AttemptResult {
+        let ValueHead { length, ending, .. } = head;
+        let Some(connection) = checked_out.connection() else {
+            return AttemptResult::without_value(AttemptOutcome::NotSent);
+        };
+        let mut value = BytesMut::with_capacity(length);
+        let held = async {
+            read_value(connection, length, &mut value).await?;
+            read_trailer(connection, ending).await
+        };
+        let (deadline, hold_until) = (self.deadline_at(), Instant::now() + MAX_HOLD);
+        let may_stream = hold_until < deadline || self.attempt.number.0 == 0;
+        let held = timeout_at(deadline.min(hold_until), held).await;
+        let bytes = value.freeze();
+        let now = self.upstreams.clock.now();
+        match held {
+            Err(_) if may_stream => self.stream(checked_out, head, Some(GrantedBytes { bytes, memory })),
+            Err(_) => AttemptResult::without_value(self.value_timed_out(now, checked_out)),
+            Ok(Err(failure)) => AttemptResult::without_value(self.value_failed(now, checked_out, failure)),
+            Ok(Ok(trailer)) => {
+                self.collected(now, checked_out, Some(GrantedBytes { bytes, memory }), trailer)
+            }
+        }
+    }
+
+    /// Starts a task that passes on a long value, of which `beginning` was read.
+    fn stream(
+        &self,
+        mut checked_out: CheckedOut<'_>,
+        head: ValueHead,
+        beginning: Option<GrantedBytes>,
+    ) -> AttemptResult {
+        let Some(connection) = checked_out.take() else {
+            return AttemptResult::without_value(AttemptOutcome::NotSent);
+        };
+        let (sender, parts) = mpsc::channel(1);
+        let ValueHead { length, ending, .. } = head;
+        let rest = length - beginning.as_ref().map_or(0, |beginning| beginning.bytes.len());
+        let (host, id) = (self.target.host, checked_out.id());
+        let stream = ValueStream { host, id, beginning, connection, rest, ending };
+        spawn_local(self.upstreams.clone().stream_value(stream, sender));
+        AttemptResult::succeeded(Value::Streamed(StreamedValue { length, parts }))
+    }
+
+    /// Reads a value whose head was read into memory granted for it. Until it is granted, the value
+    /// stays in the system's buffers. Nothing is granted once the request is over: the value is then
+    /// read only to use the connection again.
+    pub(super) async fn collect(
+        &self,
+        now: Micros,
+        mut checked_out: CheckedOut<'_>,
+        head: ValueHead,
+    ) -> AttemptResult {
+        let ValueHead { start, length, ending } = head;
+        let deadline = self.deadline_at();
+        // The host has responded, however long its value waits here.
+        self.upstreams.pools.borrow_mut().response_begun(now, checked_out.id());
+        let memory = tokio::select! {
+            biased;
+            () = self.request.wait_finished() => None,
+            memory = self.value_memory(WholeValue::memory_needed(length)) => Some(memory),
+            () = sleep_until(deadline) => {
+                return self.without_memory();
+            }
+        };
+        let Some(connection) = checked_out.connection() else {
+            return AttemptResult::without_value(AttemptOutcome::NotSent);
+        };
+        connection.buffer.consume(start);
+        let collected = collect_value(connection, length, memory, ending);
+        let collected = timeout_at(deadline, collected).await;
+        let now = self.upstreams.clock.now();
+        match collected {
+            Err(_) => AttemptResult::without_value(self.value_timed_out(now, checked_out)),
+            Ok(Err(failure)) => AttemptResult::without_value(self.value_failed(now, checked_out, failure)),
+            Ok(Ok(CollectedValue { value, trailer })) => self.collected(now, checked_out, value, trailer),
+        }
+    }
+
+    /// Handles a value that was read whole with what follows it; `None` if it was discarded.
+    fn collected(
+        &self,
+        now: Micros,
+        checked_out: CheckedOut<'_>,
+        value: Option<GrantedBytes>,
+        trailer: Trailer,
+    ) -> AttemptResult {
+        let fingerprint = value.as_ref().map(|value| ResponseFingerprint::of(&value.bytes, self.request));
+        let (value, memory) = match value {
+            Some(GrantedBytes { bytes, memory }) => (bytes, Some(memory)),
+            None => (Bytes::new(), None),
+        };
+        let Trailer { length, reusable } = trailer;
+        let response =
+            WholeResponse { outcome: AttemptOutcome::Succeeded, value: Some(value), length, reusable };
+        self.answered(now, checked_out, response, memory, fingerprint, false)
+    }
+
+    /// Ends the attempt because its value could not be read.
+    fn value_failed(&self, now: Micros, checked_out: CheckedOut<'_>, failure: ValueError) -> AttemptOutcome {
+        match failure {
+            ValueError::ConnectionEnded => self.connection_lost(now, checked_out),
+            ValueError::Invalid => AttemptOutcome::Error,
+        }
+    }
+
+    /// Waits for the memory of a value. The wait is this balancer's: it counts neither against the
+    /// host nor in its latency.
+    async fn value_memory(&self, bytes: usize) -> MemoryGrant {
+        let (upstreams, turn) = (self.upstreams, &self.request.turn);
+        if let Some(memory) = upstreams.budget.memory.try_grant_response(bytes, turn.has_come()) {
+            return memory;
+        }
+        upstreams.record_event(UpstreamEvent::AttemptWaits(self.attempt));
+        let memory = upstreams.response_memory(bytes, turn).await;
+        upstreams.record_event(UpstreamEvent::AttemptProceeds(self.attempt));
+        memory
+    }
+
+    /// Ends the attempt in the middle of a value, whose rest is not waited for.
+    fn value_timed_out(&self, now: Micros, mut checked_out: CheckedOut<'_>) -> AttemptOutcome {
+        let id = checked_out.id();
+        drop(checked_out.take());
+        let mut pools = self.upstreams.pools.borrow_mut();
+        if pools.attempt_timed_out(now, id).await_late_response {
+            pools.late_response(now, id, false);
+        }
+        drop(pools);
+        self.upstreams.perform_pool_actions();
+        AttemptOutcome::TimedOut
+    }
+}
