Test two checks that nothing caught when they were taken out

Taken out one at a time: that nothing begins behind a value that is being passed on, that a value can't be made without its memory, and that receipts are read whole. Neither was caught: the soak's clients send nothing while a value comes, and the bound on reads hides the others.

--- a/balancer/src/value.rs
+++ b/balancer/src/value.rs
@@ -99,3 +99,6 @@
     /// The parts, in order.
     pub parts: mpsc::Receiver<StreamPart>,
 }
+
+#[cfg(test)]
+mod tests;
--- a/balancer/tests/pipelined.rs
+++ b/balancer/tests/pipelined.rs
@@ -224,3 +224,35 @@
     assert!(program.wait_for_exit().success());
     assert!(origin.received_nothing(), "the write was begun");
 }
+
+/// Guards against reads being begun behind a value that is already being passed on: if it breaks off, they get no
+/// answer.
+#[test]
+fn read_behind_a_value_that_is_being_passed_on_is_not_begun() {
+    let (host, keys) = scripted_host(&[broken("long", VALUE / 2, Ending::Resets), short("short")]);
+    let origin = origin();
+    let program = program(host, &origin);
+    let mut client = program.client();
+    client.get("long", "id-long", "c=read,d=1900");
+    client.writing.read_exact(&mut [0; 64]).expect("the value begins");
+    client.get("short", "id-short", "c=read,d=1900");
+    program.wait_for_counter("requests_held", 1);
+    read_to_end(&mut client);
+    assert_eq!(keys.try_iter().collect::<Vec<_>>(), ["long"], "the short read was begun");
+}
+
+/// Guards against a write behind another one that has a long receipt, which breaks off: receipts are read whole.
+#[test]
+fn write_behind_a_long_receipt_that_breaks_off_is_answered() {
+    let receipt = format!("HTTP/1.1 200 OK\r\nContent-Length: {VALUE}\r\n\r\n{}", "r".repeat(VALUE / 2));
+    let origin = Peer::http(move |request| match request.contains("/first") {
+        true => Reply::ThenClose(receipt.clone()),
+        false => http_answer(200, "receipt"),
+    });
+    let (host, _keys) = scripted_host(&[short("short")]);
+    let program = program(host, &origin);
+    let mut client = program.client();
+    client.send(&["CACHE.SET", "first", "id-first", "c=once,d=1900", "amount=5"]);
+    client.send(&["CACHE.SET", "second", "id-second", "c=once,d=1900", "amount=5"]);
+    assert_eq!([client.answer(), client.answer()], ["-ERR dead-lettered", "receipt"]);
+}
