Tell the other process of an upgrade which at-most-once requests may have run

Cause: ids were known to their own process alone; two processes of a balancer shared nothing but learned limits.

An at-most-once request is recorded before it may run, and again once it is known not to have run or its whole answer is written.

--- a/balancer/src/downstream/command.rs
+++ b/balancer/src/downstream/command.rs
@@ -1,5 +1,6 @@
 //! Parses a client's command into a request for the policy, or into an immediate reply.
 
+use std::cell::Cell;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
 
@@ -17,7 +18,7 @@
 use crate::pipeline_slot::PipelineSlot;
 use crate::presence::ClientPresence;
 use crate::request::{ClientRequest, RequestMemory};
-use crate::shared::Shared;
+use crate::shared::{IdRefusal, Shared};
 use crate::write_log::WriteLog;
 
 /// Accepted values of the fact `d`, the client's timeout in milliseconds: an hour at most.
@@ -51,12 +52,12 @@
         WAIT_RANGE_MS.start(), WAIT_RANGE_MS.end()
     )]
     InvalidWait,
-    /// Hosts drop or refuse a second request with the same id.
-    #[error("an op with this id is open")]
-    IdInUse,
-    /// A request with the same id ended without its client hearing the answer.
-    #[error("an op with this id may have run")]
-    MayHaveRun,
+    /// Hosts drop or refuse a second request with the same id, or it could run twice.
+    #[error("{}", match .0 {
+        IdRefusal::InUse => "an op with this id is open",
+        IdRefusal::MayHaveRun => "an op with this id may have run",
+    })]
+    IdRefused(IdRefusal),
 }
 
 /// The connection that a command came on, as its request sees it.
@@ -132,13 +133,8 @@
         return Err(RequestError::ControlCharacters);
     }
     let new_request = new_request(shared, &key, &facts, arrived_at, is_write)?;
-    if shared.may_have_run(&id) {
-        return Err(RequestError::MayHaveRun);
-    }
-    if !shared.reserve_id(&id) {
-        return Err(RequestError::IdInUse);
-    }
     let retry_safety = shared.retry_safety(new_request.class);
+    shared.reserve_id(&id, retry_safety).map_err(RequestError::IdRefused)?;
     let request = ClientRequest {
         command,
         key,
@@ -149,6 +145,7 @@
         turn: Rc::default(),
         retry_safety,
         write_log: WriteLog::default(),
+        is_settled: Cell::default(),
         outstanding: OutstandingAttempts::new(shared.clock.clone(), retry_safety, new_request.deadline),
         slot: Rc::new(PipelineSlot::new(is_write, origin.replies_changed)),
         client: origin.client,
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -440,9 +440,10 @@
     fn handle_output(&mut self, event: OutputEvent) -> ControlFlow<CloseReason> {
         match event {
             OutputEvent::Wrote(Ok(count)) if count > 0 => {
-                let progress = self.outgoing.written(count, &self.shared.invariants);
-                if progress == ReplyProgress::LengthWrong {
-                    return ControlFlow::Break(CloseReason::ValueTruncated);
+                match self.outgoing.written(count, &self.shared.invariants) {
+                    ReplyProgress::Complete(Some(request)) => self.shared.answer_written(&request),
+                    ReplyProgress::Complete(None) | ReplyProgress::Continues => {}
+                    ReplyProgress::LengthWrong => return ControlFlow::Break(CloseReason::ValueTruncated),
                 }
                 self.activity.replied_in_takeover = *self.phase.borrow() == Phase::Takeover;
                 // The time limit applies to progress: a client that keeps receiving bytes, however
--- a/balancer/src/downstream/reply.rs
+++ b/balancer/src/downstream/reply.rs
@@ -52,12 +52,11 @@
 }
 
 /// What writing to a client led to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReplyProgress {
     /// Bytes of the reply are left.
     Continues,
-    /// The reply was written as its first line announced it.
-    Complete,
+    /// The reply was written as its first line announced it; it is that to this request.
+    Complete(Option<Rc<ClientRequest>>),
     /// The reply ended with another length than its first line announced: the client can't tell where the
     /// next reply begins.
     LengthWrong,
@@ -172,19 +171,18 @@
         }
         self.memory = None;
         if self.audit.is_as_announced() {
-            self.end_request();
-            return ReplyProgress::Complete;
+            return ReplyProgress::Complete(self.end_request());
         }
         invariants.violated(Invariant::ReplyLengthWrong, format_args!("{}", self.audit));
         self.fail_request();
         ReplyProgress::LengthWrong
     }
 
-    fn end_request(&mut self) {
-        self.request = None;
+    fn end_request(&mut self) -> Option<Rc<ClientRequest>> {
         if let Some((active, outcome)) = self.active.take() {
             active.finish(outcome);
         }
+        self.request.take()
     }
 
     /// Ends the request as failed, whatever its answer was.
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -26,6 +26,7 @@
 mod presence;
 mod process;
 mod request;
+mod request_journal;
 mod requests;
 mod shared;
 mod socket_io;
--- a/balancer/src/process/start.rs
+++ b/balancer/src/process/start.rs
@@ -26,6 +26,7 @@
 use crate::lifecycle::Phase;
 use crate::listener::{self, ListenError};
 use crate::metrics::Metrics;
+use crate::request_journal::RequestJournal;
 use crate::shared::Shared;
 use crate::takeover::{LimitShare, ProcessSlot};
 use crate::upstream::Upstreams;
@@ -82,6 +83,7 @@
         if config.inherited_descriptor.is_some() {
             let slot = ProcessSlot::acquire(config.shared_folder.as_deref(), config.listen);
             restore_limits(&shared, &slot);
+            open_journal(&shared, &slot);
             let sharing = LimitSharing::new(shared.clone(), slot, config.max_sockets, config.memory_bytes);
             tasks.spawn_local(sharing.run());
         }
@@ -171,3 +173,15 @@
         Err(cause) => log::warn!("learned limits can't be read: {cause}; it begins with no learned limits"),
     }
 }
+
+/// Opens the journals by which this process and the other ones of its balancer know each other's requests.
+fn open_journal(shared: &Shared, slot: &ProcessSlot) {
+    let Some(paths) = slot.journal_paths() else { return };
+    match RequestJournal::open(paths, shared.clock.now()) {
+        Ok(journal) => shared.use_journal(journal),
+        Err(cause) => log::warn!(
+            "{}: {cause}; requests that must not run twice are not told from those of other processes",
+            paths.own.display()
+        ),
+    }
+}
--- a/balancer/src/requests.rs
+++ b/balancer/src/requests.rs
@@ -61,11 +61,11 @@
         Beginning::Now => {}
         Beginning::ClientGone => {
             shared.counters.abandoned.add();
-            shared.release_id(&request.id);
+            shared.release_id(&request);
             return;
         }
         Beginning::Never => {
-            shared.release_id(&request.id);
+            shared.release_id(&request);
             reject_unbegun(&shared, &request, delivery, memory);
             return;
         }
@@ -94,7 +94,7 @@
         let context = format_args!("request {}: {panicked}", id.0);
         shared.invariants.violated(Invariant::TaskPanicked, context);
         request.finish();
-        shared.abandon_request(id, &request.id);
+        shared.abandon_request(id, &request);
     }
 }
 
@@ -188,7 +188,7 @@
         if self.is_abandoned {
             self.shared.answer_unheard(&self.request);
         }
-        self.shared.release_id(&self.request.id);
+        self.shared.release_id(&self.request);
     }
 
     fn perform(&mut self, actions: Vec<RequestAction>) {
--- a/balancer/src/shared.rs
+++ b/balancer/src/shared.rs
@@ -7,7 +7,7 @@
 
 use basaltwood::policy::{must_not_begin_again, EndedRequests};
 use basaltwood::router::Router;
-use basaltwood::types::{AttemptKey, PolicyConfig, PoolSize, RequestClassId, RequestId, RetrySafety};
+use basaltwood::types::{AttemptKey, Micros, PolicyConfig, PoolSize, RequestClassId, RequestId, RetrySafety};
 use basaltwood_membership::StartTimes;
 use basaltwood_regions::RegionMap;
 use basaltwood_settings::NameTable;
@@ -22,6 +22,7 @@
 use crate::loop_profile::{LoadSnapshot, LoopProfile};
 use crate::metrics::Metrics;
 use crate::request::ClientRequest;
+use crate::request_journal::RequestJournal;
 use crate::socket_table::SocketTable;
 use crate::upstream::{UpstreamEvent, Upstreams};
 
@@ -62,6 +63,8 @@
     ended_requests: RefCell<EndedRequests>,
     /// Hashes the ids of ended requests.
     id_hasher: RandomState,
+    /// The at-most-once requests of this balancer's processes; `None` if this one is alone for sure.
+    journal: RefCell<Option<RequestJournal>>,
 }
 
 impl Shared {
@@ -93,9 +96,15 @@
             ids_in_use: RefCell::default(),
             ended_requests: RefCell::default(),
             id_hasher: RandomState::new(),
+            journal: RefCell::default(),
         }
     }
 
+    /// Shares with the other processes of this balancer which requests may have run.
+    pub fn use_journal(&self, journal: RequestJournal) {
+        self.journal.replace(Some(journal));
+    }
+
     /// Filters the endpoint list by this map of regions, if there is one.
     pub fn with_regions(self, map: Option<RegionMap>) -> Shared {
         Shared { regions: map.map(|map| RefCell::new(HostRegions::new(map))), ..self }
@@ -181,17 +190,34 @@
     }
 
     /// Cleans up after a request whose task ended without a final answer.
-    pub fn abandon_request(&self, request: RequestId, client_id: &Bytes) {
+    pub fn abandon_request(&self, request: RequestId, client_request: &ClientRequest) {
         self.router.borrow_mut().abandon(self.clock.now(), request);
         self.unregister(request);
-        self.release_id(client_id);
+        self.release_id(client_request);
         self.wake_requests();
     }
 
-    /// Reserves a client-chosen request id until [`Shared::release_id`]. Returns whether it was
-    /// free.
-    pub fn reserve_id(&self, id: &Bytes) -> bool {
-        self.ids_in_use.borrow_mut().insert(id.clone())
+    /// Reserves a client-chosen request id until [`Shared::release_id`].
+    ///
+    /// # Errors
+    /// Why no request with this id may begin.
+    pub fn reserve_id(&self, id: &Bytes, safety: RetrySafety) -> Result<(), IdRefusal> {
+        let now = self.clock.now();
+        if self.ended_requests.borrow_mut().contains(now, self.id_hasher.hash_one(id)) {
+            return Err(IdRefusal::MayHaveRun);
+        }
+        if !self.ids_in_use.borrow_mut().insert(id.clone()) {
+            return Err(IdRefusal::InUse);
+        }
+        if safety == RetrySafety::AtMostOnce && !self.begin_in_journal(now, id) {
+            self.ids_in_use.borrow_mut().remove(id);
+            return Err(IdRefusal::MayHaveRun);
+        }
+        Ok(())
+    }
+
+    fn begin_in_journal(&self, now: Micros, id: &Bytes) -> bool {
+        self.journal.borrow_mut().as_mut().is_none_or(|journal| journal.begin(now, id))
     }
 
     /// Records that the client of a request did not hear its answer. If the request may have run and must
@@ -203,14 +229,34 @@
         }
     }
 
-    /// Whether a request with this id may have run, and must not run again.
-    pub fn may_have_run(&self, id: &Bytes) -> bool {
-        let id = self.id_hasher.hash_one(id);
-        self.ended_requests.borrow_mut().contains(self.clock.now(), id)
+    /// Records that the whole answer to a request was written to its client.
+    pub fn answer_written(&self, request: &ClientRequest) {
+        self.settle_in_journal(request);
     }
 
     /// Releases the id of a request that has ended with all its attempts.
-    pub fn release_id(&self, id: &Bytes) {
-        self.ids_in_use.borrow_mut().remove(id);
+    pub fn release_id(&self, request: &ClientRequest) {
+        self.ids_in_use.borrow_mut().remove(&request.id);
+        if !request.write_log.may_have_run() {
+            self.settle_in_journal(request);
+        }
     }
+
+    fn settle_in_journal(&self, request: &ClientRequest) {
+        if request.retry_safety != RetrySafety::AtMostOnce || request.is_settled.replace(true) {
+            return;
+        }
+        if let Some(journal) = self.journal.borrow_mut().as_mut() {
+            journal.settle(&request.id);
+        }
+    }
+}
+
+/// Why no request with a certain id may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdRefusal {
+    /// A request with this id is open.
+    InUse,
+    /// One may have run, here or at another process of this balancer, and must not run twice.
+    MayHaveRun,
 }
--- a/balancer/src/takeover.rs
+++ b/balancer/src/takeover.rs
@@ -3,7 +3,7 @@
 //! Each process holds a slot: a locked file in a shared folder. The lock ends with its process even
 //! if the process is killed, whereas a file with a process id would be left behind. A process that
 //! runs alone records the concurrency limits that it has learned, and its successor starts with
-//! them.
+//! them. Each slot has a journal of requests, see [`request_journal`](crate::request_journal).
 
 use std::cell::Cell;
 use std::fs::{File, OpenOptions, TryLockError};
@@ -15,6 +15,8 @@
 use basaltwood::types::LearnedLimit;
 use basaltwood_handover as handover;
 
+use crate::request_journal::JournalPaths;
+
 #[cfg(test)]
 mod tests;
 
@@ -69,6 +71,8 @@
     _own: File,
     /// The file of the other slot.
     other: PathBuf,
+    /// The journals of both slots' requests.
+    journals: JournalPaths,
 }
 
 /// Why no slot could be acquired.
@@ -136,6 +140,11 @@
         Some(self.record.as_ref()?.with_file_name(name))
     }
 
+    /// Where the journals of this slot and of the other one are; `None` without a slot.
+    pub fn journal_paths(&self) -> Option<&JournalPaths> {
+        self.held.as_ref().map(|held| &held.journals)
+    }
+
     /// Whether another process of this balancer is running.
     fn other_is_running(&self) -> bool {
         self.held.as_ref().is_some_and(|held| matches!(try_lock(&held.other), Ok(None)))
@@ -172,11 +181,16 @@
 impl HeldSlot {
     fn acquire(folder: Option<&Path>, address: SocketAddr) -> Result<HeldSlot, SlotError> {
         let folder = folder.ok_or(SlotError::NoFolder)?;
-        let slot = |number: u32| folder.join(format!("basaltwood-{address}-{number}"));
+        let slot = |number: usize| folder.join(format!("basaltwood-{address}-{number}"));
+        let journal = |number: usize| folder.join(format!("basaltwood-{address}-requests-{number}"));
         for _ in 0..ACQUIRE_ATTEMPTS {
-            for (number, own, other) in [(0, slot(0), slot(1)), (1, slot(1), slot(0))] {
+            for (number, other_number) in [(0, 1), (1, 0)] {
+                let (own, other) = (slot(number), slot(other_number));
                 match try_lock(&own) {
-                    Ok(Some(file)) => return Ok(HeldSlot { number, _own: file, other }),
+                    Ok(Some(file)) => {
+                        let journals = JournalPaths { own: journal(number), other: journal(other_number) };
+                        return Ok(HeldSlot { number, _own: file, other, journals });
+                    }
                     Ok(None) => {}
                     Err(cause) => return Err(SlotError::Unusable { path: own, cause }),
                 }
--- a/balancer/tests/takeover.rs
+++ b/balancer/tests/takeover.rs
@@ -166,6 +166,72 @@
     assert_eq!(trace, ["+PONG", "v", "v", "closed", "Some(0)", "v"]);
 }
 
+/// Guards against an at-most-once write running twice because its client came again, with the same id, at the
+/// other process of an upgrade: while the first attempt is open, after it, and after its process has ended.
+#[test]
+fn write_whose_client_comes_again_at_the_successor_does_not_run_twice() {
+    let (release, wait) = gate();
+    let origin = Peer::http(move |request| {
+        wait(request);
+        http_answer(200, "receipt")
+    });
+    let host = Peer::host(|_| miss());
+    let platform = Platform::new("ids", &[("a", &host), ("origin", &origin)]);
+    let mut old = platform.start();
+    let write = ["CACHE.SET", "slow", "id", "c=once,d=1900", "v"];
+    let mut first = old.client();
+    first.send(&write);
+    assert!(origin.next().contains("slow"));
+    let heard = ["CACHE.SET", "k", "heard", "c=once,d=1900", "v"];
+    assert_eq!(old.client().command(&heard), "receipt");
+    origin.next();
+
+    let new = platform.start();
+    old.signal("TERM");
+    old.wait_for_log("Takeover");
+    first.disconnect();
+    old.wait_for_counter("abandoned", 1);
+    for _ in 0..2 {
+        assert_eq!(new.client().command(&write), "-ERR an op with this id may have run");
+    }
+    release.send(()).expect("the origin waits");
+    assert_eq!(old.wait_for_exit().code(), Some(0));
+    assert_eq!([origin.next(), origin.next()], ["closed", "closed"]);
+
+    for _ in 0..2 {
+        assert_eq!(new.client().command(&write), "-ERR an op with this id may have run");
+    }
+    assert!(origin.received_nothing(), "the write ran again");
+    // An id whose client heard its answer is free, as it is in one process.
+    assert_eq!(new.client().command(&heard), "receipt");
+    let third = platform.start();
+    drop(new);
+    assert_eq!(third.client().command(&write), "-ERR an op with this id may have run");
+}
+
+/// Guards against the same where the first process was killed.
+#[test]
+fn write_whose_process_was_killed_does_not_run_again_at_the_next_one() {
+    let (_release, wait) = gate();
+    let origin = Peer::http(move |request| {
+        wait(request);
+        http_answer(200, "receipt")
+    });
+    let host = Peer::host(|_| miss());
+    let platform = Platform::new("killed", &[("a", &host), ("origin", &origin)]);
+    let old = platform.start();
+    let write = ["CACHE.SET", "slow", "id", "c=once,d=1900", "v"];
+    let mut first = old.client();
+    first.send(&write);
+    assert!(origin.next().contains("slow"));
+    drop(old);
+
+    let next = platform.start();
+    assert_eq!(next.client().command(&write), "-ERR an op with this id may have run");
+    let other = ["CACHE.SET", "k", "other", "c=once,d=1900", "v"];
+    assert_eq!(next.client().command(&other), "receipt");
+}
+
 #[test]
 fn process_without_a_shared_folder_serves_with_half_of_the_limits() {
     let host = Peer::host(|_| hit("v"));
--- a/handover/src/lib.rs
+++ b/handover/src/lib.rs
@@ -1,10 +1,12 @@
-//! The record that a balancer leaves for the process that replaces it: the concurrency limit that
-//! it has learned for each host.
+//! What a balancer leaves for the process that replaces it: a record of the concurrency limit that it has
+//! learned for each host, and the [journal](request_journal) of requests that must not run twice.
 //!
 //! A record is a version byte, the limits of the hosts, and a little-endian CRC-32 of all bytes
 //! before it. This crate does no I/O: the caller stores the bytes and decides whether a record is
 //! too old to use.
 
+pub mod request_journal;
+
 use basaltwood::types::{LearnedLimit, RingPosition};
 
 /// The first byte of a record.
--- a/src/policy/ended_requests.rs
+++ b/src/policy/ended_requests.rs
@@ -3,7 +3,7 @@
 //! A client that left and comes again with the same id can't know whether its request ran. Hosts tell
 //! repeats apart only where a key says so.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use crate::types::{Micros, RetrySafety};
 
@@ -51,3 +51,43 @@
         }
     }
 }
+
+/// The at-most-once requests that another process of this balancer has begun and not settled, by numbers of
+/// their ids: they may run there, or have run with nobody hearing how they ended.
+#[derive(Debug, Default)]
+pub struct UnsettledRequests {
+    /// When each was learned of.
+    begun: HashMap<u64, Micros>,
+}
+
+impl UnsettledRequests {
+    /// Takes in that the other process has begun a request.
+    pub fn begun(&mut self, now: Micros, id: u64) {
+        if self.begun.len() >= MAX_REMEMBERED {
+            self.forget_old(now);
+        }
+        self.begun.insert(id, now);
+    }
+
+    /// Takes in that the request never ran there, or that its client was sent the whole answer.
+    pub fn settled(&mut self, id: u64) {
+        self.begun.remove(&id);
+    }
+
+    /// Whether the request with this id must not begin here.
+    pub fn contains(&self, now: Micros, id: u64) -> bool {
+        self.begun.get(&id).is_some_and(|at| now - at < RETENTION)
+    }
+
+    /// Forgets what is old; where all of it is recent, the oldest half.
+    fn forget_old(&mut self, now: Micros) {
+        self.begun.retain(|_, at| now - *at < RETENTION);
+        if self.begun.len() < MAX_REMEMBERED {
+            return;
+        }
+        let mut times: Vec<Micros> = self.begun.values().copied().collect();
+        let (_, median, _) = times.select_nth_unstable(MAX_REMEMBERED / 2);
+        let median = *median;
+        self.begun.retain(|_, at| *at > median);
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -32,7 +32,7 @@
 pub(crate) mod zones;
 
 pub use arrival::UnreadBytes;
-pub use ended_requests::{must_not_begin_again, EndedRequests};
+pub use ended_requests::{must_not_begin_again, EndedRequests, UnsettledRequests};
 pub use outstanding::BegunAttempts;
 pub use pipelining::{may_begin_behind, must_be_told, EarlierReply};
 pub use retry_safety::{check_repeat, rejection_is_harmless, PossibleRun, Repeat};
