Test a host that is silent on kept connections on a new one

Cause: where all kept connections have died without a reset, attempts go from one dead connection to the next until each host is ejected for silence, and a suspected host takes no second attempt.

Change: once a request on a kept connection is overdue and its host has answered nothing since, one new connection is opened although others are idle, within circuit breaker, throttle and descriptors.

--- a/connection_pool/src/host_pool.rs
+++ b/connection_pool/src/host_pool.rs
@@ -202,6 +202,23 @@
         connection.sent_at.is_some_and(|sent_at| self.history.silent_since(sent_at))
     }
 
+    /// Whether a request on a reused connection is overdue, the host has answered nothing since it was
+    /// sent, and no new connection is in use that would show whether the host answers.
+    pub fn is_silent_on_reused_connections(&self, now: Micros) -> bool {
+        let min_wait = self.history.min_wait_for_doubt();
+        let mut in_use = self.connections.values().filter(|connection| connection.in_use());
+        let is_overdue = |connection: &Connection| {
+            connection.sent_at.is_some_and(|sent_at| now - sent_at > min_wait)
+                && self.silent_since_request(connection)
+        };
+        let mut has_overdue = false;
+        let all_reused = in_use.all(|connection| {
+            has_overdue |= is_overdue(connection);
+            connection.idle_before_use.is_some()
+        });
+        all_reused && has_overdue
+    }
+
     /// Decides whether to await a late response on a connection whose attempt timed out. If the
     /// whole host is silent, a late response shows that it has returned.
     fn await_late_response(&mut self, now: Micros, id: ConnectionId) -> bool {
--- a/connection_pool/src/pools.rs
+++ b/connection_pool/src/pools.rs
@@ -161,17 +161,32 @@
         let max_host_share = self.max_host_share();
         let idle_timeout = self.config.idle_timeout;
         self.hosts.entry(host).or_insert_with(|| HostPool::new(idle_timeout));
+        let held = self.hosts.get(&host).map_or(0, |pool| pool.connections.len());
+        let has_descriptors = !descriptors_short || held < max_host_share;
+        if has_descriptors && self.tests_silent_host(now, host, has_reservation) {
+            return self.open(now, host, has_reservation);
+        }
         if let Some(id) = self.reuse_idle(now, host, idle_limit) {
             return Checkout::Reuse(id);
         }
-        let held = self.hosts.get(&host).map_or(0, |pool| pool.connections.len());
-        if descriptors_short && held >= max_host_share {
+        if !has_descriptors {
             self.stats.connects_exhausted += 1;
             return Checkout::Exhausted;
         }
         self.open(now, host, has_reservation)
     }
 
+    /// Whether a new connection is opened although others are idle: the host is silent, and those
+    /// may all have died with the one that shows it. A new one tells dead connections from a host that
+    /// hangs.
+    fn tests_silent_host(&mut self, now: Micros, host: HostId, has_reservation: bool) -> bool {
+        let Some(pool) = self.hosts.get_mut(&host) else { return false };
+        let may_open = pool.circuit_breaker.state(now) == CircuitState::Closed
+            && pool.connect_bucket.next_token_at(now) <= now
+            && (has_reservation || self.connect_bucket.next_token_at(now) <= now);
+        may_open && pool.is_silent_on_reused_connections(now)
+    }
+
     fn descriptors_short(&self) -> bool {
         self.connections.len() * SHORTAGE_DENOMINATOR >= self.config.max_connections * SHORTAGE_NUMERATOR
     }
--- a/connection_pool/tests/traces.rs
+++ b/connection_pool/tests/traces.rs
@@ -151,6 +151,44 @@
         connects_throttled=0 connects_circuit_open=0 connects_exhausted=0 process_stalls=0"#]]);
 }
 
+/// Guards against a healthy host being taken for a hung one because its idle connections have all died without
+/// notice: one request after the other would wait on them, and with every host so, all are ejected.
+#[test]
+fn host_silent_on_reused_connections_is_tested_on_a_new_one() {
+    let mut scenario = Scenario::new(2, 300);
+    let three: Vec<ConnectionId> = (0..3).map(|_| scenario.send(0)).collect();
+    scenario.now += 5 * MS;
+    scenario.answer_all(&three);
+    scenario.advance(300 * MS);
+
+    // A request that has just been sent is no sign; one that is overdue is, and one new connection is enough.
+    scenario.send(0);
+    scenario.now += 10 * MS;
+    scenario.send(0);
+    scenario.now += 30 * MS;
+    let tested = scenario.send(0);
+    scenario.now += 2 * MS;
+    scenario.send(0);
+    scenario.now += 3 * MS;
+    scenario.pools.answered(scenario.now, tested, true);
+    // The host answers: its connections may be used again.
+    scenario.advance(100 * MS);
+    scenario.send(0);
+
+    scenario.assert_trace(expect![[r#"
+        0     h0 Open(ConnectionId(0))
+        0     h0 Open(ConnectionId(1))
+        0     h0 Open(ConnectionId(2))
+        305   h0 Reuse(ConnectionId(2))
+        315   h0 Reuse(ConnectionId(1))
+        345   h0 Open(ConnectionId(3))
+        347   h0 Reuse(ConnectionId(0))
+        450   h0 Reuse(ConnectionId(3))
+        connections_presumed_stale=0 connections_surplus_closed=0 connection_faults=0
+        attempts_in_doubt=0 late_responses=0
+        connects_throttled=0 connects_circuit_open=0 connects_exhausted=0 process_stalls=0"#]]);
+}
+
 #[test]
 fn two_stale_connections_in_a_row_close_idle_ones_as_old_and_spare_the_host() {
     let mut scenario = Scenario::new(2, 300);
