Draw pauses past what clients wait in the reply soak

The soak's pauses were under 0.12 s, so that it could not see what happens behind a long value that its host holds up for seconds.

--- a/balancer/tests/reply_soak/servers.rs
+++ b/balancer/tests/reply_soak/servers.rs
@@ -45,8 +45,8 @@
     listen(audit, serve_http)
 }
 
-fn pause(plan: Plan) {
-    thread::sleep(Duration::from_millis(plan.pause_ms));
+fn pause(milliseconds: u64) {
+    thread::sleep(Duration::from_millis(milliseconds));
 }
 
 fn serve_command(
@@ -58,7 +58,7 @@
     let words: Vec<String> = (0..count).map(|_| read_bulk(reading)).collect::<io::Result<_>>()?;
     let plan = Plan::of_key(&words[1]);
     audit.ran(&words[2]);
-    pause(plan);
+    pause(plan.pause_ms);
     let value = plan.value();
     let stated = match plan.spoil {
         Spoil::Miss | Spoil::MissThenChunks => return stream.write_all(MISS),
@@ -68,7 +68,7 @@
     };
     let half = value.len() / 2;
     stream.write_all(&[format!("*3\r\n${stated}\r\n").as_bytes(), &value[..half]].concat())?;
-    pause(plan);
+    pause(plan.middle_pause_ms);
     match plan.spoil {
         Spoil::Closed => Err(io::ErrorKind::ConnectionAborted.into()),
         Spoil::Reset => {
@@ -97,7 +97,7 @@
     audit.ran(&id);
     let key = request.split([' ', '/']).find(|word| word.contains('-')).expect("a key");
     let plan = Plan::of_key(key);
-    pause(plan);
+    pause(plan.pause_ms);
     let body = if request.starts_with("PUT") { b"receipt".to_vec() } else { plan.value() };
     let mut head = "HTTP/1.1 200 OK\r\n".to_owned();
     if plan.spoil == Spoil::MissThenChunks && request.starts_with("GET") {
