End the use of a listed host once one that started later has its address

Cause: only hosts that the list dropped were compared by address. A list may tell of a new process before it tells that the one before has gone, or tell of that one once more.

Change: where listed hosts have one address, those that started before another one there, by the list's own times, are gone. Hosts with the same start all stay.

--- a/balancer/src/discovery/endpoints.rs
+++ b/balancer/src/discovery/endpoints.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use basaltwood::types::{Endpoint, Lifecycle, Micros};
+use basaltwood::types::{Endpoint, HostId, Lifecycle, Micros};
 use basaltwood_regions::{ListedHost, RegionEvent, Regions};
 use basaltwood_settings::{self as settings, micros};
 use serde::Deserialize;
@@ -86,6 +86,8 @@
     address: Option<SocketAddr>,
     /// When the host started, on this process's clock.
     started_at: Option<Micros>,
+    /// The same as the list has it, in milliseconds since 1970; 0 for long ago.
+    started_at_ms: u64,
     weight: Option<f64>,
     cell: Option<u32>,
 }
@@ -143,10 +145,11 @@
         Some(regions) => keep_ring_hosts(shared, &mut regions.borrow_mut(), whole, hosts),
         None => hosts,
     };
+    let addresses = hosts.iter().filter_map(|host| host.details.address).collect();
     let endpoints: Vec<Endpoint> = hosts.into_iter().map(|host| register(shared, host)).collect();
     shared.counters.endpoint_lists.add();
     shared.router.borrow_mut().update_endpoints(now, whole, endpoints);
-    end_replaced_hosts(shared, now);
+    end_replaced_hosts(shared, &addresses, now);
     // Has to come before any request's task runs; covers hosts that a complete list lacks.
     shared.upstreams.update_accepting_hosts(|host| shared.router.borrow().accepts_attempts(host));
     shared.wake_requests();
@@ -223,7 +226,7 @@
         started_at: details.started_at,
     });
     if let Some(address) = details.address {
-        shared.upstreams.update_host(endpoint.host, address, origin);
+        shared.upstreams.update_host(endpoint.host, address, details.started_at_ms, origin);
     }
     if lifecycle != Lifecycle::Up {
         let state = if lifecycle == Lifecycle::Draining { "leaving" } else { "left" };
@@ -232,15 +235,18 @@
     Endpoint { origin, ..endpoint }
 }
 
-/// Ends the use of hosts that the list dropped and whose address another host has: requests under their
-/// name would go to a process that has its own slow start and drain.
-fn end_replaced_hosts(shared: &Shared, now: Micros) {
+/// Ends the use of hosts whose address another host has, as far as the list's changed addresses tell: of those
+/// that the list dropped, and of those that started before the other one. Requests under their name would go to
+/// a process that has its own slow start and drain.
+fn end_replaced_hosts(shared: &Shared, changed: &BTreeSet<SocketAddr>, now: Micros) {
+    let is_listed = |host: HostId| shared.router.borrow().is_listed(host);
+    let mut replaced = shared.upstreams.superseded_hosts(changed, is_listed);
     let dropped = shared.router.borrow().dropped_hosts();
-    if dropped.is_empty() {
-        return;
+    if !dropped.is_empty() {
+        replaced.extend(shared.upstreams.replaced_hosts(&dropped));
     }
-    for host in shared.upstreams.replaced_hosts(&dropped) {
-        log::info!(host = host.0; "host dropped by the list, and its address taken by another: no longer used");
+    for host in replaced {
+        log::info!(host = host.0; "host's address taken by another one: no longer used");
         shared.router.borrow_mut().host_replaced(now, host);
     }
 }
@@ -292,7 +298,13 @@
         zone: instance.zone.map(Into::into),
         origin: shared.names.borrow().is_origin(instance.machine_type.as_deref()),
         lifecycle,
-        details: HostDetails { address, started_at: started_at.unwrap_or(None), weight, cell: instance.cell },
+        details: HostDetails {
+            address,
+            started_at: started_at.unwrap_or(None),
+            started_at_ms: instance.started_at_ms.unwrap_or(0.0) as u64,
+            weight,
+            cell: instance.cell,
+        },
     })
 }
 
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -67,6 +67,8 @@
 /// The address of a host, and whether it accepts attempts.
 struct HostEntry {
     address: SocketAddr,
+    /// When the host started, by the list, in milliseconds since 1970; 0 for long ago.
+    started_at_ms: u64,
     is_origin: bool,
     /// Whether the host accepts new attempts, by the policy's rule on drains and the current list.
     accepts_attempts: bool,
@@ -86,6 +88,7 @@
     fn new(address: SocketAddr, is_origin: bool) -> HostEntry {
         HostEntry {
             address,
+            started_at_ms: 0,
             is_origin,
             accepts_attempts: true,
             draining_since: None,
@@ -167,11 +170,12 @@
         })
     }
 
-    /// Sets the address of a host; connections to its previous address are closed.
-    pub fn update_host(&self, host: HostId, address: SocketAddr, is_origin: bool) {
+    /// Sets the address of a host and when it started; connections to its previous address are closed.
+    pub fn update_host(&self, host: HostId, address: SocketAddr, started_at_ms: u64, is_origin: bool) {
         let mut hosts = self.hosts.borrow_mut();
         let entry = hosts.entry(host).or_insert_with(|| HostEntry::new(address, is_origin));
         entry.is_origin = is_origin;
+        entry.started_at_ms = started_at_ms;
         let previous = std::mem::replace(&mut entry.address, address);
         if previous != address {
             self.pools.borrow_mut().host_moved(host);
@@ -190,6 +194,28 @@
         dropped.iter().filter(is_replaced).copied().collect()
     }
 
+    /// Those of the listed hosts at one of these addresses that started before another one there: an
+    /// address has one process, the one that started last.
+    pub fn superseded_hosts(
+        &self,
+        addresses: &BTreeSet<SocketAddr>,
+        is_listed: impl Fn(HostId) -> bool,
+    ) -> Vec<HostId> {
+        let hosts = self.hosts.borrow();
+        let there: Vec<(HostId, &HostEntry)> = hosts
+            .iter()
+            .filter(|(host, entry)| addresses.contains(&entry.address) && is_listed(**host))
+            .map(|(host, entry)| (*host, entry))
+            .collect();
+        let mut last_starts: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+        for (_, entry) in &there {
+            let last = last_starts.entry(entry.address).or_default();
+            *last = entry.started_at_ms.max(*last);
+        }
+        let is_superseded = |entry: &HostEntry| entry.started_at_ms < last_starts[&entry.address];
+        there.into_iter().filter(|(_, entry)| is_superseded(entry)).map(|(host, _)| host).collect()
+    }
+
     /// Updates which hosts accept attempts; to be called whenever the list was read. If a host does
     /// not, its idle connections are closed, and attempts that wait for a connection to it end.
     pub fn update_accepting_hosts(&self, accepts_attempts: impl Fn(HostId) -> bool) {
--- a/balancer/tests/replaced_hosts.rs
+++ b/balancer/tests/replaced_hosts.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use common::*;
 
@@ -80,3 +80,39 @@
         assert_eq!(received(&reused), 0, "{order:?}: requests to a host that leaves, for the one before");
     }
 }
+
+/// An entry of an active host that started at this Unix time, in milliseconds; 0 for long ago.
+fn started(name: &str, host: &Peer, started_at_ms: u128) -> String {
+    entry(name, host.address, "active")
+        .replace("\"startedAtMs\":0", &format!("\"startedAtMs\":{started_at_ms}"))
+}
+
+/// Guards against a new process getting the traffic of the host that had its address before, past its own slow
+/// start and its drain, as long as the list has not told that that one has gone, or tells of it once more.
+#[test]
+fn new_process_at_the_address_of_a_listed_host_is_not_taken_for_it() {
+    let (reused, other) = (Peer::host(|_| hit("from reused")), Peer::host(|_| hit("from other")));
+    let discovery = Discovery::start();
+    let known = [started("a", &reused, 0), entry("c", other.address, "active")];
+    let program = Program::start(BINARY, discovery.peer.address, &known, 256);
+    read_all(&program, "before");
+    assert!(received(&reused) > 0, "host a has keys");
+
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_millis();
+    discovery.publish_changes(&[started("b", &reused, now)]);
+    program.wait_for_counter("endpoint_lists", 2);
+    discovery
+        .publish_changes(&[entry("b", reused.address, "leaving")
+            .replace("\"startedAtMs\":0", &format!("\"startedAtMs\":{now}"))]);
+    program.wait_for_counter("endpoint_lists", 3);
+    sleep(GRACE);
+    received(&reused);
+    read_all(&program, "after");
+    assert_eq!(received(&reused), 0, "requests to a host that leaves, under the name of the one before");
+
+    // A late copy of an older change.
+    discovery.publish_changes(&[started("a", &reused, 0)]);
+    program.wait_for_counter("endpoint_lists", 4);
+    read_all(&program, "again");
+    assert_eq!(received(&reused), 0, "requests to a host that leaves, after the one before was told again");
+}
--- a/src/host_tracker.rs
+++ b/src/host_tracker.rs
@@ -153,7 +153,8 @@
                 }
             }
             HostMessage::Alive => self.mark_not_restarted(now),
-            HostMessage::Replaced => self.mark_replaced(),
+            // The answers that seem to show it alive may be those of the one that has its address.
+            HostMessage::Replaced => self.mark_gone(),
             HostMessage::ValueInvalid => self.value_invalid(),
             HostMessage::ProcessStalled(span) => {
                 self.in_flight.values_mut().for_each(|attempt| attempt.sent_at += span);
--- a/src/policy/host.rs
+++ b/src/policy/host.rs
@@ -31,17 +31,12 @@
         }
     }
 
-    /// Marks a host that is missing from the endpoint list as gone because another one has its address:
-    /// the answers that seemed to show it alive may be that one's.
-    pub fn mark_replaced(&mut self) {
-        if self.is_dropped {
-            self.mark_gone();
-        }
-    }
-
-    fn mark_gone(&mut self) {
+    /// Marks a host as gone: it gets no new attempts.
+    pub fn mark_gone(&mut self) {
         self.is_dropped = false;
-        self.status.endpoint.as_mut().expect("a dropped host was listed before").lifecycle = Lifecycle::Gone;
+        if let Some(endpoint) = &mut self.status.endpoint {
+            endpoint.lifecycle = Lifecycle::Gone;
+        }
     }
 
     /// Applies the host's entry of the endpoint list.
--- a/src/policy_views.rs
+++ b/src/policy_views.rs
@@ -10,6 +10,13 @@
         self.dispatcher.host_statuses.get(host.index()).is_some_and(|status| status.is_up())
     }
 
+    /// Whether the host is in the endpoint list, or stays in use although the list dropped it.
+    pub fn is_listed(&self, host: HostId) -> bool {
+        let endpoint =
+            self.dispatcher.host_statuses.get(host.index()).and_then(|status| status.endpoint.as_ref());
+        endpoint.is_some_and(|endpoint| endpoint.lifecycle != Lifecycle::Gone)
+    }
+
     /// The hosts that the list dropped and that stay in use because they answer.
     pub fn dropped_hosts(&self) -> Vec<HostId> {
         self.hosts.iter().filter(|host| host.is_dropped).map(|host| host.id).collect()
--- a/src/router.rs
+++ b/src/router.rs
@@ -172,6 +172,11 @@
         self.policy.accepts_attempts(host)
     }
 
+    /// Whether the host is in the endpoint list, or stays in use although the list dropped it.
+    pub fn is_listed(&self, host: HostId) -> bool {
+        self.policy.is_listed(host)
+    }
+
     /// How long the client of a rejected request is told to wait; `None` where it is not told.
     pub fn retry_after(&self) -> Option<Micros> {
         self.policy.retry_after()
@@ -282,8 +287,8 @@
         self.policy.dropped_hosts()
     }
 
-    /// Reports that another host has the address of one that the list dropped: what answers there is no
-    /// evidence about the one that was dropped.
+    /// Reports that another host has the address of this one, which the list dropped or which started
+    /// before: what answers there is no evidence about this one.
     pub fn host_replaced(&mut self, now: Micros, host: HostId) {
         self.handle(now, PolicyEvent::HostReplaced { host });
     }
--- a/src/types/events.rs
+++ b/src/types/events.rs
@@ -170,9 +170,10 @@
         /// The host.
         host: HostId,
     },
-    /// A host that the list dropped has been replaced: its address is another host's.
+    /// A host has been replaced: its address is that of another one, and the list dropped it, or it started
+    /// before.
     HostReplaced {
-        /// The host that was dropped.
+        /// The host that is no longer there.
         host: HostId,
     },
     /// A response that was reported as a success turned out to be invalid while its value was passed on:
