Put a list into force in the step in which it was read whole

Cause: a list is parsed in slices, and its task yielded behind the last one too. Attempts whose connections came up in the next pass of the event loop were written before the list was in force.

Change: the task yields between slices only.

--- a/balancer/src/discovery/endpoints.rs
+++ b/balancer/src/discovery/endpoints.rs
@@ -113,10 +113,13 @@
 pub async fn apply_list_in_slices(shared: &Shared, list: EndpointList, whole: bool) -> u64 {
     let read_at = read_clocks(shared);
     let mut hosts = Vec::with_capacity(list.instances.len());
-    for slice in list.instances.chunks(ENTRIES_PER_SLICE) {
+    for (nth, slice) in list.instances.chunks(ENTRIES_PER_SLICE).enumerate() {
+        // Not behind the last slice: requests that came with the list would be sent before it is in force.
+        if nth > 0 {
+            yield_now().await;
+        }
         let parse = || slice.iter().filter_map(|entry| parse_or_log(shared, entry, read_at));
         shared.loop_profile.timed(Stage::ListParsed, || hosts.extend(parse()));
-        yield_now().await;
     }
     let parsed = ParsedList { version: list.generation, hosts, read_at };
     shared.loop_profile.timed(Stage::ListApplied, || apply_parsed_list(shared, parsed, whole))
