Count only requests that may have run as effects that go untold

Cause: the log's untold_effects, and the invariant reply_owed_at_close that follows from it, counted every request that was not held: one that was refused because the process ends, or that never reached a host, counted as begun. Found by reading.

Change: a request counts if its client has to be told of it and an attempt was written that may have run.

--- a/balancer/src/downstream/pending.rs
+++ b/balancer/src/downstream/pending.rs
@@ -110,9 +110,11 @@
         self.awaited_requests().filter(|request| request.is_finished())
     }
 
-    /// How many requests have begun whose effect must not go untold, and are not answered.
+    /// How many requests may have run whose effect must not go untold, and are not answered.
     pub fn untold_effects(&self) -> usize {
-        self.awaited_requests().filter(|request| !request.slot.is_held() && request.must_be_told()).count()
+        let is_untold =
+            |request: &&Rc<ClientRequest>| request.must_be_told() && request.write_log.may_have_run();
+        self.awaited_requests().filter(is_untold).count()
     }
 
     /// Takes the first reply off, if it is complete.
