--- a/balancer/src/downstream/mod.rs
+++ b/balancer/src/downstream/mod.rs
@@ -1,8 +1,8 @@
 //! Clients: their connections, the commands that they send over RESP2, and the replies in the order
 //! of the commands.
 //!
-//! [`accept()`] takes connections in; [`connection`] serves one; [`input`] reads commands,
-//! [`pending`] holds the replies that are owed and [`reply`] writes them; [`command`] turns a command into a request for the policy.
+//! [`accept()`] takes connections in; [`connection`] serves one; [`input`] reads commands, and [`command`] turns
+//! one into a request for the policy; [`pending`] holds the replies that are owed, and [`reply`] writes them.
 
 mod accept;
 mod closing;
--- a/balancer/tests/pipelined.rs
+++ b/balancer/tests/pipelined.rs
@@ -41,6 +41,15 @@
     Answer::stating(key, VALUE, &value()[..count]).ending(PAUSE, ending)
 }
 
+/// A host whose value for `long` takes longer than clients wait.
+fn host_with_a_slow_long_value() -> std::net::SocketAddr {
+    let half = VALUE / 2;
+    let head = Answer::of("long", HEAD.into()).after(PAUSE);
+    let value = head.then(PAUSE, &value()[..half]).then(SILENCE, &value()[half..]);
+    let (host, _keys) = scripted_host(&[value.then(PAUSE, TRAILER.as_bytes()), short("short")]);
+    host
+}
+
 fn origin() -> Peer {
     Peer::http(|_| http_answer(200, "receipt"))
 }
@@ -186,12 +195,8 @@
 /// it fails in its own time, as a short value does, and they are answered.
 #[test]
 fn reads_begun_behind_a_long_value_that_takes_too_long_are_answered_in_time() {
-    let half = VALUE / 2;
-    let slow = Answer::of("long", HEAD.into()).after(PAUSE);
-    let slow = slow.then(PAUSE, &value()[..half]).then(SILENCE, &value()[half..]);
-    let (host, _keys) = scripted_host(&[slow.then(PAUSE, TRAILER.as_bytes()), short("short")]);
     let origin = origin();
-    let program = program(host, &origin);
+    let program = program(host_with_a_slow_long_value(), &origin);
     let mut client = program.client();
     client.get("long", "id-long", "c=once,d=1900");
     client.get("short", "id-short", "c=read,d=1900");
@@ -205,12 +210,8 @@
 /// nothing has begun behind it.
 #[test]
 fn slow_long_value_is_passed_on_where_nothing_has_begun_behind_it() {
-    let half = VALUE / 2;
-    let slow = Answer::of("long", HEAD.into()).after(PAUSE);
-    let slow = slow.then(PAUSE, &value()[..half]).then(SILENCE, &value()[half..]);
-    let (host, _keys) = scripted_host(&[slow.then(PAUSE, TRAILER.as_bytes()), short("short")]);
     let origin = origin();
-    let program = program(host, &origin);
+    let program = program(host_with_a_slow_long_value(), &origin);
     let mut client = program.client();
     client.get("long", "id-long", "c=once,d=1900");
     let sent_at = Instant::now();
--- a/balancer/tests/takeover.rs
+++ b/balancer/tests/takeover.rs
@@ -8,6 +8,7 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
 use std::sync::Arc;
 use std::thread::{spawn, JoinHandle};
 use std::time::{Duration, Instant};
@@ -61,6 +62,18 @@
     }
 }
 
+/// A platform with an origin that holds back its answers to the key `slow`.
+fn platform_with_a_gated_origin(name: &str) -> (Sender<()>, Peer, Platform) {
+    let (release, wait) = gate();
+    let origin = Peer::http(move |request| {
+        wait(request);
+        http_answer(200, "receipt")
+    });
+    let host = Peer::host(|_| miss());
+    let platform = Platform::new(name, &[("a", &host), ("origin", &origin)]);
+    (release, origin, platform)
+}
+
 /// What a client saw under steady load.
 struct LoadResult {
     unexpected: Vec<String>,
@@ -170,13 +183,7 @@
 /// other process of an upgrade: while the first attempt is open, after it, and after its process has ended.
 #[test]
 fn write_whose_client_comes_again_at_the_successor_does_not_run_twice() {
-    let (release, wait) = gate();
-    let origin = Peer::http(move |request| {
-        wait(request);
-        http_answer(200, "receipt")
-    });
-    let host = Peer::host(|_| miss());
-    let platform = Platform::new("ids", &[("a", &host), ("origin", &origin)]);
+    let (release, origin, platform) = platform_with_a_gated_origin("ids");
     let mut old = platform.start();
     let write = ["CACHE.SET", "slow", "id", "c=once,d=1900", "v"];
     let mut first = old.client();
@@ -212,13 +219,7 @@
 /// Guards against the same where the first process was killed.
 #[test]
 fn write_whose_process_was_killed_does_not_run_again_at_the_next_one() {
-    let (_release, wait) = gate();
-    let origin = Peer::http(move |request| {
-        wait(request);
-        http_answer(200, "receipt")
-    });
-    let host = Peer::host(|_| miss());
-    let platform = Platform::new("killed", &[("a", &host), ("origin", &origin)]);
+    let (_release, origin, platform) = platform_with_a_gated_origin("killed");
     let old = platform.start();
     let write = ["CACHE.SET", "slow", "id", "c=once,d=1900", "v"];
     let mut first = old.client();
