Close a silent client at once when its descriptor is needed

Cause: a client that is shed kept its descriptor while its connection lingered for a last reply, also where nothing had ever been sent to it; the accept loop needed two waits of 20 ms for each.

Change: a client that was sent nothing is closed without lingering.

--- a/balancer/src/downstream/closing.rs
+++ b/balancer/src/downstream/closing.rs
@@ -78,6 +78,8 @@
     pub reason: CloseReason,
     /// The number of replies that were not written in full.
     pub pending_replies: usize,
+    /// Whether anything was ever sent to the client.
+    pub has_sent: bool,
     /// The number of requests among them that have begun and whose client has to be told how they ended.
     pub untold_effects: usize,
 }
@@ -85,7 +87,7 @@
 /// Closes a client's connection. Returns once the client has closed too, has received everything,
 /// or is no longer waited for.
 pub async fn close(shared: &Rc<Shared>, mut stream: TcpStream, closed: Closed) {
-    let Closed { number, reason, pending_replies, untold_effects } = closed;
+    let Closed { number, reason, pending_replies, has_sent, untold_effects } = closed;
     log::debug!(client = number, reason:?, owed = pending_replies, untold_effects; "client connection ends");
     let is_truncated = reason == CloseReason::ValueTruncated;
     if (pending_replies > 0 && !reason.allows_pending_replies()) || (untold_effects > 0 && is_truncated) {
@@ -94,7 +96,9 @@
             format_args!("client {number}, {reason:?}, {pending_replies} replies pending, {untold_effects} with effects"),
         );
     }
-    if !reason.client_may_read() || stream.shutdown().await.is_err() {
+    // A client that was sent nothing can lose nothing, and another one waits for its descriptor.
+    let can_lose_nothing = reason == CloseReason::Shed && !has_sent;
+    if !reason.client_may_read() || can_lose_nothing || stream.shutdown().await.is_err() {
         return;
     }
     let wakeup = Rc::default();
--- a/balancer/src/downstream/connection.rs
+++ b/balancer/src/downstream/connection.rs
@@ -94,6 +94,8 @@
     shed_wakeup: Rc<Notify>,
     /// Notified when more is known of a reply that is awaited.
     replies_changed: Rc<Notify>,
+    /// Whether anything was ever sent to the client.
+    has_sent: bool,
     /// Dropped with this connection: no attempt begins for the client afterwards.
     presence: PresenceGuard,
 }
@@ -127,6 +129,7 @@
             activity: Activity::new(),
             shed_wakeup: Rc::default(),
             replies_changed: Rc::default(),
+            has_sent: false,
             presence: PresenceGuard::default(),
         }
     }
@@ -141,6 +144,7 @@
             number: self.number,
             reason,
             pending_replies: self.pending.len() + being_written,
+            has_sent: self.has_sent,
             untold_effects: self.pending.untold_effects(),
         }
     }
@@ -440,6 +444,7 @@
     fn handle_output(&mut self, event: OutputEvent) -> ControlFlow<CloseReason> {
         match event {
             OutputEvent::Wrote(Ok(count)) if count > 0 => {
+                self.has_sent = true;
                 match self.outgoing.written(count, &self.shared.invariants) {
                     ReplyProgress::Complete(Some(request)) => self.shared.answer_written(&request),
                     ReplyProgress::Complete(None) | ReplyProgress::Continues => {}
--- a/balancer/tests/sockets/limits.rs
+++ b/balancer/tests/sockets/limits.rs
@@ -39,6 +39,33 @@
     assert!(program.wait_for_counter("clients_shed", 2).contains("clients_slow=0"));
 }
 
+/// Guards against requests on new connections that get neither answer nor close, because a crowd of silent clients
+/// before them holds the descriptors and is closed one by one, each after a wait.
+#[test]
+fn requests_behind_a_crowd_of_silent_clients_are_answered_in_time() {
+    const WAIT: Duration = Duration::from_millis(1_500);
+    const MAX_LATENESS: Duration = Duration::from_millis(550);
+    for (sockets, silent) in [(256, 400), (1_024, 900)] {
+        let host = Peer::host(|_| hit("v"));
+        let known = [entry("a", host.address, "active")];
+        let program = Program::start(BINARY, unreachable_address(), &known, sockets);
+        let crowd: Vec<Client> = (0..silent).map(|_| program.client()).collect();
+        let began = Instant::now();
+        let mut clients: Vec<Client> = (0..20).map(|_| program.client()).collect();
+        for (nth, client) in clients.iter_mut().enumerate() {
+            client.get(&format!("k{nth}"), &format!("id{nth}"), "c=read,d=1500");
+        }
+        for (nth, client) in clients.iter_mut().enumerate() {
+            // All come at once, more than the host is sent at a time: a rejection is an answer too.
+            let answer = client.answer();
+            let is_final = ["v", "-BUSY 400"].contains(&&answer[..]);
+            assert!(is_final, "client {nth} behind {silent} at {sockets} descriptors: {answer}");
+        }
+        assert!(began.elapsed() < WAIT + MAX_LATENESS, "{silent}: answered after {:?}", began.elapsed());
+        drop(crowd);
+    }
+}
+
 #[test]
 fn descriptor_shortage_closes_the_longest_idle_client() {
     let host = Peer::host(|_| hit("v"));
