--- a/balancer/src/request_journal/tests.rs
+++ b/balancer/src/request_journal/tests.rs
@@ -1,5 +1,8 @@
 //! Two journals in one folder, as two processes of a balancer have them.
 
+use std::sync::Barrier;
+use std::thread;
+
 use tempfile::TempDir;
 
 use super::*;
@@ -78,3 +81,25 @@
     assert!(!next.begin(0, b"a") && next.begin(0, b"b"));
     assert!(!other.begin(0, b"a") && !other.begin(0, b"b"));
 }
+
+/// Guards against an id that begins at both processes because each looked before the other had recorded it.
+#[test]
+fn id_that_comes_to_both_processes_at_once_begins_at_one_at_most() {
+    const IDS: u32 = 2_000;
+    let folder = folder();
+    let in_step = Barrier::new(2);
+    let begun_at = |mut journal: RequestJournal| -> Vec<bool> {
+        let begin = |id: u32| {
+            in_step.wait();
+            journal.begin(0, &id.to_le_bytes())
+        };
+        (0..IDS).map(begin).collect()
+    };
+    let (old, new) = (journal(&folder, "0", "1"), journal(&folder, "1", "0"));
+    let (old, new) = thread::scope(|threads| {
+        let other = threads.spawn(|| begun_at(new));
+        (begun_at(old), other.join().expect("the thread ends"))
+    });
+    let at_both = old.iter().zip(&new).filter(|(old, new)| **old && **new).count();
+    assert_eq!(at_both, 0, "of {IDS} ids");
+}
