Compare dropped and listed hosts at one address in one place

Cause: put a comparison of start times beside that of dropped hosts, and counted dropped hosts in both. A listed host with an older start than one that the list had dropped counted as replaced by it, and that one as replaced by the listed one: nobody was left at the address. Found by reading the change once more.

Change: one comparison. Of the hosts in use at an address the listed ones come first, then the later start; the others are gone. A host that the list says has left counts no more in it.

Result: listed_host_is_used_although_a_dropped_one_at_its_address_started_later failed before (no request came to the listed host) and passes; the two other tests of the file pass.

--- a/balancer/src/discovery/endpoints.rs
+++ b/balancer/src/discovery/endpoints.rs
@@ -152,7 +152,7 @@
     let endpoints: Vec<Endpoint> = hosts.into_iter().map(|host| register(shared, host)).collect();
     shared.counters.endpoint_lists.add();
     shared.router.borrow_mut().update_endpoints(now, whole, endpoints);
-    end_replaced_hosts(shared, &addresses, now);
+    end_replaced_hosts(shared, addresses, now);
     // Has to come before any request's task runs; covers hosts that a complete list lacks.
     shared.upstreams.update_accepting_hosts(|host| shared.router.borrow().accepts_attempts(host));
     shared.wake_requests();
@@ -238,17 +238,12 @@
     Endpoint { origin, ..endpoint }
 }
 
-/// Ends the use of hosts whose address another host has, as far as the list's changed addresses tell: of those
-/// that the list dropped, and of those that started before the other one. Requests under their name would go to
-/// a process that has its own slow start and drain.
-fn end_replaced_hosts(shared: &Shared, changed: &BTreeSet<SocketAddr>, now: Micros) {
-    let is_listed = |host: HostId| shared.router.borrow().is_listed(host);
-    let mut replaced = shared.upstreams.superseded_hosts(changed, is_listed);
+/// Ends the use of hosts whose address is another one's, as far as the list's `changed` addresses tell. Requests
+/// under their name would go to a process that has its own slow start and drain.
+fn end_replaced_hosts(shared: &Shared, changed: BTreeSet<SocketAddr>, now: Micros) {
     let dropped = shared.router.borrow().dropped_hosts();
-    if !dropped.is_empty() {
-        replaced.extend(shared.upstreams.replaced_hosts(&dropped));
-    }
-    for host in replaced {
+    let is_in_use = |host: HostId| shared.router.borrow().is_in_use(host);
+    for host in shared.upstreams.replaced_hosts(changed, &dropped, is_in_use) {
         log::info!(host = host.0; "host's address taken by another one: no longer used");
         shared.router.borrow_mut().host_replaced(now, host);
     }
--- a/balancer/src/upstream/hosts.rs
+++ b/balancer/src/upstream/hosts.rs
@@ -72,36 +72,31 @@
         self.perform_pool_actions();
     }
 
-    /// Those of the dropped hosts whose address is now that of a host that was not dropped.
-    pub fn replaced_hosts(&self, dropped: &[HostId]) -> Vec<HostId> {
-        let hosts = self.hosts.borrow();
-        let listed = hosts.iter().filter(|(host, _)| !dropped.contains(host));
-        let listed: BTreeSet<SocketAddr> = listed.map(|(_, entry)| entry.address).collect();
-        let is_replaced =
-            |host: &&HostId| hosts.get(host).is_some_and(|entry| listed.contains(&entry.address));
-        dropped.iter().filter(is_replaced).copied().collect()
-    }
-
-    /// Those of the listed hosts at one of these addresses that started before another one there: an
-    /// address has one process, the one that started last.
-    pub fn superseded_hosts(
+    /// The hosts in use whose address is another one's, among those at the `changed` addresses and those that the
+    /// list dropped. An address has one process: of the listed hosts there the one that started last, before
+    /// any that was dropped.
+    pub fn replaced_hosts(
         &self,
-        addresses: &BTreeSet<SocketAddr>,
-        is_listed: impl Fn(HostId) -> bool,
+        mut changed: BTreeSet<SocketAddr>,
+        dropped: &[HostId],
+        is_in_use: impl Fn(HostId) -> bool,
     ) -> Vec<HostId> {
         let hosts = self.hosts.borrow();
-        let there: Vec<(HostId, &HostEntry)> = hosts
-            .iter()
-            .filter(|(host, entry)| addresses.contains(&entry.address) && is_listed(**host))
-            .map(|(host, entry)| (*host, entry))
-            .collect();
-        let mut last_starts: BTreeMap<SocketAddr, u64> = BTreeMap::new();
-        for (_, entry) in &there {
-            let last = last_starts.entry(entry.address).or_default();
-            *last = entry.started_at_ms.max(*last);
+        changed.extend(dropped.iter().filter_map(|host| hosts.get(host)).map(|entry| entry.address));
+        let there =
+            hosts.iter().filter(|(host, entry)| changed.contains(&entry.address) && is_in_use(**host));
+        let claims = there.map(|(host, entry)| {
+            let claim = (!dropped.contains(host), entry.started_at_ms);
+            (*host, entry.address, claim)
+        });
+        let claims: Vec<_> = claims.collect();
+        let mut strongest = BTreeMap::new();
+        for &(_, address, claim) in &claims {
+            let so_far = strongest.entry(address).or_insert(claim);
+            *so_far = claim.max(*so_far);
         }
-        let is_superseded = |entry: &HostEntry| entry.started_at_ms < last_starts[&entry.address];
-        there.into_iter().filter(|(_, entry)| is_superseded(entry)).map(|(host, _)| host).collect()
+        let replaced = claims.into_iter().filter(|(_, address, claim)| *claim < strongest[address]);
+        replaced.map(|(host, ..)| host).collect()
     }
 
     /// Updates which hosts accept attempts; to be called whenever the list was read. If a host does
--- a/balancer/tests/replaced_hosts.rs
+++ b/balancer/tests/replaced_hosts.rs
@@ -87,6 +87,30 @@
         .replace("\"startedAtMs\":0", &format!("\"startedAtMs\":{started_at_ms}"))
 }
 
+fn unix_now_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_millis()
+}
+
+/// Guards against a listed host being taken for replaced by one that the list dropped, which would leave nobody at
+/// their address.
+#[test]
+fn listed_host_is_used_although_a_dropped_one_at_its_address_started_later() {
+    let (reused, other) = (Peer::host(|_| hit("from reused")), Peer::host(|_| hit("from other")));
+    let discovery = Discovery::start();
+    let c = entry("c", other.address, "active");
+    // Past its slow start.
+    let known = [started("a", &reused, unix_now_ms() - 3_600_000), c.clone()];
+    let settings = settings_that_keep_dropped_hosts();
+    let program = Program::start_with(BINARY, discovery.peer.address, &known, [192, 256], &settings);
+    read_all(&program, "before");
+    assert!(received(&reused) > 0, "host a has keys");
+
+    discovery.publish(&[started("b", &reused, 0), c]);
+    program.wait_for_counter("endpoint_lists", 2);
+    read_all(&program, "after");
+    assert!(received(&reused) > 0, "host b has keys");
+}
+
 /// Guards against a new process getting the traffic of the host that had its address before, past its own slow
 /// start and its drain, as long as the list has not told that that one has gone, or tells of it once more.
 #[test]
@@ -98,7 +122,7 @@
     read_all(&program, "before");
     assert!(received(&reused) > 0, "host a has keys");
 
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_millis();
+    let now = unix_now_ms();
     discovery.publish_changes(&[started("b", &reused, now)]);
     program.wait_for_counter("endpoint_lists", 2);
     discovery
--- a/src/policy_views.rs
+++ b/src/policy_views.rs
@@ -11,7 +11,7 @@
     }
 
     /// Whether the host is in the endpoint list, or stays in use although the list dropped it.
-    pub fn is_listed(&self, host: HostId) -> bool {
+    pub fn is_in_use(&self, host: HostId) -> bool {
         let endpoint =
             self.dispatcher.host_statuses.get(host.index()).and_then(|status| status.endpoint.as_ref());
         endpoint.is_some_and(|endpoint| endpoint.lifecycle != Lifecycle::Gone)
--- a/src/router.rs
+++ b/src/router.rs
@@ -173,8 +173,8 @@
     }
 
     /// Whether the host is in the endpoint list, or stays in use although the list dropped it.
-    pub fn is_listed(&self, host: HostId) -> bool {
-        self.policy.is_listed(host)
+    pub fn is_in_use(&self, host: HostId) -> bool {
+        self.policy.is_in_use(host)
     }
 
     /// How long the client of a rejected request is told to wait; `None` where it is not told.
