Read a value into memory in one place, held or not

hold() and collect() each read a value to its end and judged what came of it; read_value had a parameter and a promise on cancelling that nothing used since a held value is no longer passed on half. No change of behaviour.

--- a/balancer/src/upstream/send_audit/tests.rs
+++ b/balancer/src/upstream/send_audit/tests.rs
@@ -1,6 +1,5 @@
 //! Each invariant is violated on purpose; an attempt that keeps all of them reports none.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use basaltwood::types::{AttemptOutcome, DeduplicationScope, RetrySafety};
@@ -33,7 +32,6 @@
         turn: Rc::default(),
         retry_safety,
         write_log: WriteLog::default(),
-        is_settled: Cell::default(),
         outstanding: OutstandingAttempts::new(Rc::new(Clock::start()), retry_safety, 500 * MS),
         slot: Rc::new(PipelineSlot::new(false, Rc::default())),
         client: client.presence(),
--- a/balancer/src/upstream/value.rs
+++ b/balancer/src/upstream/value.rs
@@ -41,9 +41,8 @@
 ) -> Result<CollectedValue, ValueError> {
     let value = match memory {
         Some(memory) => {
-            let mut value = BytesMut::with_capacity(length);
-            read_value(connection, length, &mut value).await?;
-            Some(GrantedBytes { bytes: value.freeze(), memory })
+            let bytes = read_value(connection, length).await?;
+            Some(GrantedBytes { bytes, memory })
         }
         None => {
             discard_value(connection, length).await?;
@@ -82,23 +81,19 @@
     }
 }
 
-/// Reads a value up to `length` bytes, which `value` has memory for. Cancel safe: what was read stays in
-/// `value`.
-pub async fn read_value(
-    connection: &mut UpstreamConnection,
-    length: usize,
-    value: &mut BytesMut,
-) -> Result<(), ValueError> {
+/// Reads the next `length` bytes into memory of exactly this size.
+async fn read_value(connection: &mut UpstreamConnection, length: usize) -> Result<Bytes, ValueError> {
+    let mut value = BytesMut::with_capacity(length);
     let buffered = connection.buffer.bytes();
-    let count = buffered.len().min(length - value.len());
+    let count = buffered.len().min(length);
     value.extend_from_slice(&buffered[..count]);
     connection.buffer.consume(count);
     while value.len() < length {
         let missing = length - value.len();
-        let mut unfilled = (&mut *value).limit(missing);
+        let mut unfilled = (&mut value).limit(missing);
         more(read_buf(&mut connection.stream, &mut unfilled).await)?;
     }
-    Ok(())
+    Ok(value.freeze())
 }
 
 /// Reads the next `length` bytes and drops them.
--- a/balancer/src/upstream/value_response.rs
+++ b/balancer/src/upstream/value_response.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::error::Elapsed;
 use tokio::time::{sleep_until, timeout_at};
 
 use super::checkout::CheckedOut;
@@ -67,28 +66,13 @@
             false => None,
         };
         match memory {
-            Some(memory) => self.hold(checked_out, head, memory).await,
+            // If it breaks off, or is not whole in the attempt's time, the attempt has failed as one with a
+            // short value does, and the replies behind it follow.
+            Some(memory) => self.read_whole(checked_out, head, Some(memory)).await,
             None => self.stream(checked_out, head),
         }
     }
 
-    /// Reads a long value whole before any of it is passed on: if it breaks off, or is not whole in the
-    /// attempt's time, the attempt has failed as one with a short value does, and the replies behind it follow.
-    async fn hold(
-        &self,
-        mut checked_out: CheckedOut<'_>,
-        head: ValueHead,
-        memory: MemoryGrant,
-    ) -> AttemptResult {
-        let ValueHead { length, ending, .. } = head;
-        let Some(connection) = checked_out.connection() else {
-            return AttemptResult::without_value(AttemptOutcome::NotSent);
-        };
-        let held = collect_value(connection, length, Some(memory), ending);
-        let held = timeout_at(self.deadline_at(), held).await;
-        self.value_read(checked_out, held)
-    }
-
     /// Starts a task that passes on a long value.
     fn stream(&self, mut checked_out: CheckedOut<'_>, head: ValueHead) -> AttemptResult {
         let Some(connection) = checked_out.take() else {
@@ -111,35 +95,36 @@
         mut checked_out: CheckedOut<'_>,
         head: ValueHead,
     ) -> AttemptResult {
-        let ValueHead { start, length, ending } = head;
-        let deadline = self.deadline_at();
         // The host has responded, however long its value waits here.
         self.upstreams.pools.borrow_mut().response_begun(now, checked_out.id());
         let memory = tokio::select! {
             biased;
             () = self.request.wait_finished() => None,
-            memory = self.value_memory(WholeValue::memory_needed(length)) => Some(memory),
-            () = sleep_until(deadline) => {
-                return self.without_memory();
-            }
+            memory = self.value_memory(WholeValue::memory_needed(head.length)) => Some(memory),
+            () = sleep_until(self.deadline_at()) => return self.without_memory(),
         };
         let Some(connection) = checked_out.connection() else {
             return AttemptResult::without_value(AttemptOutcome::NotSent);
         };
-        connection.buffer.consume(start);
-        let collected = collect_value(connection, length, memory, ending);
-        let collected = timeout_at(deadline, collected).await;
-        self.value_read(checked_out, collected)
+        connection.buffer.consume(head.start);
+        self.read_whole(checked_out, head, memory).await
     }
 
-    /// Handles the end of reading a value: whole, not to be read, or not in time.
-    fn value_read(
+    /// Reads a value, whose first bytes are next, up to its end or until the attempt's time is over. Without
+    /// memory it is discarded.
+    async fn read_whole(
         &self,
-        checked_out: CheckedOut<'_>,
-        read: Result<Result<CollectedValue, ValueError>, Elapsed>,
+        mut checked_out: CheckedOut<'_>,
+        head: ValueHead,
+        memory: Option<MemoryGrant>,
     ) -> AttemptResult {
+        let Some(connection) = checked_out.connection() else {
+            return AttemptResult::without_value(AttemptOutcome::NotSent);
+        };
+        let collected = collect_value(connection, head.length, memory, head.ending);
+        let collected = timeout_at(self.deadline_at(), collected).await;
         let now = self.upstreams.clock.now();
-        match read {
+        match collected {
             Err(_) => AttemptResult::without_value(self.value_timed_out(now, checked_out)),
             Ok(Err(failure)) => AttemptResult::without_value(self.value_failed(now, checked_out, failure)),
             Ok(Ok(CollectedValue { value, trailer })) => self.collected(now, checked_out, value, trailer),
