--- a/balancer/src/downstream/command.rs
+++ b/balancer/src/downstream/command.rs
@@ -1,6 +1,5 @@
 //! Parses a client's command into a request for the policy, or into an immediate reply.
 
-use std::cell::Cell;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
 
@@ -145,7 +144,6 @@
         turn: Rc::default(),
         retry_safety,
         write_log: WriteLog::default(),
-        is_settled: Cell::default(),
         outstanding: OutstandingAttempts::new(shared.clock.clone(), retry_safety, new_request.deadline),
         slot: Rc::new(PipelineSlot::new(is_write, origin.replies_changed)),
         client: origin.client,
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -1,7 +1,6 @@
 //! A client's request and the results of its attempts: types shared by the code for requests, cache
 //! hosts and the origin.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use basaltwood::policy::must_be_told;
@@ -64,8 +63,6 @@
     pub retry_safety: RetrySafety,
     /// The request's attempts that were written in full.
     pub write_log: WriteLog,
-    /// Whether the other processes of this balancer were told that the id is free again.
-    pub is_settled: Cell<bool>,
     /// The request's attempts that may still reach their hosts.
     pub outstanding: OutstandingAttempts,
     /// Whether the client's next answer is that of this request.
--- a/balancer/src/request_journal.rs
+++ b/balancer/src/request_journal.rs
@@ -59,7 +59,7 @@
     /// get the same id at once, at most one begins.
     pub fn begin(&mut self, now: Micros, id: &[u8]) -> bool {
         let request = request_number(id);
-        if self.predecessor.contains(now, request) || self.other.contains(now, request) {
+        if self.predecessor.contains(now, request) {
             return false;
         }
         self.own.record(request, JournalEvent::Begun);
--- a/balancer/src/shared.rs
+++ b/balancer/src/shared.rs
@@ -231,10 +231,13 @@
 
     /// Records that the whole answer to a request was written to its client.
     pub fn answer_written(&self, request: &ClientRequest) {
-        self.settle_in_journal(request);
+        if request.write_log.may_have_run() {
+            self.settle_in_journal(request);
+        }
     }
 
-    /// Releases the id of a request that has ended with all its attempts.
+    /// Releases the id of a request that has ended with all its attempts. One that never ran is settled, whether
+    /// its answer was written or not.
     pub fn release_id(&self, request: &ClientRequest) {
         self.ids_in_use.borrow_mut().remove(&request.id);
         if !request.write_log.may_have_run() {
@@ -243,7 +246,7 @@
     }
 
     fn settle_in_journal(&self, request: &ClientRequest) {
-        if request.retry_safety != RetrySafety::AtMostOnce || request.is_settled.replace(true) {
+        if request.retry_safety != RetrySafety::AtMostOnce {
             return;
         }
         if let Some(journal) = self.journal.borrow_mut().as_mut() {
