Remember unheard and foreign requests in one structure

UnsettledRequests stood beside EndedRequests with the same retention and the same bound, and dropped the older half by a median where the other dropped the oldest. One structure, by id and by time, serves both; a look at it changes nothing. A request that is recorded again keeps its first time in both. The tests keep their assertions; two method names in them follow.

--- a/balancer/src/request_journal.rs
+++ b/balancer/src/request_journal.rs
@@ -185,8 +185,8 @@
 
 fn replay(record: JournalRecord, now: Micros, unsettled: &mut UnsettledRequests) {
     match record.event {
-        JournalEvent::Begun => unsettled.begun(now, record.request),
-        JournalEvent::Settled => unsettled.settled(record.request),
+        JournalEvent::Begun => unsettled.record(now, record.request),
+        JournalEvent::Settled => unsettled.settle(record.request),
     }
 }
 
--- a/balancer/src/shared.rs
+++ b/balancer/src/shared.rs
@@ -5,7 +5,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 
-use basaltwood::policy::{must_not_begin_again, EndedRequests};
+use basaltwood::policy::{must_not_begin_again, UnsettledRequests};
 use basaltwood::router::Router;
 use basaltwood::types::{AttemptKey, Micros, PolicyConfig, PoolSize, RequestClassId, RequestId, RetrySafety};
 use basaltwood_membership::StartTimes;
@@ -60,8 +60,8 @@
     /// id.
     ids_in_use: RefCell<HashSet<Bytes>>,
     /// Requests that may have run and whose client did not hear how they ended.
-    ended_requests: RefCell<EndedRequests>,
-    /// Hashes the ids of ended requests.
+    unheard_requests: RefCell<UnsettledRequests>,
+    /// Hashes the ids of those requests.
     id_hasher: RandomState,
     /// The at-most-once requests of this balancer's processes; `None` if this one is alone for sure.
     journal: RefCell<Option<RequestJournal>>,
@@ -94,7 +94,7 @@
             retry_safety: config.classes.iter().map(|class| class.retry_safety).collect(),
             wakeups: RefCell::default(),
             ids_in_use: RefCell::default(),
-            ended_requests: RefCell::default(),
+            unheard_requests: RefCell::default(),
             id_hasher: RandomState::new(),
             journal: RefCell::default(),
         }
@@ -203,7 +203,7 @@
     /// Why no request with this id may begin.
     pub fn reserve_id(&self, id: &Bytes, safety: RetrySafety) -> Result<(), IdRefusal> {
         let now = self.clock.now();
-        if self.ended_requests.borrow_mut().contains(now, self.id_hasher.hash_one(id)) {
+        if self.unheard_requests.borrow().contains(now, self.id_hasher.hash_one(id)) {
             return Err(IdRefusal::MayHaveRun);
         }
         if !self.ids_in_use.borrow_mut().insert(id.clone()) {
@@ -225,7 +225,7 @@
     pub fn answer_unheard(&self, request: &ClientRequest) {
         if must_not_begin_again(request.retry_safety, request.write_log.may_have_run()) {
             let id = self.id_hasher.hash_one(&request.id);
-            self.ended_requests.borrow_mut().record(self.clock.now(), id);
+            self.unheard_requests.borrow_mut().record(self.clock.now(), id);
         }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,7 +8,7 @@
 //! answer when it is decided, `send_permit.rs` checks each attempt again before its first byte, and
 //! `retry_safety.rs` decides whether a request may be sent again, `outstanding.rs` when an attempt
 //! that is still out has to be cancelled, and `pipelining.rs` whether a request may begin behind others of
-//! its client, and `ended_requests.rs` whether it may begin again.
+//! its client, and `unsettled_requests.rs` whether it may begin again.
 
 use crate::dispatcher::Dispatcher;
 use crate::host_tracker::{HostStatus, HostTracker, Mailboxes};
@@ -20,7 +20,6 @@
 pub(crate) mod concurrency_limit;
 pub(crate) mod constants;
 mod dispatch;
-mod ended_requests;
 mod fleet;
 mod host;
 pub(crate) mod hot_keys;
@@ -29,14 +28,15 @@
 mod retry_safety;
 mod selection;
 mod send_permit;
+mod unsettled_requests;
 pub(crate) mod zones;
 
 pub use arrival::UnreadBytes;
-pub use ended_requests::{must_not_begin_again, EndedRequests, UnsettledRequests};
 pub use outstanding::BegunAttempts;
 pub use pipelining::{may_begin_behind, must_be_told, EarlierReply};
 pub use retry_safety::{check_repeat, rejection_is_harmless, PossibleRun, Repeat};
 pub use send_permit::{SendPermit, SendRefusal};
+pub use unsettled_requests::{must_not_begin_again, UnsettledRequests};
 
 /// The policy of one balancer.
 pub struct Policy {
