Say in two steps when a host is silent on reused connections

One pass over the connections decided two things, one of them by a side effect of its predicate. No change of behaviour.

--- a/connection_pool/src/host_pool.rs
+++ b/connection_pool/src/host_pool.rs
@@ -206,17 +206,13 @@
     /// sent, and no new connection is in use that would show whether the host answers.
     pub fn is_silent_on_reused_connections(&self, now: Micros) -> bool {
         let min_wait = self.history.min_wait_for_doubt();
-        let mut in_use = self.connections.values().filter(|connection| connection.in_use());
+        let in_use = || self.connections.values().filter(|connection| connection.in_use());
+        let has_new = in_use().any(|connection| connection.idle_before_use.is_none());
         let is_overdue = |connection: &Connection| {
             connection.sent_at.is_some_and(|sent_at| now - sent_at > min_wait)
                 && self.silent_since_request(connection)
         };
-        let mut has_overdue = false;
-        let all_reused = in_use.all(|connection| {
-            has_overdue |= is_overdue(connection);
-            connection.idle_before_use.is_some()
-        });
-        all_reused && has_overdue
+        !has_new && in_use().any(is_overdue)
     }
 
     /// Decides whether to await a late response on a connection whose attempt timed out. If the
